--- /dev/null
+++ b/packages/chivestream-caller/src/index.ts
@@ -0,0 +1,4 @@
+/** Package `chivestream-caller`. */
+
+/** Name of this package. */
+export const packageName = 'chivestream-caller';
--- /dev/null
+++ b/packages/chivestream-configuration/src/index.ts
@@ -0,0 +1,4 @@
+/** Package `chivestream-configuration`. */
+
+/** Name of this package. */
+export const packageName = 'chivestream-configuration';
--- /dev/null
+++ b/packages/chivestream-core/src/clock.ts
@@ -0,0 +1,47 @@
+/** Time as an argument, so that decisions run the same on the system clock and on a fake one. */
+
+/** A scheduled callback that can still be cancelled. */
+export type Timer = {
+	cancel: () => void;
+};
+
+/** Tells the time and schedules callbacks. Times are milliseconds since the Unix epoch. */
+export type Clock = {
+	now: () => number;
+	/** Calls back once the stored deadline has passed. */
+	at: (deadline: number, callback: () => void) => Timer;
+};
+
+const longestTimeoutMs = (2 ** 31) - 1;
+
+/** The system's clock. Timers do not keep the process alive. */
+export const systemClock: Clock = {
+	now: () => Date.now(),
+	at(deadline, callback) {
+		const delayMs = Math.min(Math.max(0, deadline - Date.now()), longestTimeoutMs);
+		const handle = setTimeout(callback, delayMs);
+		handle.unref();
+		return {
+			cancel() {
+				clearTimeout(handle);
+			},
+		};
+	},
+};
+
+/** Resolves once the deadline has passed, or as soon as the signal aborts. */
+export const waitUntil = async (clock: Clock, deadline: number, signal?: AbortSignal): Promise<void> => new Promise(resolve => {
+	if (signal?.aborted) {
+		resolve();
+		return;
+	}
+
+	const finish = () => {
+		timer.cancel();
+		signal?.removeEventListener('abort', finish);
+		resolve();
+	};
+
+	const timer = clock.at(deadline, finish);
+	signal?.addEventListener('abort', finish, {once: true});
+});
--- /dev/null
+++ b/packages/chivestream-core/src/index.ts
@@ -0,0 +1,11 @@
+/** Types and small functions that every other package shares. */
+export * from './attempt.js';
+export * from './clock.js';
+export * from './declarations.js';
+export * from './digest.js';
+export * from './failure.js';
+export * from './host.js';
+export * from './job.js';
+export * from './key.js';
+export * from './log.js';
+export * from './random.js';
--- /dev/null
+++ b/packages/chivestream-entry/src/index.ts
@@ -0,0 +1,4 @@
+/** Package `chivestream-entry`. */
+
+/** Name of this package. */
+export const packageName = 'chivestream-entry';
--- /dev/null
+++ b/packages/chivestream-entry/src/main.ts
@@ -0,0 +1,4 @@
+/** The program `chivestream-entry`. */
+import {packageName} from './index.js';
+
+console.log(packageName);
--- /dev/null
+++ b/packages/chivestream-minion/src/index.ts
@@ -0,0 +1,4 @@
+/** Package `chivestream-minion`. */
+
+/** Name of this package. */
+export const packageName = 'chivestream-minion';
--- /dev/null
+++ b/packages/chivestream-operator/src/index.ts
@@ -0,0 +1,4 @@
+/** Package `chivestream-operator`. */
+
+/** Name of this package. */
+export const packageName = 'chivestream-operator';
--- /dev/null
+++ b/packages/chivestream-peer/src/index.ts
@@ -0,0 +1,2 @@
+/** Entry host to entry host. */
+export * from './handlers.js';
--- /dev/null
+++ b/packages/chivestream-placement/src/index.ts
@@ -0,0 +1,2 @@
+/** Decisions of one entry host: placement, admission, fairness and retries. */
+export type * from './scheduler.js';
--- /dev/null
+++ b/packages/chivestream-platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Clients of the platform's services. */
+export * from './stream.js';
--- /dev/null
+++ b/packages/chivestream-replay/src/index.ts
@@ -0,0 +1,4 @@
+/** Package `chivestream-replay`. */
+
+/** Name of this package. */
+export const packageName = 'chivestream-replay';
--- /dev/null
+++ b/packages/chivestream-replay/src/main.ts
@@ -0,0 +1,4 @@
+/** The program `chivestream-replay`. */
+import {packageName} from './index.js';
+
+console.log(packageName);
--- /dev/null
+++ b/packages/chivestream-report/src/index.ts
@@ -0,0 +1,4 @@
+/** Package `chivestream-report`. */
+
+/** Name of this package. */
+export const packageName = 'chivestream-report';
--- /dev/null
+++ b/packages/chivestream-settings/src/index.ts
@@ -0,0 +1,4 @@
+/** Package `chivestream-settings`. */
+
+/** Name of this package. */
+export const packageName = 'chivestream-settings';
--- /dev/null
+++ b/packages/chivestream-stand-ins/src/index.ts
@@ -0,0 +1,4 @@
+/** Package `chivestream-stand-ins`. */
+
+/** Name of this package. */
+export const packageName = 'chivestream-stand-ins';
--- /dev/null
+++ b/packages/chivestream-stand-ins/src/main.ts
@@ -0,0 +1,4 @@
+/** The program `chivestream-stand-ins`. */
+import {packageName} from './index.js';
+
+console.log(packageName);
--- /dev/null
+++ b/packages/chivestream-worker/src/index.ts
@@ -0,0 +1,4 @@
+/** Package `chivestream-worker`. */
+
+/** Name of this package. */
+export const packageName = 'chivestream-worker';
