Add the operators' query and command language

The owner needs one language for questions and commands. Statements are read by a chevrotain grammar into a typed tree, checked against typed columns, and faults point at the place and list what could stand there. Queries are evaluated by a pure function. Late and stuck compare the time with two stored deadlines. OperatorSource states what the entry host gives to the service.

--- a/packages/chivestream-operator/src/index.ts
+++ b/packages/chivestream-operator/src/index.ts
@@ -1,4 +1,9 @@
-/** Package `chivestream-operator`. */
-
-/** Name of this package. */
-export const packageName = 'chivestream-operator';
+/** The owner's query and command language, its service and its command line. */
+export * from './evaluate.js';
+export * from './language/fault.js';
+export * from './language/parse.js';
+export * from './language/syntax.js';
+export * from './source.js';
+export * from './tables/columns.js';
+export * from './tables/job-state.js';
+export * from './tables/rows.js';
--- a/packages/chivestream-operator/src/main.ts
+++ b/packages/chivestream-operator/src/main.ts
@@ -1,4 +1,4 @@
-/** The program `chivestream-operator`. */
-import {packageName} from './index.js';
+/** The program `chivestream`. */
+import {tableNames} from './index.js';
 
-console.log(packageName);
+console.log(`Tables: ${tableNames.join(', ')}`);
--- /dev/null
+++ b/packages/chivestream-operator/src/tables/columns.ts
@@ -0,0 +1,124 @@
+/** The tables and their typed columns. */
+import {jobState} from './job-state.js';
+import {
+	hostState, type RowsByTable, type TableName, targetState,
+} from './rows.js';
+
+/** What a column holds and may be compared with. */
+export const columnType = {
+	text: 'text',
+	number: 'number',
+	/** Milliseconds, compared with lengths of time such as `5s`. */
+	span: 'span',
+	/** Milliseconds since the Unix epoch, compared with `now` or an ISO 8601 time. */
+	time: 'time',
+	flag: 'flag',
+	/** One of a few words. */
+	choice: 'choice',
+	/** Several texts; `=` holds when one of them is equal. */
+	names: 'names',
+} as const;
+
+/** One of the column types. */
+export type ColumnType = (typeof columnType)[keyof typeof columnType];
+
+/** A column of a table. */
+export type Column<ColumnName extends string = string> = {
+	name: ColumnName;
+	type: ColumnType;
+	/** The words that a choice may be. */
+	choices?: readonly string[];
+};
+
+type ColumnsByTable = {[Table in TableName]: ReadonlyArray<Column<Extract<keyof RowsByTable[Table], string>>>};
+
+const text = <ColumnName extends string>(name: ColumnName): Column<ColumnName> => ({name, type: columnType.text});
+const number = <ColumnName extends string>(name: ColumnName): Column<ColumnName> => ({name, type: columnType.number});
+const span = <ColumnName extends string>(name: ColumnName): Column<ColumnName> => ({name, type: columnType.span});
+const time = <ColumnName extends string>(name: ColumnName): Column<ColumnName> => ({name, type: columnType.time});
+const names = <ColumnName extends string>(name: ColumnName): Column<ColumnName> => ({name, type: columnType.names});
+const choice = <ColumnName extends string>(name: ColumnName, words: Record<string, string>): Column<ColumnName> =>
+	({name, type: columnType.choice, choices: Object.values(words)});
+
+/** The columns of every table, in the order in which they are shown. */
+export const columnsByTable: ColumnsByTable = {
+	jobs: [
+		text('key'),
+		text('team'),
+		text('upstream'),
+		text('zone'),
+		text('host'),
+		choice('state', jobState),
+		span('age'),
+		time('deadline'),
+		time('progressDeadline'),
+		number('tasks'),
+		number('queued'),
+		number('running'),
+		number('completed'),
+		number('failed'),
+		names('minions'),
+		names('workers'),
+	],
+	upstreams: [
+		text('name'),
+		text('zone'),
+		text('host'),
+		number('minions'),
+		number('workers'),
+		number('slots'),
+		number('queued'),
+		number('running'),
+	],
+	minions: [
+		text('id'),
+		text('upstream'),
+		text('zone'),
+		text('host'),
+		choice('state', targetState),
+		number('slots'),
+		number('running'),
+		number('slowness'),
+		text('address'),
+	],
+	workers: [
+		text('id'),
+		text('upstream'),
+		text('zone'),
+		text('rack'),
+		text('host'),
+		choice('state', targetState),
+		number('cores'),
+		number('memoryMb'),
+		number('accelerators'),
+		number('running'),
+		number('slowness'),
+		text('address'),
+	],
+	hosts: [
+		text('id'),
+		text('region'),
+		text('zone'),
+		choice('state', hostState),
+		span('age'),
+		number('jobs'),
+		number('memoryMb'),
+		text('incarnation'),
+		text('callerAddress'),
+		text('operatorAddress'),
+	],
+	configuration: [
+		text('host'),
+		text('zone'),
+		number('version'),
+		number('offset'),
+		{name: 'isLogReachable', type: columnType.flag},
+		span('logAge'),
+	],
+};
+
+/** Whether a text names a table. */
+export const isTableName = (name: string): name is TableName => Object.hasOwn(columnsByTable, name);
+
+/** The names of all tables. */
+export const tableNames: TableName[] = Object.keys(columnsByTable).filter(name => isTableName(name));
