Serve operators over HTTP and add the program chivestream

One endpoint carries statements of the language; queries are evaluated on each host and gathered with the hosts that did not answer. Changes are one compare-and-set, then wait until every host that answers has the version. Exit codes tell incomplete, beaten, invalid and unknown apart. Tests run each command over HTTP against a fake entry host, with a zone cut off and with the log down.

--- a/packages/chivestream-core/src/index.ts
+++ b/packages/chivestream-core/src/index.ts
@@ -4,6 +4,7 @@
 export * from './declarations.js';
 export * from './digest.js';
 export * from './failure.js';
+export * from './histograms.js';
 export * from './host.js';
 export * from './job.js';
 export * from './key.js';
--- /dev/null
+++ b/packages/chivestream-operator/src/__fixtures__/command-line.ts
@@ -0,0 +1,66 @@
+/** Runs the command line against a service on a port of the system's choice. */
+import {type Declarations} from 'chivestream-core';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {runCommandLine} from '../command-line/run.js';
+import {createOperatorService, type OperatorServiceOptions} from '../service/service.js';
+import {type OperatorSource} from '../source.js';
+import {testDeclarations} from './fake-source.js';
+
+/** Token of services in tests. */
+export const testToken = 'a-token-for-tests';
+
+/** What one run of the program did. */
+export type ProgramRun = {
+	code: number;
+	output: string;
+	errors: string;
+};
+
+/** A listening service; close it in the end. */
+export type ListeningService = {
+	url: string;
+	close: () => Promise<void>;
+};
+
+/** Checks declarations by one rule: the text must be JSON, laid over the declarations for tests. */
+export const checkDeclarations = (text: string): Result<Declarations, string[]> => {
+	try {
+		const fields: unknown = JSON.parse(text);
+		return new Ok({...testDeclarations, ...fields as object});
+	} catch {
+		return new Err(['line 1, column 1: not JSON']);
+	}
+};
+
+/** Starts the operators' service. */
+export const startService = async (source: OperatorSource, options: Partial<OperatorServiceOptions> = {}): Promise<ListeningService> => {
+	const service = createOperatorService(source, {token: testToken, checkDeclarations, ...options});
+	const port = await service.listen(0, '127.0.0.1');
+	return {url: `http://127.0.0.1:${port}`, close: service.close};
+};
+
+/** The environment variables that name an entry host and the token. */
+export const createEnvironment = (url?: string, token?: string): Record<string, string | undefined> =>
+	Object.fromEntries([['CHIVESTREAM_URL', url], ['CHIVESTREAM_TOKEN', token]]);
+
+/** Runs the program with arguments and an environment. */
+export const runProgram = async (
+	words: string[],
+	environment: Record<string, string | undefined>,
+	signal: AbortSignal = new AbortController().signal,
+): Promise<ProgramRun> => {
+	const output: string[] = [];
+	const errors: string[] = [];
+	const code = await runCommandLine({
+		arguments: words,
+		environment,
+		write(text) {
+			output.push(text);
+		},
+		writeError(text) {
+			errors.push(text);
+		},
+		signal,
+	});
+	return {code, output: output.join('\n'), errors: errors.join('\n')};
+};
--- a/packages/chivestream-operator/src/__tests__/evaluate.test.ts
+++ b/packages/chivestream-operator/src/__tests__/evaluate.test.ts
@@ -25,7 +25,7 @@
 		throw new Error(`${text} is no query`);
 	}
 
-	return evaluateQuery<'jobs'>(statement, rows, now).map(row => row.key);
+	return evaluateQuery(statement, rows, now).map(row => row.key);
 };
 
 describe('evaluateQuery', () => {
--- a/packages/chivestream-operator/src/evaluate.ts
+++ b/packages/chivestream-operator/src/evaluate.ts
@@ -5,12 +5,11 @@
 import {
 	type Column, columnsByTable, isTableName,
 } from './tables/columns.js';
-import {
-	type Cell, type Row, type RowsByTable, type TableName,
-} from './tables/rows.js';
+import {type Cell} from './tables/rows.js';
 import {type ComparedValue, resolveValue} from './tables/values.js';
 
-type Cells = Partial<Record<string, Cell>>;
+/** A row by column names. */
+export type Cells = Partial<Record<string, Cell>>;
 type Test = (cells: Cells) => boolean;
 
 const rank = (value: Cell | ComparedValue | undefined): string | number => {
@@ -95,14 +94,10 @@
 };
 
 /** Rows of the query's table that meet its condition, in its order, up to its limit. The query must have been checked. */
-export const evaluateQuery = <Table extends TableName>(
-	query: Query,
-	rows: ReadonlyArray<RowsByTable[Table]>,
-	now: number,
-): Array<RowsByTable[Table]> => {
+export const evaluateQuery = <SelectedRow extends Cells>(query: Query, rows: readonly SelectedRow[], now: number): SelectedRow[] => {
 	const columns: readonly Column[] = isTableName(query.table.text) ? columnsByTable[query.table.text] : [];
 	const test = query.where ? createTest(columns, query.where, now) : () => true;
-	const selected = rows.filter(row => test(row as Row & Cells));
+	const selected = rows.filter(row => test(row));
 	const sorted = selected.toSorted((left, right) => compareRows(left, right, query.orderings));
 	return query.limit === undefined ? sorted : sorted.slice(0, query.limit);
 };
--- a/packages/chivestream-operator/src/main.ts
+++ b/packages/chivestream-operator/src/main.ts
@@ -1,4 +1,20 @@
 /** The program `chivestream`. */
-import {tableNames} from './index.js';
+import process from 'node:process';
+import {runCommandLine} from './command-line/run.js';
 
-console.log(`Tables: ${tableNames.join(', ')}`);
+const controller = new AbortController();
+process.once('SIGINT', () => {
+	controller.abort();
+});
+
+process.exitCode = await runCommandLine({
+	arguments: process.argv.slice(2),
+	environment: process.env,
+	write(text) {
+		process.stdout.write(`${text}\n`);
+	},
+	writeError(text) {
+		process.stderr.write(`${text}\n`);
+	},
+	signal: controller.signal,
+});
--- /dev/null
+++ b/packages/chivestream-operator/src/service/status.ts
@@ -0,0 +1,36 @@
+/** HTTP statuses of answers. */
+import {failureCode} from 'chivestream-core';
+import {type Answer, type ErrorAnswer} from '../answers.js';
+import {submissionOutcome} from '../source.js';
+
+const statusByCode: Partial<Record<string, number>> = {
+	[failureCode.badRequest]: 400,
+	[failureCode.unauthorized]: 401,
+	[failureCode.keyUnknown]: 404,
+	[failureCode.tooLarge]: 413,
+	[failureCode.notReady]: 503,
+	[failureCode.logUnavailable]: 503,
+	[failureCode.timedOut]: 504,
+};
+
+const statusByOutcome = {
+	[submissionOutcome.accepted]: 200,
+	[submissionOutcome.beaten]: 409,
+	[submissionOutcome.invalid]: 422,
+	[submissionOutcome.unknown]: 503,
+} as const;
+
+const statusOfError = (answer: ErrorAnswer): number => statusByCode[answer.code] ?? 500;
+
+/** The HTTP status that goes with an answer. */
+export const statusOf = (answer: Answer): number => {
+	if (answer.kind === 'error') {
+		return statusOfError(answer);
+	}
+
+	if (answer.kind === 'fault') {
+		return 400;
+	}
+
+	return answer.kind === 'change' ? statusByOutcome[answer.outcome] : 200;
+};
--- a/packages/chivestream-operator/src/tables/rows.ts
+++ b/packages/chivestream-operator/src/tables/rows.ts
@@ -64,13 +64,12 @@
 	slowness: number;
 };
 
-/** States of an entry host. `suspected` is what the answering host thinks of one that is silent. */
+/** States of an entry host. */
 export const hostState = {
 	joining: 'joining',
 	serving: 'serving',
 	draining: 'draining',
 	left: 'left',
-	suspected: 'suspected',
 } as const;
 
 /** One of the states of an entry host. */
