Run attempts on minions with three outcomes

undici's own request() hides whether a byte was written, so the exchange is dispatched directly and marks the moment before the write. Only an attempt that broke before it, or that the minion refused by a declared status, is reported as not started.

--- /dev/null
+++ b/packages/chivestream-core/src/address.ts
@@ -0,0 +1,18 @@
+/** Addresses of listening servers. */
+import {type Server} from 'node:net';
+
+/** `ip:port` of a listening server. */
+export const boundAddress = (server: Server): string => {
+	const address = server.address();
+	if (address === null || typeof address === 'string') {
+		throw new TypeError('the server is not listening on a TCP port');
+	}
+
+	return `${address.address}:${address.port}`;
+};
+
+/** Host and port of an `ip:port` text. */
+export const splitAddress = (address: string): {host: string; port: number} => {
+	const split = address.lastIndexOf(':');
+	return {host: address.slice(0, split), port: Number(address.slice(split + 1))};
+};
--- a/packages/chivestream-core/src/index.ts
+++ b/packages/chivestream-core/src/index.ts
@@ -1,4 +1,5 @@
 /** Types and small functions that every other package shares. */
+export * from './address.js';
 export * from './attempt.js';
 export * from './clock.js';
 export * from './declarations.js';
--- a/packages/chivestream-minion/src/index.ts
+++ b/packages/chivestream-minion/src/index.ts
@@ -1,4 +1,3 @@
-/** Package `chivestream-minion`. */
-
-/** Name of this package. */
-export const packageName = 'chivestream-minion';
+/** Client of the minions. */
+export * from './client.js';
+export * from './exchange.js';
