--- a/packages/chivestream-caller/src/index.ts
+++ b/packages/chivestream-caller/src/index.ts
@@ -1,4 +1,5 @@
-/** Package `chivestream-caller`. */
-
-/** Name of this package. */
-export const packageName = 'chivestream-caller';
+/** The HTTP interface for callers, and its client. */
+export * from './client.js';
+export * from './service.js';
+export * from './status.js';
+export * from './validation.js';
--- a/packages/chivestream-core/src/job.ts
+++ b/packages/chivestream-core/src/job.ts
@@ -91,3 +91,23 @@
 export const allUnknown = (taskCount: number): TaskCounts => ({
 	notRun: 0, completed: 0, failed: 0, unknown: taskCount,
 });
+
+/** What is known of a key. */
+export type KeyStatus
+	= | {kind: 'answered'; answer: JobAnswer}
+		| {kind: 'running'}
+		| {kind: 'unknown'};
+
+/** A failed answer. */
+export const createFailedAnswer = (key: string, failure: {code: FailureCode; message: string; step: string; peer: string}, notRun: boolean, tasks: TaskCounts): FailedAnswer => ({
+	key,
+	state: answerState.failed,
+	failure: {
+		code: failure.code,
+		message: failure.message,
+		step: failure.step,
+		peer: failure.peer,
+		notRun,
+		tasks,
+	},
+});
--- /dev/null
+++ b/packages/chivestream-entry/src/dispatcher.ts
@@ -0,0 +1,254 @@
+/**
+Runs the jobs whose home this host is: queues their tasks with the scheduler, starts an attempt for each slot that
+the scheduler binds, and gives each job its whole answer. Only this module starts attempts.
+*/
+import {
+	attemptOutcome,
+	createFailedAnswer,
+	Failure,
+	failureCode,
+	noneRun,
+	taskState,
+	type AttemptResult,
+	type Clock,
+	type Job,
+	type JobAnswer,
+	type Task,
+	type Timer,
+} from 'chivestream-core';
+import {type Assignment, type QueuedTask, type Scheduler} from 'chivestream-placement';
+import {
+	createJobRun, endTask, failRun, finishRun, type JobRun,
+} from './job-run.js';
+
+/** Runs one attempt on a minion or worker. */
+export type AttemptRunner = (assignment: Assignment, task: Task, signal: AbortSignal) => Promise<AttemptResult>;
+
+/** What the dispatcher counts. */
+export type DispatchCounts = {
+	started: number;
+	retried: number;
+	/** Answers that came after their job had ended. */
+	late: number;
+	jobs: number;
+};
+
+/** Runs jobs. */
+export type Dispatcher = {
+	/** Runs a job to its whole answer. The caller has made sure that this is the only run of its key. */
+	run: (job: Job) => Promise<JobAnswer>;
+	/** Takes a job's waiting tasks back; running ones end by themselves, or are aborted if `isForced`. */
+	cancel: (key: string, isForced: boolean) => boolean;
+	/** Starts whatever can start now; called whenever slots or declarations change. */
+	pump: () => void;
+	runs: () => IterableIterator<JobRun>;
+	/** Running attempts, those of ended jobs included. */
+	attempts: () => number;
+	counts: () => DispatchCounts;
+};
+
+/** What the dispatcher needs. */
+export type DispatcherOptions = {
+	clock: Clock;
+	scheduler: Scheduler;
+	runAttempt: AttemptRunner;
+	/** Called with each finished job. */
+	onFinished: (run: JobRun, answer: JobAnswer) => void;
+	/** Called after tasks were queued that no own slot can take now. */
+	onDemand: () => void;
+};
+
+const defaultDeclaredMs = 200;
+const attemptGraceMs = 10_000;
+const expiryPeriodMs = 20;
+
+const queueTask = (job: Job, task: Task, taskIndex: number, now: number): QueuedTask => ({
+	key: job.key,
+	taskIndex,
+	attempt: 1,
+	team: job.team,
+	upstream: job.upstream,
+	deadline: job.deadline,
+	enqueuedAt: now,
+	declaredMs: task.declaredMs ?? defaultDeclaredMs,
+	cores: task.cores ?? 0,
+	memoryMb: task.memoryMb ?? 0,
+	accelerators: task.accelerators ?? 0,
+});
+
+/** A dispatcher over one scheduler. */
+export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
+	const {clock, scheduler, runAttempt} = options;
+	const runs = new Map<string, JobRun>();
+	const counts: DispatchCounts = {
+		started: 0, retried: 0, late: 0, jobs: 0,
+	};
+	let attempts = 0;
+	let expiryTimer: Timer | undefined;
+
+	const giveUpTasks = (tasks: QueuedTask[]) => {
+		for (const task of tasks) {
+			const run = runs.get(task.key);
+			if (run) {
+				endTask(run, task.taskIndex, taskState.notRun);
+			}
+		}
+	};
+
+	const failJob = (run: JobRun, failure: Failure) => {
+		failRun(run, failure);
+		giveUpTasks(scheduler.cancel(run.job.key));
+	};
+
+	const settleTask = (run: JobRun | undefined, task: QueuedTask, result: AttemptResult) => {
+		if (!run || run.isFinished) {
+			counts.late += 1;
+			return;
+		}
+
+		if (result.outcome === attemptOutcome.answered && result.isSuccess) {
+			endTask(run, task.taskIndex, taskState.completed, result.result);
+			return;
+		}
+
+		const stateByOutcome = {
+			[attemptOutcome.answered]: taskState.failed,
+			[attemptOutcome.unknown]: taskState.unknown,
+			[attemptOutcome.notStarted]: taskState.notRun,
+		};
+		// The reason is noted first: ending the last task gives the answer.
+		failRun(run, result.failure);
+		endTask(run, task.taskIndex, stateByOutcome[result.outcome]);
+		giveUpTasks(scheduler.cancel(task.key));
+	};
+
+	const retryTask = (run: JobRun | undefined, task: QueuedTask) => {
+		counts.retried += 1;
+		if (run?.isStarting) {
+			run.states[task.taskIndex] = taskState.queued;
+			return;
+		}
+
+		// The job ended meanwhile; what the scheduler put back must not start.
+		giveUpTasks(scheduler.cancel(task.key));
+	};
+
+	const startAttempt = async (assignment: Assignment) => {
+		const {task} = assignment;
+		const run = runs.get(task.key);
+		const payload = run?.job.tasks[task.taskIndex];
+		if (!run?.isStarting || !payload) {
+			const failure = new Failure(failureCode.cancelled, 'the job has ended', {step: 'start-task', peer: assignment.targetId});
+			scheduler.settle(assignment, {outcome: attemptOutcome.notStarted, failure});
+			scheduler.cancel(task.key);
+			return;
+		}
+
+		run.states[task.taskIndex] = taskState.running;
+		counts.started += 1;
+		attempts += 1;
+		const overdue = new AbortController();
+		const timer = clock.at(task.deadline + attemptGraceMs, () => {
+			overdue.abort(new Error('no answer long after the deadline'));
+		});
+		const result = await runAttempt(assignment, payload, AbortSignal.any([run.stopper.signal, overdue.signal]));
+		timer.cancel();
+		attempts -= 1;
+		const {isRetried} = scheduler.settle(assignment, result);
+		if (isRetried) {
+			retryTask(runs.get(task.key), task);
+		} else {
+			settleTask(runs.get(task.key), task, result);
+		}
+
+		pump();
+	};
+
+	const expireTasks = () => {
+		for (const task of scheduler.expire()) {
+			const run = runs.get(task.key);
+			if (run) {
+				const failure = new Failure(failureCode.deadlineUnreachable, 'a task could not start in time', {step: 'queue-task', peer: task.upstream});
+				failRun(run, failure);
+				endTask(run, task.taskIndex, taskState.notRun);
+				giveUpTasks(scheduler.cancel(task.key));
+			}
+		}
+	};
+
+	const hasQueuedTasks = () => scheduler.load().some(({queued}) => queued > 0);
+
+	const scheduleExpiry = () => {
+		if (expiryTimer !== undefined || !hasQueuedTasks()) {
+			return;
+		}
+
+		expiryTimer = clock.at(clock.now() + expiryPeriodMs, () => {
+			expiryTimer = undefined;
+			expireTasks();
+			pump();
+		});
+	};
+
+	const pump = () => {
+		for (let assignment = scheduler.next(); assignment; assignment = scheduler.next()) {
+			void startAttempt(assignment);
+		}
+
+		if (hasQueuedTasks()) {
+			options.onDemand();
+			scheduleExpiry();
+		}
+	};
+
+	const finishAtDeadline = (run: JobRun) => {
+		const failure = new Failure(failureCode.deadlinePassed, 'the deadline passed before the whole answer was there', {step: 'run-job', peer: run.job.upstream});
+		failRun(run, failure);
+		giveUpTasks(scheduler.cancel(run.job.key));
+		finishRun(run);
+	};
+
+	return {
+		async run(job) {
+			counts.jobs += 1;
+			const admitted = scheduler.admit(job);
+			if (admitted.isErr()) {
+				return createFailedAnswer(job.key, admitted.error, true, noneRun(job.tasks.length));
+			}
+
+			return new Promise(resolve => {
+				const now = clock.now();
+				const run = createJobRun(job, now, answer => {
+					timer.cancel();
+					runs.delete(job.key);
+					options.onFinished(run, answer);
+					resolve(answer);
+				});
+				const timer = clock.at(job.deadline, () => {
+					finishAtDeadline(run);
+				});
+				runs.set(job.key, run);
+				scheduler.enqueue(job.tasks.map((task, taskIndex) => queueTask(job, task, taskIndex, now)));
+				pump();
+			});
+		},
+		cancel(key, isForced) {
+			const run = runs.get(key);
+			if (!run) {
+				return false;
+			}
+
+			failJob(run, new Failure(failureCode.cancelled, 'cancelled on request', {step: 'cancel-job', peer: run.job.upstream}));
+			if (isForced) {
+				run.stopper.abort(new Error('stopped on request'));
+			}
+
+			pump();
+			return true;
+		},
+		pump,
+		runs: () => runs.values(),
+		attempts: () => attempts,
+		counts: () => ({...counts}),
+	};
+};
--- /dev/null
+++ b/packages/chivestream-entry/src/job-registry.ts
@@ -0,0 +1,181 @@
+/**
+What a home remembers of its keys. A record is made before anything starts and outlives the answer, so that a copy of
+a submission joins it or gets its answer and never starts a second run.
+*/
+import {
+	answerState,
+	createFailedAnswer,
+	digestText,
+	failureCode,
+	noneRun,
+	type Job,
+	type JobAnswer,
+} from 'chivestream-core';
+
+/** What is remembered of one key. */
+export type JobRecord = {
+	key: string;
+	/** Content of the submission; undefined where the key was closed before any came. */
+	digest: string | undefined;
+	/** Time from which the key is refused for its age, so that the record may be dropped. */
+	closesAt: number;
+	/** Resolves with the whole answer. */
+	answered: Promise<JobAnswer>;
+	/** The whole answer, once it is there. */
+	answer?: JobAnswer;
+	answerBytes: number;
+	/** Settles the record; later calls change nothing. */
+	settle: (answer: JobAnswer) => void;
+};
+
+/** What became of a submission at the registry. */
+export type Opening
+	= | {kind: 'opened'; record: JobRecord}
+		| {kind: 'joined'; record: JobRecord}
+		| {kind: 'reused'}
+		| {kind: 'full'};
+
+/** Bounds of what a home remembers. */
+export type RegistryOptions = {
+	now: () => number;
+	maxRecords: number;
+	maxAnswerBytes: number;
+};
+
+/** Remembers keys within bounds. */
+export type JobRegistry = {
+	/** Opens a record for a job, or joins the one that its key has. */
+	open: (job: Job, closesAt: number) => Opening;
+	get: (key: string) => JobRecord | undefined;
+	/** Closes a key that has no record: every copy gets the given answer. */
+	close: (key: string, answer: JobAnswer, closesAt: number) => void;
+	/** Forgets a key of which it is certain that this host started nothing and will start nothing. */
+	forget: (key: string) => void;
+	/** Drops records whose keys are closed. */
+	sweep: () => void;
+	size: () => number;
+	answerBytes: () => number;
+};
+
+/** Identifies a submission's content; the deadline may differ between copies. */
+export const digestJob = (job: Job): string =>
+	digestText(JSON.stringify([job.team, job.upstream, job.isIdempotent, job.tasks]));
+
+const droppedAnswer = (answer: JobAnswer): JobAnswer => {
+	const taskCount = answer.state === answerState.complete ? answer.results.length : 0;
+	const counts = answer.state === answerState.complete
+		? {...noneRun(0), completed: taskCount}
+		: answer.failure.tasks;
+	const failure = {
+		code: failureCode.keyClosed,
+		message: 'the job ended; its answer is no longer kept',
+		step: 'fetch',
+		peer: answer.key,
+	};
+	return createFailedAnswer(answer.key, failure, false, counts);
+};
+
+const bytesOf = (answer: JobAnswer): number => answer.state === answerState.complete ? JSON.stringify(answer.results).length : 0;
+
+/** An empty registry. */
+export const createJobRegistry = ({now, maxRecords, maxAnswerBytes}: RegistryOptions): JobRegistry => {
+	const records = new Map<string, JobRecord>();
+	const withAnswers = new Set<JobRecord>();
+	let answerBytes = 0;
+
+	const dropAnswer = (record: JobRecord) => {
+		if (!record.answer || !withAnswers.delete(record)) {
+			return;
+		}
+
+		answerBytes -= record.answerBytes;
+		record.answerBytes = 0;
+		record.answer = droppedAnswer(record.answer);
+		record.answered = Promise.resolve(record.answer);
+	};
+
+	const keepAnswer = (record: JobRecord, answer: JobAnswer) => {
+		record.answer = answer;
+		record.answerBytes = bytesOf(answer);
+		if (record.answerBytes === 0) {
+			return;
+		}
+
+		answerBytes += record.answerBytes;
+		withAnswers.add(record);
+		for (const oldest of withAnswers) {
+			if (answerBytes <= maxAnswerBytes) {
+				break;
+			}
+
+			dropAnswer(oldest);
+		}
+	};
+
+	const createRecord = (key: string, digest: string | undefined, closesAt: number): JobRecord => {
+		let resolveAnswer: (answer: JobAnswer) => void;
+		const answered = new Promise<JobAnswer>(resolve => {
+			resolveAnswer = resolve;
+		});
+		const record: JobRecord = {
+			key,
+			digest,
+			closesAt,
+			answered,
+			answerBytes: 0,
+			settle(answer) {
+				if (record.answer) {
+					return;
+				}
+
+				resolveAnswer(answer);
+				keepAnswer(record, answer);
+			},
+		};
+		return record;
+	};
+
+	return {
+		open(job, closesAt) {
+			const digest = digestJob(job);
+			const known = records.get(job.key);
+			if (known) {
+				const isSame = known.digest === undefined || known.digest === digest;
+				return isSame ? {kind: 'joined', record: known} : {kind: 'reused'};
+			}
+
+			if (records.size >= maxRecords) {
+				return {kind: 'full'};
+			}
+
+			const record = createRecord(job.key, digest, closesAt);
+			records.set(job.key, record);
+			return {kind: 'opened', record};
+		},
+		get: key => records.get(key),
+		close(key, answer, closesAt) {
+			if (!records.has(key) && records.size < maxRecords) {
+				const record = createRecord(key, undefined, closesAt);
+				record.settle(answer);
+				records.set(key, record);
+			}
+		},
+		forget(key) {
+			const record = records.get(key);
+			if (record) {
+				dropAnswer(record);
+				records.delete(key);
+			}
+		},
+		sweep() {
+			for (const [key, record] of records) {
+				if (record.answer && record.closesAt <= now()) {
+					dropAnswer(record);
+					records.delete(key);
+				}
+			}
+		},
+		size: () => records.size,
+		answerBytes: () => answerBytes,
+	};
+};
--- /dev/null
+++ b/packages/chivestream-entry/src/job-router.ts
@@ -0,0 +1,303 @@
+/**
+Decides which entry host may run a key: this one, the home that the key names, or the host whose claim of an opaque
+key came first. Says "not run" only where this host can know it.
+*/
+import {
+	allUnknown,
+	createFailedAnswer,
+	Failure,
+	failureCode,
+	noneRun,
+	parseHome,
+	type Clock,
+	type FailureCode,
+	type Home,
+	type Job,
+	type JobAnswer,
+	type KeyStatus,
+	type Limits,
+} from 'chivestream-core';
+import {validate as isUuid, version as uuidVersion} from 'uuid';
+import {type Claimant, type Claims} from './claims.js';
+import {type Epochs} from './epochs.js';
+import {type JobRecord, type JobRegistry} from './job-registry.js';
+
+/** What another entry host did with a request; undefined where it could not be reached or its answer was lost. */
+export type Relay = {
+	submit: (home: Claimant, job: Job) => Promise<JobAnswer | undefined>;
+	fetch: (home: Claimant, key: string, waitDeadline: number) => Promise<KeyStatus | undefined>;
+	cancel: (home: Claimant, key: string) => Promise<KeyStatus | undefined>;
+	/** Whether the incarnation is known for certain to be over. */
+	isClosed: (home: Claimant) => boolean;
+};
+
+/** What the router needs. */
+export type JobRouterOptions = {
+	self: Claimant;
+	clock: Clock;
+	epochs: Epochs;
+	registry: JobRegistry;
+	claims: Claims;
+	relay: Relay;
+	/** Runs a job to its whole answer. */
+	run: (job: Job) => Promise<JobAnswer>;
+	cancelRun: (key: string, isForced: boolean) => boolean;
+	/** Limits in force; undefined while this host has no configuration to serve by. */
+	limits: () => Limits | undefined;
+	/** Whether this host still takes jobs that it does not know yet. */
+	takesNewJobs: () => boolean;
+	/** How old an opaque key may be. */
+	keyWindowMs: number;
+	/** How far a caller's clock may be ahead. */
+	clockSkewMs: number;
+};
+
+/** Routes submissions, questions and cancellations by key. */
+export type JobRouter = {
+	submit: (job: Job) => Promise<JobAnswer>;
+	/** A job that another host forwarded: this host is its home or answers that the key is closed. */
+	submitForwarded: (job: Job) => Promise<JobAnswer>;
+	fetch: (key: string, waitDeadline: number) => Promise<KeyStatus>;
+	fetchLocal: (key: string, waitDeadline: number) => Promise<KeyStatus>;
+	cancel: (key: string) => Promise<KeyStatus>;
+	cancelLocal: (key: string, isForced?: boolean) => Promise<KeyStatus>;
+};
+
+type Refusal = {code: FailureCode; message: string};
+
+const uuidVersionWithTime = 7;
+const timestampDigits = 12;
+const hexadecimal = 16;
+
+/** Time at which an opaque key was made: its own if it is a UUIDv7, else the one that the job states. */
+export const keyCreatedAt = (job: Pick<Job, 'key' | 'createdAt'>): number | undefined => {
+	if (isUuid(job.key) && uuidVersion(job.key) === uuidVersionWithTime) {
+		const digits = job.key.replaceAll('-', '').slice(0, timestampDigits);
+		return Number.parseInt(digits, hexadecimal);
+	}
+
+	return job.createdAt;
+};
+
+/** A router over this host's registry and the other hosts. */
+export const createJobRouter = (options: JobRouterOptions): JobRouter => {
+	const {
+		self, clock, epochs, registry, claims, relay,
+	} = options;
+
+	const isSelf = (home: Claimant) => home.hostId === self.hostId && home.incarnation === self.incarnation;
+
+	const fail = (job: Pick<Job, 'key' | 'tasks'>, refusal: Refusal, step: string, notRun: boolean): JobAnswer => {
+		const failure = new Failure(refusal.code, refusal.message, {step, peer: self.hostId});
+		const counts = notRun ? noneRun(job.tasks.length) : allUnknown(job.tasks.length);
+		return createFailedAnswer(job.key, failure, notRun, counts);
+	};
+
+	const checkNewJob = (job: Job): Refusal | undefined => {
+		const limits = options.limits();
+		if (!limits) {
+			return {code: failureCode.notReady, message: 'this host has no configuration yet'};
+		}
+
+		if (!options.takesNewJobs()) {
+			return {code: failureCode.draining, message: 'this host is leaving; make a new key with another home'};
+		}
+
+		const now = clock.now();
+		if (job.deadline <= now) {
+			return {code: failureCode.deadlinePassed, message: 'deadline: already passed; give a later one'};
+		}
+
+		if (job.deadline > now + limits.maxDeadlineMs) {
+			return {code: failureCode.badRequest, message: `deadline: more than ${limits.maxDeadlineMs} ms ahead; give an earlier one`};
+		}
+
+		if (job.tasks.length > limits.maxTasksPerJob) {
+			return {code: failureCode.badRequest, message: `tasks: more than ${limits.maxTasksPerJob}; split the job`};
+		}
+
+		return undefined;
+	};
+
+	const runRecord = async (record: JobRecord, job: Job): Promise<JobAnswer> => {
+		const refusal = checkNewJob(job);
+		// The refusal is kept like any answer, so that a late copy can't run what a caller was told did not.
+		const answer = refusal
+			? fail(job, refusal, 'check-job', true)
+			: await options.run(job);
+		record.settle(answer);
+		return answer;
+	};
+
+	const joinRecord = async (record: JobRecord): Promise<JobAnswer> => record.answered;
+
+	const refuseUnopened = (job: Job, kind: 'reused' | 'full'): JobAnswer => kind === 'reused'
+		? fail(job, {code: failureCode.keyReused, message: 'key: used before with other content; make a new key'}, 'open-key', false)
+		: fail(job, {code: failureCode.overloaded, message: 'this host can remember no more keys'}, 'open-key', false);
+
+	const submitAsHome = async (job: Job, home: Home): Promise<JobAnswer> => {
+		if (!epochs.isIssued(home.epoch)) {
+			return fail(job, {code: failureCode.badRequest, message: 'key: names an epoch that was never issued; take the token from GET /v1/home'}, 'open-key', true);
+		}
+
+		if (!epochs.isOpen(home.epoch)) {
+			const known = registry.get(job.key);
+			return known ? joinRecord(known) : fail(job, {code: failureCode.keyClosed, message: 'key: too old; the job may have run'}, 'open-key', false);
+		}
+
+		const opening = registry.open(job, epochs.closesAt(home.epoch));
+		if (opening.kind === 'opened') {
+			return runRecord(opening.record, job);
+		}
+
+		return opening.kind === 'joined' ? joinRecord(opening.record) : refuseUnopened(job, opening.kind);
+	};
+
+	const forward = async (home: Claimant, job: Job): Promise<JobAnswer> => {
+		const answer = await relay.submit(home, job);
+		if (answer) {
+			return answer;
+		}
+
+		return relay.isClosed(home)
+			? fail(job, {code: failureCode.homeLost, message: `the host ${home.hostId} that may run this key is gone; the job may have run`}, 'forward-job', false)
+			: fail(job, {code: failureCode.homeUnreachable, message: `the host ${home.hostId} that may run this key can't be reached now; the job may have run`}, 'forward-job', false);
+	};
+
+	const isTooOld = (createdAt: number) => createdAt < clock.now() - options.keyWindowMs;
+
+	const runClaimed = async (record: JobRecord, job: Job, createdAt: number): Promise<JobAnswer> => {
+		const claimed = await claims.claim(job.key, Math.min(job.deadline, clock.now() + options.keyWindowMs));
+		if (claimed.isErr()) {
+			registry.forget(job.key);
+			const answer = fail(job, {code: failureCode.logUnavailable, message: `${claimed.error.message}; another copy may have run`}, 'claim-key', false);
+			record.settle(answer);
+			return answer;
+		}
+
+		if (!isSelf(claimed.value)) {
+			registry.forget(job.key);
+			const answer = await forward(claimed.value, job);
+			record.settle(answer);
+			return answer;
+		}
+
+		// Claims that the log dropped before this host read it may be of this key.
+		if (isTooOld(createdAt) || createdAt <= claims.blindBefore() + options.clockSkewMs) {
+			const answer = fail(job, {code: failureCode.keyClosed, message: 'key: too old to know whether it ran'}, 'claim-key', false);
+			record.settle(answer);
+			return answer;
+		}
+
+		return runRecord(record, job);
+	};
+
+	const submitOpaque = async (job: Job): Promise<JobAnswer> => {
+		const createdAt = keyCreatedAt(job);
+		if (createdAt === undefined) {
+			return fail(job, {code: failureCode.badRequest, message: 'createdAt: needed with a key that is neither a home key nor a UUIDv7; give the time at which the key was made'}, 'open-key', true);
+		}
+
+		const known = registry.get(job.key);
+		if (!known && (isTooOld(createdAt) || createdAt > clock.now() + options.clockSkewMs)) {
+			return fail(job, {code: failureCode.keyClosed, message: 'key: made too long ago or in the future; the job may have run'}, 'open-key', false);
+		}
+
+		const opening = registry.open(job, createdAt + options.keyWindowMs + options.clockSkewMs);
+		if (opening.kind === 'opened') {
+			return runClaimed(opening.record, job, createdAt);
+		}
+
+		return opening.kind === 'joined' ? joinRecord(opening.record) : refuseUnopened(job, opening.kind);
+	};
+
+	const fetchLocal = async (key: string, waitDeadline: number): Promise<KeyStatus> => {
+		const record = registry.get(key);
+		if (!record) {
+			return {kind: 'unknown'};
+		}
+
+		if (record.answer) {
+			return {kind: 'answered', answer: record.answer};
+		}
+
+		return new Promise(resolve => {
+			const timer = clock.at(waitDeadline, () => {
+				resolve({kind: 'running'});
+			});
+			void record.answered.then(answer => {
+				timer.cancel();
+				resolve({kind: 'answered', answer});
+			});
+		});
+	};
+
+	const closeUnknownKey = (key: string): KeyStatus => {
+		const home = parseHome(key);
+		if (!home || !isSelf(home) || !epochs.isOpen(home.epoch)) {
+			return {kind: 'unknown'};
+		}
+
+		// A copy that is still on its way must not run after the caller was told that the job is cancelled.
+		const answer = fail({key, tasks: []}, {code: failureCode.cancelled, message: 'cancelled before it came'}, 'cancel-job', true);
+		registry.close(key, answer, epochs.closesAt(home.epoch));
+		return {kind: 'answered', answer};
+	};
+
+	const cancelLocal = async (key: string, isForced = false): Promise<KeyStatus> => {
+		const record = registry.get(key);
+		if (!record) {
+			return closeUnknownKey(key);
+		}
+
+		options.cancelRun(key, isForced);
+		return {kind: 'answered', answer: await record.answered};
+	};
+
+	const ownerOf = (key: string): Claimant | undefined => {
+		const home = parseHome(key);
+		if (home) {
+			return home;
+		}
+
+		return registry.get(key) ? self : claims.claimantOf(key);
+	};
+
+	return {
+		async submit(job) {
+			const home = parseHome(job.key);
+			if (!home) {
+				return submitOpaque(job);
+			}
+
+			return isSelf(home) ? submitAsHome(job, home) : forward(home, job);
+		},
+		async submitForwarded(job) {
+			const home = parseHome(job.key);
+			if (home && isSelf(home)) {
+				return submitAsHome(job, home);
+			}
+
+			const known = registry.get(job.key);
+			return known ? joinRecord(known) : fail(job, {code: failureCode.keyClosed, message: 'this host no longer knows the key; the job may have run'}, 'open-key', false);
+		},
+		async fetch(key, waitDeadline) {
+			const owner = ownerOf(key);
+			if (!owner || isSelf(owner)) {
+				return fetchLocal(key, waitDeadline);
+			}
+
+			return await relay.fetch(owner, key, waitDeadline) ?? {kind: 'unknown'};
+		},
+		fetchLocal,
+		async cancel(key) {
+			const owner = ownerOf(key);
+			if (!owner || isSelf(owner)) {
+				return cancelLocal(key);
+			}
+
+			return await relay.cancel(owner, key) ?? {kind: 'unknown'};
+		},
+		cancelLocal,
+	};
+};
--- /dev/null
+++ b/packages/chivestream-entry/src/job-run.ts
@@ -0,0 +1,113 @@
+/** One job on its way: the state of each task, and the whole answer once nothing is left to wait for. */
+import {
+	answerState,
+	createFailedAnswer,
+	failureCode,
+	taskState,
+	type Failure,
+	type Job,
+	type JobAnswer,
+	type TaskCounts,
+	type TaskState,
+} from 'chivestream-core';
+
+/** A job on its way. */
+export type JobRun = {
+	job: Job;
+	startedAt: number;
+	states: TaskState[];
+	results: unknown[];
+	/** Tasks that are neither ended nor given up. */
+	openTasks: number;
+	/** Why the job will fail, once that is certain. */
+	failure?: Failure;
+	/** True while its tasks may still be started. */
+	isStarting: boolean;
+	/** Aborts running attempts. */
+	stopper: AbortController;
+	finish: (answer: JobAnswer) => void;
+	isFinished: boolean;
+};
+
+/** A run of which every task is queued. */
+export const createJobRun = (job: Job, startedAt: number, finish: (answer: JobAnswer) => void): JobRun => ({
+	job,
+	startedAt,
+	states: job.tasks.map(() => taskState.queued),
+	results: Array.from({length: job.tasks.length}),
+	openTasks: job.tasks.length,
+	isStarting: true,
+	stopper: new AbortController(),
+	finish,
+	isFinished: false,
+});
+
+const openStates = new Set<TaskState>([taskState.queued, taskState.running]);
+
+const countOf: Record<TaskState, keyof TaskCounts> = {
+	[taskState.completed]: 'completed',
+	[taskState.failed]: 'failed',
+	[taskState.notRun]: 'notRun',
+	[taskState.unknown]: 'unknown',
+	// A task without an end may have run.
+	[taskState.queued]: 'unknown',
+	[taskState.running]: 'unknown',
+};
+
+const countStates = (states: readonly TaskState[]): TaskCounts => {
+	const counts: TaskCounts = {
+		notRun: 0, completed: 0, failed: 0, unknown: 0,
+	};
+	for (const state of states) {
+		counts[countOf[state]] += 1;
+	}
+
+	return counts;
+};
+
+const createAnswer = (run: JobRun): JobAnswer => {
+	const {job, states, failure} = run;
+	const counts = countStates(states);
+	if (counts.completed === states.length) {
+		return {key: job.key, state: answerState.complete, results: run.results};
+	}
+
+	const reason = failure ?? {
+		code: failureCode.internal, message: 'a task ended without a result', step: 'run-job', peer: job.upstream,
+	};
+	return createFailedAnswer(job.key, reason, counts.notRun === states.length, counts);
+};
+
+/** Gives the whole answer now. Tasks that still run count as unknown; their answers come too late and are dropped. */
+export const finishRun = (run: JobRun): void => {
+	if (run.isFinished) {
+		return;
+	}
+
+	run.isFinished = true;
+	run.isStarting = false;
+	run.finish(createAnswer(run));
+};
+
+/** Ends one task, and the run with its last one. Returns false for an answer that came too late or twice. */
+export const endTask = (run: JobRun, taskIndex: number, state: TaskState, result?: unknown): boolean => {
+	const current = run.states[taskIndex];
+	if (run.isFinished || current === undefined || !openStates.has(current)) {
+		return false;
+	}
+
+	run.states[taskIndex] = state;
+	run.results[taskIndex] = result;
+	run.openTasks -= 1;
+	if (run.openTasks === 0) {
+		finishRun(run);
+	}
+
+	return true;
+};
+
+/** Notes why the run will fail; the first reason stands. */
+export const failRun = (run: JobRun, failure: Failure): void => {
+	run.failure ??= failure;
+	run.isStarting = false;
+};
--- a/xo.config.js
+++ b/xo.config.js
@@ -8,6 +8,8 @@
 			// The compiler checks imports, and workspace packages resolve only after a build.
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off',
+			// The result library's constructors are plain functions with capital names.
+			'new-cap': ['error', {newIsCap: true, capIsNew: true, capIsNewExceptions: ['Ok', 'Err', 'None', 'Some']}],
 		},
 	},
 	{
