--- /dev/null
+++ b/packages/chivestream-entry/src/metrics.ts
@@ -0,0 +1,94 @@
+/** Metrics of an entry host: counters and gauges by prom-client, response times by HDR histograms. */
+import {type JobAnswer} from 'chivestream-core';
+import {build, type Histogram} from 'hdr-histogram-js';
+import {Counter, Gauge, Registry} from 'prom-client';
+import {type JobRun} from './job-run.js';
+
+/** Figures read at the time of a scrape. */
+export type HostFigures = {
+	tasksStarted: number;
+	tasksRetried: number;
+	lateAnswers: number;
+	attemptsRunning: number;
+	keysRemembered: number;
+	answerBytes: number;
+	claimsRemembered: number;
+	loanRequests: number;
+	configurationVersion: number;
+	configurationOffset: number;
+	queued: number;
+};
+
+/** Metrics of one host. */
+export type HostMetrics = {
+	recordJob: (run: JobRun, answer: JobAnswer, now: number) => void;
+	/** Jobs handed to another host that is their home. */
+	countForward: (wasAnswered: boolean) => void;
+	/** Metrics in the Prometheus text format. */
+	format: () => Promise<string>;
+	/** Response times of this host's jobs, in milliseconds. */
+	responseTimes: () => Histogram;
+};
+
+const quantiles = [0.5, 0.9, 0.99, 0.999];
+const longestResponseMs = 3_600_000;
+const msPerSecond = 1000;
+const percent = 100;
+
+const gaugeNames: Record<keyof HostFigures, string> = {
+	tasksStarted: 'chivestream_task_starts_total',
+	tasksRetried: 'chivestream_task_retries_total',
+	lateAnswers: 'chivestream_late_answers_total',
+	attemptsRunning: 'chivestream_attempts_running',
+	keysRemembered: 'chivestream_keys_remembered',
+	answerBytes: 'chivestream_answer_bytes',
+	claimsRemembered: 'chivestream_claims_remembered',
+	loanRequests: 'chivestream_loan_requests_total',
+	configurationVersion: 'chivestream_configuration_version',
+	configurationOffset: 'chivestream_configuration_offset',
+	queued: 'chivestream_tasks_queued',
+};
+
+/** Metrics over figures that the host reads when asked. */
+export const createHostMetrics = (readFigures: () => HostFigures): HostMetrics => {
+	const registry = new Registry();
+	const histogram = build({highestTrackableValue: longestResponseMs, numberOfSignificantValueDigits: 3});
+	const jobs = new Counter({
+		name: 'chivestream_jobs_total', help: 'Jobs by end and failure code', labelNames: ['state', 'code'], registers: [registry],
+	});
+	const forwards = new Counter({
+		name: 'chivestream_forwards_total', help: 'Jobs handed to their home', labelNames: ['outcome'], registers: [registry],
+	});
+	const responses = new Gauge({
+		name: 'chivestream_job_response_seconds', help: 'Response times of jobs whose home is this host', labelNames: ['quantile'], registers: [registry],
+	});
+	const gauges = Object.entries(gaugeNames).map(([field, name]) => ({
+		field, gauge: new Gauge({name, help: `Figure ${field} of this host`, registers: [registry]}),
+	}));
+
+	const refresh = () => {
+		const figures: Record<string, number> = readFigures();
+		for (const {field, gauge} of gauges) {
+			gauge.set(figures[field] ?? 0);
+		}
+
+		for (const quantile of quantiles) {
+			responses.set({quantile: String(quantile)}, histogram.getValueAtPercentile(quantile * percent) / msPerSecond);
+		}
+	};
+
+	return {
+		recordJob(run, answer, now) {
+			histogram.recordValue(Math.min(longestResponseMs, Math.max(0, Math.round(now - run.startedAt))));
+			jobs.inc({state: answer.state, code: answer.state === 'failed' ? answer.failure.code : ''});
+		},
+		countForward(wasAnswered) {
+			forwards.inc({outcome: wasAnswered ? 'answered' : 'unreachable'});
+		},
+		async format() {
+			refresh();
+			return registry.metrics();
+		},
+		responseTimes: () => histogram,
+	};
+};
