Decide placement per entry host: slot shares, fair queue, lending, quarantine

The scheduler splits each minion's slots among the zone's live hosts by rendezvous rank, keeps tasks in a fair queue over teams and binds them late to the fastest free slot, or to the slowest one that still ends before the job's last task. Scheduler gains renewals, extend and wakeAt: grants need an extension while tasks run on them, and the caller needs the time at which held-off or backed-off slots come free.

--- /dev/null
+++ b/packages/chivestream-placement/src/__tests__/scheduler.test.ts
@@ -0,0 +1,169 @@
+import {describe, expect, test} from '@jest/globals';
+import {createRandom} from 'chivestream-core';
+import {
+	answered, createConfiguration, createFakeClock, createSharers, createTask, createUpstream, refused, taskFailed,
+} from '../__fixtures__/fakes.js';
+import {createScheduler} from '../create-scheduler.js';
+import {type Assignment, type Scheduler} from '../scheduler.js';
+import {shareUnits} from '../slot-share.js';
+
+const start = 1_000_000;
+const teams = {day: {weight: 1, maxTasksInFlight: 1000}, night: {weight: 3, maxTasksInFlight: 1000}};
+
+const createHost = (minionCount = 2, selfId = 'e1', hostIds = [selfId]) => {
+	const clock = createFakeClock(start);
+	const scheduler = createScheduler({clock, random: createRandom(1)});
+	const configuration = createConfiguration(createUpstream(minionCount), teams);
+	scheduler.configure(configuration, createSharers(selfId, hostIds));
+	return {clock, scheduler, configuration};
+};
+
+const drain = (scheduler: Scheduler): Assignment[] => {
+	const bound: Assignment[] = [];
+	for (let assignment = scheduler.next(); assignment; assignment = scheduler.next()) {
+		bound.push(assignment);
+	}
+
+	return bound;
+};
+
+const createTasks = (count: number, fields = {}) =>
+	Array.from({length: count}, (_, taskIndex) => createTask(start, {taskIndex, ...fields}));
+
+describe('shareUnits', () => {
+	test('splits all slots of a minion among the hosts, none twice', () => {
+		for (const hostIds of [['a'], ['a', 'b'], ['a', 'b', 'c'], ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i', 'j']]) {
+			const shares = hostIds.map(id => shareUnits('m1', 8, hostIds, id));
+			expect(shares.reduce((sum, share) => sum + share, 0)).toBe(8);
+		}
+	});
+
+	test('takes nothing from a host that stays when another leaves', () => {
+		const before = shareUnits('m1', 8, ['a', 'b', 'c'], 'a');
+		expect(shareUnits('m1', 8, ['a', 'b'], 'a')).toBeGreaterThanOrEqual(before);
+	});
+});
+
+describe('createScheduler', () => {
+	test('binds no more tasks than it has slots, and the rest once slots come free', () => {
+		const {scheduler} = createHost();
+		scheduler.enqueue(createTasks(20));
+		const bound = drain(scheduler);
+		expect(bound).toHaveLength(16);
+		scheduler.settle(bound[0]!, answered);
+		expect(drain(scheduler)).toHaveLength(1);
+	});
+
+	test('gives a drained minion nothing more, at once', () => {
+		const {scheduler, configuration} = createHost();
+		const drained = {...configuration, declarations: {...configuration.declarations, drains: ['m0']}};
+		scheduler.configure(drained, createSharers('e1', ['e1']));
+		scheduler.enqueue(createTasks(20));
+		expect(new Set(drain(scheduler).map(({targetId}) => targetId))).toEqual(new Set(['m1']));
+	});
+
+	test('leaves slots alone that come from another host until the hold-off has passed', () => {
+		const {scheduler, configuration, clock} = createHost(1, 'e1', ['e1', 'e2']);
+		clock.advance(3000);
+		scheduler.configure(configuration, createSharers('e1', ['e1']));
+		scheduler.enqueue(createTasks(8));
+		const early = drain(scheduler).length;
+		expect(early).toBe(4);
+		clock.advance(scheduler.wakeAt()! - clock.now());
+		expect(drain(scheduler)).toHaveLength(4);
+	});
+
+	test('prefers the minion that turned out faster', () => {
+		const {scheduler, clock} = createHost();
+		for (let round = 0; round < 10; round++) {
+			scheduler.enqueue(createTasks(16, {key: `k${round}`}));
+			const bound = drain(scheduler);
+			clock.advance(50);
+			for (const assignment of bound.filter(({targetId}) => targetId === 'm1')) {
+				scheduler.settle(assignment, answered);
+			}
+
+			clock.advance(450);
+			for (const assignment of bound.filter(({targetId}) => targetId === 'm0')) {
+				scheduler.settle(assignment, answered);
+			}
+		}
+
+		scheduler.enqueue(createTasks(8, {key: 'last'}));
+		expect(drain(scheduler).map(({targetId}) => targetId)).toEqual(Array.from({length: 8}, () => 'm1'));
+	});
+
+	test('keeps tasks away from a minion that fails everything at once, and tries it again later', () => {
+		const {scheduler, clock} = createHost();
+		let failed = 0;
+		for (let round = 0; round < 50; round++) {
+			scheduler.enqueue(createTasks(1, {key: `k${round}`, declaredMs: 10}));
+			const bound = drain(scheduler);
+			for (const assignment of bound.filter(({targetId}) => targetId === 'm0')) {
+				failed++;
+				scheduler.settle(assignment, taskFailed);
+			}
+
+			clock.advance(10);
+			for (const assignment of bound.filter(({targetId}) => targetId === 'm1')) {
+				scheduler.settle(assignment, answered);
+			}
+		}
+
+		expect(failed).toBe(3);
+		clock.advance(1500);
+		scheduler.enqueue(createTasks(16, {key: 'later'}));
+		expect(drain(scheduler).filter(({targetId}) => targetId === 'm0')).toHaveLength(1);
+	});
+
+	test('sends a refused task elsewhere within the retry budget, and backs off the minion', () => {
+		const {scheduler} = createHost();
+		scheduler.enqueue(createTasks(1));
+		const [first] = drain(scheduler);
+		expect(scheduler.settle(first!, refused)).toEqual({isRetried: true});
+		const [second] = drain(scheduler);
+		expect(second).toMatchObject({task: {taskIndex: 0, attempt: 2}});
+		expect(second!.targetId).not.toBe(first!.targetId);
+		let retried = 0;
+		for (let assignment = second; assignment && scheduler.settle(assignment, refused).isRetried; assignment = scheduler.next()) {
+			retried++;
+		}
+
+		expect(retried).toBeLessThan(20);
+	});
+
+	test('shares slots between teams by weight', () => {
+		const {scheduler} = createHost(4);
+		scheduler.enqueue(createTasks(100, {key: 'd', team: 'day'}));
+		scheduler.enqueue(createTasks(100, {key: 'n', team: 'night'}));
+		const bound = drain(scheduler);
+		expect(bound.filter(({task}) => task.team === 'night')).toHaveLength(24);
+	});
+
+	test('takes out what is cancelled or has expired', () => {
+		const {scheduler, clock} = createHost();
+		scheduler.enqueue(createTasks(3, {key: 'a', deadline: start + 10}));
+		scheduler.enqueue(createTasks(2, {key: 'b'}));
+		expect(scheduler.cancel('b')).toHaveLength(2);
+		clock.advance(20);
+		expect(scheduler.expire()).toHaveLength(3);
+		expect(scheduler.load()).toEqual([{upstream: 'lens', queued: 0, running: 0}]);
+	});
+
+	test('refuses a job that can never run or can not end in time', () => {
+		const {scheduler, configuration} = createHost();
+		const job = {
+			key: 'j', team: 'day', upstream: 'lens', isIdempotent: false, deadline: start + 1000, tasks: [{payload: 1}],
+		};
+		expect(scheduler.admit(job).isOk()).toBe(true);
+		expect(scheduler.admit({...job, upstream: 'none'}).unwrapErr()).toMatchObject({code: 'unknown-upstream'});
+		expect(scheduler.admit({...job, deadline: start}).unwrapErr()).toMatchObject({code: 'deadline-passed'});
+		scheduler.enqueue(createTasks(16 * 20, {declaredMs: 1000}));
+		expect(scheduler.admit(job).unwrapErr()).toMatchObject({code: 'deadline-unreachable'});
+		scheduler.configure({
+			...configuration,
+			declarations: {...configuration.declarations, teams: {day: {weight: 1, maxTasksInFlight: 1}}},
+		}, createSharers('e1', ['e1']));
+		expect(scheduler.admit({...job, tasks: [{payload: 1}, {payload: 2}]}).unwrapErr()).toMatchObject({code: 'never-runnable'});
+	});
+});
--- /dev/null
+++ b/packages/chivestream-placement/src/admission.ts
@@ -0,0 +1,86 @@
+/** Refuses at once the jobs that can never run, are over quota or can't end before their deadline. */
+import {
+	type Configuration, Failure, failureCode, type FailureCode, type Job, type Team, type Upstream,
+} from 'chivestream-core';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {type Pool, usableUnits} from './pool.js';
+import {estimateOf} from './speed.js';
+import {couldEverFit, createMinionTarget, createWorkerTarget} from './target.js';
+
+const origin = {step: 'admit a job', peer: 'placement'};
+const largestShareOfQuota = 1;
+
+const refuse = (code: FailureCode, message: string): Result<void, Failure> => new Err(new Failure(code, message, origin));
+
+/** Declared run time that stands in for a missing one, in milliseconds. */
+export const defaultDeclaredMs = 200;
+
+const couldRunSomewhere = (upstream: Upstream, task: Job['tasks'][number]): boolean => {
+	const need = {units: Math.max(1, task.cores ?? 1), memoryMb: task.memoryMb ?? 0, accelerators: task.accelerators ?? 0};
+	return upstream.minions.some(minion => couldEverFit(createMinionTarget('', minion), need))
+		|| upstream.workers.some(worker => couldEverFit(createWorkerTarget('', worker), need));
+};
+
+const checkDeclarations = (job: Job, configuration: Configuration): Result<{upstream: Upstream; team: Team}, Failure> => {
+	const {upstreams, teams, limits} = configuration.declarations;
+	const upstream = Object.hasOwn(upstreams, job.upstream) ? upstreams[job.upstream] : undefined;
+	const team = Object.hasOwn(teams, job.team) ? teams[job.team] : undefined;
+	if (!upstream) {
+		return new Err(new Failure(failureCode.unknownUpstream, `upstream ${job.upstream} is not declared`, origin));
+	}
+
+	if (!team) {
+		return new Err(new Failure(failureCode.unknownTeam, `team ${job.team} is not declared`, origin));
+	}
+
+	if (job.tasks.length > limits.maxTasksPerJob) {
+		return new Err(new Failure(failureCode.tooLarge, `${job.tasks.length} tasks exceed the limit of ${limits.maxTasksPerJob}`, origin));
+	}
+
+	return new Ok({upstream, team});
+};
+
+/** Time until the first of the team's new tasks starts, in milliseconds, by the work that waits. */
+const waitMs = (pool: Pool, teamName: string, now: number): number => {
+	let activeWeight = 0;
+	let queuedMs = 0;
+	for (const queue of pool.queue.teams()) {
+		const isActive = queue.waiting.size() > 0 || queue.running > 0 || queue.name === teamName;
+		activeWeight += isActive ? queue.weight : 0;
+		queuedMs += queue.queuedMs * estimateOf(pool.calibrations.get(queue.name) ?? {value: 0, samples: 0});
+	}
+
+	const units = Math.max(1, usableUnits(pool, now));
+	const team = pool.queue.team(teamName);
+	const calibration = estimateOf(pool.calibrations.get(teamName) ?? {value: 0, samples: 0});
+	const teamUnits = Math.max(1, units * team.weight / activeWeight);
+	return Math.min(queuedMs / units, team.queuedMs * calibration / teamUnits);
+};
+
+/** Whether the job may be queued, and why not. */
+export const admitJob = (job: Job, configuration: Configuration, pool: Pool | undefined, now: number): Result<void, Failure> => {
+	const declared = checkDeclarations(job, configuration);
+	if (declared.isErr()) {
+		return declared;
+	}
+
+	const {upstream, team} = declared.value;
+	if (job.deadline <= now) {
+		return refuse(failureCode.deadlinePassed, 'the deadline has passed');
+	}
+
+	if (job.tasks.length > team.maxTasksInFlight * largestShareOfQuota) {
+		return refuse(failureCode.neverRunnable, `${job.tasks.length} tasks exceed the quota of team ${job.team}`);
+	}
+
+	const tooLarge = job.tasks.findIndex(task => !couldRunSomewhere(upstream, task));
+	if (tooLarge !== -1) {
+		return refuse(failureCode.neverRunnable, `task ${tooLarge} is larger than any minion or worker of ${job.upstream}`);
+	}
+
+	if (pool && now + waitMs(pool, job.team, now) >= job.deadline) {
+		return refuse(failureCode.deadlineUnreachable, 'the waiting work leaves no time before the deadline');
+	}
+
+	return new Ok(undefined);
+};
--- /dev/null
+++ b/packages/chivestream-placement/src/pool.ts
@@ -0,0 +1,97 @@
+/** Everything that one entry host keeps for one upstream. */
+import {type Random, type Upstream} from 'chivestream-core';
+import {createFairQueue, type FairQueue, type JobGroup} from './fair-queue.js';
+import {createFreeIndex, type FreeIndex} from './free-index.js';
+import {createRetryBudget, type RetryBudget} from './retry-budget.js';
+import {type QueuedTask} from './scheduler.js';
+import {createLogMean, estimateOf, type LogMean} from './speed.js';
+import {
+	freeUnits, type Need, ownUnits, type Target,
+} from './target.js';
+
+/** The targets, the queue and what was learned for one upstream. */
+export type Pool = {
+	name: string;
+	declared: Upstream;
+	/** Minions and workers of this host's zone, and those of which it borrowed slots. */
+	targets: Map<string, Target>;
+	free: FreeIndex;
+	queue: FairQueue;
+	groups: Map<string, JobGroup>;
+	/** Observed over declared run time for each team, on a target of slowness 1. */
+	calibrations: Map<string, LogMean>;
+	retryBudgets: Map<string, RetryBudget>;
+	running: number;
+	/** Since when tasks have waited without a free slot; undefined when none do. */
+	shortSince: number | undefined;
+};
+
+/** An upstream of which nothing is known yet. */
+export const createPool = (name: string, declared: Upstream, random: Random): Pool => ({
+	name,
+	declared,
+	targets: new Map(),
+	free: createFreeIndex(random),
+	queue: createFairQueue(),
+	groups: new Map(),
+	calibrations: new Map(),
+	retryBudgets: new Map(),
+	running: 0,
+	shortSince: undefined,
+});
+
+const entryOf = <Value>(entries: Map<string, Value>, key: string, create: () => Value): Value => {
+	let value = entries.get(key);
+	if (value === undefined) {
+		value = create();
+		entries.set(key, value);
+	}
+
+	return value;
+};
+
+/** How far a team's declared run times are off. */
+export const calibrationOf = (pool: Pool, team: string): LogMean => entryOf(pool.calibrations, team, createLogMean);
+
+/** A team's retry budget for this upstream. */
+export const retryBudgetOf = (pool: Pool, team: string): RetryBudget => entryOf(pool.retryBudgets, team, createRetryBudget);
+
+/** Run time to expect of a task on a target, in milliseconds. */
+export const expectedMs = (pool: Pool, task: QueuedTask, target: Target): number =>
+	task.declaredMs * estimateOf(calibrationOf(pool, task.team)) * estimateOf(target.slowness);
+
+/** Files the target where its free slots and speed belong. */
+export const refreshTarget = (pool: Pool, target: Target, now: number): void => {
+	if (freeUnits(target, now) > 0) {
+		pool.free.put(target);
+	} else {
+		pool.free.remove(target);
+	}
+};
+
+/** Slots or cores that this host may use, busy ones included. */
+export const usableUnits = (pool: Pool, now: number): number => {
+	let units = 0;
+	for (const target of pool.targets.values()) {
+		units += target.isDraining ? 0 : Math.max(0, ownUnits(target, now));
+	}
+
+	return units;
+};
+
+/** Slots or cores that a new task may take now, over all targets. */
+export const freeUnitsOf = (pool: Pool, now: number): number => {
+	let units = 0;
+	for (const target of pool.targets.values()) {
+		units += freeUnits(target, now);
+	}
+
+	return units;
+};
+
+/** What a queued task takes of a worker. */
+export const needOfTask = (task: QueuedTask): Need => ({
+	units: Math.max(1, task.cores),
+	memoryMb: task.memoryMb,
+	accelerators: task.accelerators,
+});
--- a/packages/chivestream-placement/src/scheduler.ts
+++ b/packages/chivestream-placement/src/scheduler.ts
@@ -96,6 +96,12 @@
 	releaseIdle: () => Array<{lenderId: string; grants: SlotGrant[]}>;
 	/** Takes back slots that a borrower returned. */
 	reclaim: (borrowerId: string, grants: SlotGrant[]) => void;
+	/** Borrowed slots whose grant ends while a task still runs on them: ask the lender for the deadline given. */
+	renewals: () => Array<{lenderId: string; grants: SlotGrant[]}>;
+	/** Extends grants whose slots are still in use; the answer goes to the borrower's `borrow`. */
+	extend: (borrowerId: string, grants: SlotGrant[]) => SlotGrant[];
+	/** When `next` may bind a task that it can't bind now without any other event; undefined when never. */
+	wakeAt: () => number | undefined;
 	/** Free slots of this host for each upstream. */
 	idleSlots: () => SlotDemand[];
 	/** What this host knows of its targets, to be shared with the zone. */
