--- /dev/null
+++ b/packages/chivestream-peer/src/client.ts
@@ -0,0 +1,121 @@
+/** Calls to one other entry host. Every call has a stored deadline and ends with a result or a `PeerFailure`. */
+import {Metadata, type MethodDefinition, type ServiceError} from '@grpc/grpc-js';
+import {
+	failureCode, type Configuration, type Job, type JobAnswer,
+} from 'chivestream-core';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {createConnection} from './connection.js';
+import {codeOfStatus, readFailure} from './failure-metadata.js';
+import {PeerService, type HeartbeatReply, type HeartbeatRequest} from './generated/peer.js';
+import {
+	decodeJson, decodeOptionalJson, decodeText, encodeJson, encodeText, isConfiguration, isJobAnswer,
+} from './json-bytes.js';
+import {delivery, PeerFailure} from './peer-failure.js';
+
+const fetchGraceMs = 500;
+
+/** A call's result or the failure that says how far it got. */
+export type PeerResult<Value> = Promise<Result<Value, PeerFailure>>;
+
+/** Calls to one entry host. Deadlines are milliseconds since the Unix epoch. */
+export type PeerClient = {
+	address: string;
+	heartbeat: (request: HeartbeatRequest, deadline: number) => PeerResult<HeartbeatReply>;
+	/** Hands a job to its home, until the job's own deadline unless another is given. */
+	submit: (job: Job, deadline?: number) => PeerResult<JobAnswer>;
+	/** The answer to a key; undefined where the host does not know the key. */
+	fetch: (key: string, waitDeadline: number) => PeerResult<JobAnswer | undefined>;
+	cancel: (key: string, deadline: number) => PeerResult<JobAnswer | undefined>;
+	/** Demand and grants as JSON text. */
+	lend: (borrowerId: string, demand: string, deadline: number) => PeerResult<string>;
+	reclaim: (borrowerId: string, grants: string, deadline: number) => PeerResult<void>;
+	readConfiguration: (deadline: number) => PeerResult<Configuration | undefined>;
+	query: (request: string, deadline: number) => PeerResult<string>;
+	close: () => void;
+};
+
+const toPeerFailure = (error: ServiceError | undefined, step: string, address: string): PeerFailure => {
+	if (!error) {
+		return new PeerFailure(failureCode.protocolError, `${step}: ${address} gave no reply`, {step, peer: address, delivery: delivery.unknown});
+	}
+
+	const record = readFailure(error);
+	if (record) {
+		return new PeerFailure(record.code, record.message, {...record, delivery: delivery.refused}, {cause: error});
+	}
+
+	const message = `${step} on ${address} failed: ${error.details || error.message}`;
+	return new PeerFailure(codeOfStatus(error), message, {step, peer: address, delivery: delivery.unknown}, {cause: error});
+};
+
+const notConnected = (step: string, address: string): PeerFailure => new PeerFailure(
+	failureCode.connectionFailed,
+	`${step}: no connection to ${address}`,
+	{step, peer: address, delivery: delivery.none},
+);
+
+/** Creates a client of the entry host at `ip:port`, over one connection of its own. */
+export const createPeerClient = (address: string): PeerClient => {
+	const connection = createConnection(address);
+
+	const call = async <Request, Reply>(
+		step: string,
+		method: MethodDefinition<Request, Reply>,
+		request: Request,
+		deadline: number,
+	): PeerResult<Reply> => {
+		const client = await connection.ready(deadline);
+		if (!client) {
+			return new Err(notConnected(step, address));
+		}
+
+		const {path, requestSerialize, responseDeserialize} = method;
+		const options = {deadline: new Date(deadline)};
+		return new Promise(resolve => {
+			client.makeUnaryRequest(path, requestSerialize, responseDeserialize, request, new Metadata(), options, (error, reply) => {
+				if (reply === undefined) {
+					resolve(new Err(toPeerFailure(error, step, address)));
+					return;
+				}
+
+				resolve(new Ok(reply));
+			});
+		});
+	};
+
+	return {
+		address,
+		heartbeat: async (request, deadline) => call('heartbeat', PeerService.heartbeat, request, deadline),
+		async submit(job, deadline = job.deadline) {
+			const reply = await call('submit', PeerService.submit, {job: encodeJson(job)}, deadline);
+			return reply.map(({answer}) => decodeJson(answer, isJobAnswer));
+		},
+		async fetch(key, waitDeadline) {
+			const reply = await call('fetch', PeerService.fetch, {key, waitDeadline}, waitDeadline + fetchGraceMs);
+			return reply.map(({answer}) => decodeOptionalJson(answer, isJobAnswer));
+		},
+		async cancel(key, deadline) {
+			const reply = await call('cancel', PeerService.cancel, {key}, deadline);
+			return reply.map(({answer}) => decodeOptionalJson(answer, isJobAnswer));
+		},
+		async lend(borrowerId, demand, deadline) {
+			const request = {borrowerId, demand: encodeText(demand)};
+			const reply = await call('lend', PeerService.lend, request, deadline);
+			return reply.map(({grants}) => decodeText(grants));
+		},
+		async reclaim(borrowerId, grants, deadline) {
+			const request = {borrowerId, grants: encodeText(grants)};
+			const reply = await call('reclaim', PeerService.reclaim, request, deadline);
+			return reply.map(() => undefined);
+		},
+		async readConfiguration(deadline) {
+			const reply = await call('read-configuration', PeerService.readConfiguration, {}, deadline);
+			return reply.map(({configuration}) => decodeOptionalJson(configuration, isConfiguration));
+		},
+		async query(request, deadline) {
+			const reply = await call('query', PeerService.query, {request: encodeText(request)}, deadline);
+			return reply.map(message => decodeText(message.reply));
+		},
+		close: connection.close,
+	};
+};
--- /dev/null
+++ b/packages/chivestream-peer/src/service.ts
@@ -0,0 +1,97 @@
+/** The gRPC service that an entry host offers to the others. */
+import {
+	Server, ServerCredentials, type handleUnaryCall, type sendUnaryData,
+} from '@grpc/grpc-js';
+import {toFailure} from 'chivestream-core';
+import {serverOptions} from './channel-options.js';
+import {toServiceError} from './failure-metadata.js';
+import {
+	PeerService as definition, type HeartbeatReply, type HeartbeatRequest, type PeerServer,
+} from './generated/peer.js';
+import {type PeerHandlers} from './handlers.js';
+import {
+	decodeJson, decodeText, encodeJson, encodeText, isJob,
+} from './json-bytes.js';
+
+const closeGraceMs = 5000;
+
+/** Answers heartbeats; a membership is one. */
+export type HeartbeatReceiver = {
+	receive: (request: HeartbeatRequest) => HeartbeatReply;
+};
+
+/** What the service listens on and what it calls. */
+export type PeerServiceOptions = {
+	/** `ip:port`; port 0 takes a free one. */
+	listen: string;
+	handlers: PeerHandlers;
+	membership: HeartbeatReceiver;
+};
+
+/** A running service. */
+export type PeerService = {
+	/** `ip:port` on which it listens. */
+	address: string;
+	/** Refuses new calls, lets those in progress end, and cuts what is left at the deadline. */
+	close: (deadline?: number) => Promise<void>;
+};
+
+const answerCall = async <Reply>(step: string, peer: string, work: () => Promise<Reply> | Reply, callback: sendUnaryData<Reply>) => {
+	try {
+		callback(null, await work());
+	} catch (error) {
+		callback(toServiceError(toFailure(error, {step, peer})));
+	}
+};
+
+const unary = <Request, Reply>(step: string, work: (request: Request) => Promise<Reply> | Reply): handleUnaryCall<Request, Reply> =>
+	(call, callback) => {
+		void answerCall(step, call.getPeer(), async () => work(call.request), callback);
+	};
+
+const createServer = (handlers: PeerHandlers, membership: HeartbeatReceiver): PeerServer => ({
+	heartbeat: unary('heartbeat', request => membership.receive(request)),
+	submit: unary('submit', async ({job}) => ({answer: encodeJson(await handlers.submit(decodeJson(job, isJob)))})),
+	fetch: unary('fetch', async ({key, waitDeadline}) => ({answer: encodeJson(await handlers.fetch(key, waitDeadline))})),
+	cancel: unary('cancel', async ({key}) => ({answer: encodeJson(await handlers.cancel(key))})),
+	lend: unary('lend', ({borrowerId, demand}) => ({grants: encodeText(handlers.lend(borrowerId, decodeText(demand)))})),
+	reclaim: unary('reclaim', ({borrowerId, grants}) => {
+		handlers.reclaim(borrowerId, decodeText(grants));
+		return {};
+	}),
+	readConfiguration: unary('read-configuration', () => ({configuration: encodeJson(handlers.readConfiguration())})),
+	query: unary('query', async ({request}) => ({reply: encodeText(await handlers.query(decodeText(request)))})),
+});
+
+const listenOn = async (server: Server, listen: string): Promise<number> => new Promise((resolve, reject) => {
+	server.bindAsync(listen, ServerCredentials.createInsecure(), (error, port) => {
+		if (error) {
+			reject(error);
+		} else {
+			resolve(port);
+		}
+	});
+});
+
+const shutDown = async (server: Server, deadline: number): Promise<void> => new Promise(resolve => {
+	const timer = setTimeout(() => {
+		server.forceShutdown();
+		resolve();
+	}, Math.max(0, deadline - Date.now()));
+	server.tryShutdown(() => {
+		clearTimeout(timer);
+		resolve();
+	});
+});
+
+/** Starts the service; rejects if the address can't be listened on. */
+export const startPeerService = async ({listen, handlers, membership}: PeerServiceOptions): Promise<PeerService> => {
+	const server = new Server(serverOptions);
+	server.addService(definition, createServer(handlers, membership));
+	const port = await listenOn(server, listen);
+	const ip = listen.slice(0, listen.lastIndexOf(':'));
+	return {
+		address: `${ip}:${port}`,
+		close: async (deadline = Date.now() + closeGraceMs) => shutDown(server, deadline),
+	};
+};
