Read settings in JSON with comments and list every fault at once

A settings file is checked as a whole: each fault carries line, column, field, value, what is allowed and a fix; unknown and doubled fields are faults, secrets are not shown.

--- a/packages/chivestream-settings/src/index.ts
+++ b/packages/chivestream-settings/src/index.ts
@@ -1,4 +1,5 @@
-/** Package `chivestream-settings`. */
-
-/** Name of this package. */
-export const packageName = 'chivestream-settings';
+/** Checked settings files in JSON with comments. */
+export * from './address.js';
+export * from './entry-settings.js';
+export * from './fault.js';
+export * from './read-settings.js';
