Add clients of the platform's log and host list

Every request has a deadline and its answer is checked; a failure names step and peer. After a failure the next request goes to the log's next address; nothing is repeated by the client, since an append may have taken effect.

--- /dev/null
+++ b/packages/chivestream-platform/src/__fixtures__/canned-server.ts
@@ -0,0 +1,52 @@
+/** An HTTP server that gives canned answers, for tests of the platform's clients. */
+import {once} from 'node:events';
+import {createServer, type IncomingMessage} from 'node:http';
+import {type AddressInfo} from 'node:net';
+
+/** An answer; without a status the server keeps silent. */
+export type CannedAnswer = {
+	status?: number;
+	body?: string;
+};
+
+/** A request as the server got it. */
+export type SeenRequest = {
+	method: string;
+	url: string;
+	body: string;
+};
+
+const readBody = async (request: IncomingMessage): Promise<string> => {
+	let body = '';
+	for await (const chunk of request) {
+		body += String(chunk);
+	}
+
+	return body;
+};
+
+/** Starts a server on a free port that answers as the function says. */
+export const startCannedServer = async (answer: (request: SeenRequest) => CannedAnswer) => {
+	const seen: SeenRequest[] = [];
+	const server = createServer(async (request, response) => {
+		const body = await readBody(request);
+		const seenRequest = {method: request.method ?? '', url: request.url ?? '', body};
+		seen.push(seenRequest);
+		const canned = answer(seenRequest);
+		if (canned.status !== undefined) {
+			response.writeHead(canned.status, {'content-type': 'application/json'}).end(canned.body);
+		}
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	return {
+		url: `http://127.0.0.1:${port}`,
+		seen,
+		async close() {
+			server.closeAllConnections();
+			server.close();
+			await once(server, 'close');
+		},
+	};
+};
--- /dev/null
+++ b/packages/chivestream-platform/src/host-list.ts
@@ -0,0 +1,52 @@
+/** Client of the platform's lagging list of hosts over HTTP. */
+import {type Clock, failureCode, systemClock} from 'chivestream-core';
+import {Agent} from 'undici';
+import {z} from 'zod';
+import {requestJson} from './request.js';
+import {type HostList, listedState} from './stream.js';
+
+/** How to reach the host list. */
+export type HostListOptions = {
+	/** Base URL of the service. */
+	url: string;
+	/** How long a request may take, in milliseconds. */
+	requestMs: number;
+	clock?: Clock;
+};
+
+/** A client of the host list that can be closed. */
+export type HostListClient = {
+	list: HostList;
+	close: () => Promise<void>;
+};
+
+const okStatus = 200;
+
+const answerSchema = z.object({
+	hosts: z.array(z.object({
+		id: z.string(),
+		zone: z.string(),
+		address: z.string(),
+		state: z.enum(Object.values(listedState)),
+	})),
+});
+
+/** Creates a client of the host list. */
+export const createHostList = ({url, requestMs, clock = systemClock}: HostListOptions): HostListClient => {
+	const dispatcher = new Agent({pipelining: 1});
+	const connection = {dispatcher, clock, unavailableCode: failureCode.connectionFailed};
+	return {
+		async list() {
+			const result = await requestJson(connection, {
+				method: 'GET',
+				url: new URL('/hosts', url),
+				deadline: clock.now() + requestMs,
+				step: 'list-hosts',
+				status: okStatus,
+				schema: answerSchema,
+			});
+			return result.map(({hosts}) => hosts);
+		},
+		close: async () => dispatcher.destroy(),
+	};
+};
--- /dev/null
+++ b/packages/chivestream-platform/src/log.ts
@@ -0,0 +1,96 @@
+/** Client of the platform's append-only log over HTTP. */
+import {
+	type Clock, type Failure, failureCode, systemClock,
+} from 'chivestream-core';
+import {type Result} from 'ts-results-es';
+import {Agent} from 'undici';
+import {z} from 'zod';
+import {type Connection, type JsonRequest, requestJson} from './request.js';
+import {type Stream, type StreamRange} from './stream.js';
+
+/** How to reach the log. */
+export type LogOptions = {
+	/** Base URLs of the log's servers: after a failure the next request goes to the next one. */
+	urls: readonly string[];
+	/** How long a request may take beyond the time it asks the log to wait, in milliseconds. */
+	requestMs: number;
+	clock?: Clock;
+};
+
+/** The log: any of its streams by name. */
+export type Log = {
+	stream: (name: string) => Stream;
+	/** Closes the connections; requests in progress fail. */
+	close: () => Promise<void>;
+};
+
+const createdStatus = 201;
+const okStatus = 200;
+
+const offsetSchema = z.int().min(0);
+
+const appendAnswerSchema = z.object({offset: offsetSchema});
+
+const pageSchema = z.object({
+	records: z.array(z.object({offset: offsetSchema, at: z.number(), value: z.unknown()})),
+	first: offsetSchema,
+	next: offsetSchema,
+});
+
+/** Creates a client of the log; every request has a deadline, none is repeated by the client. */
+export const createLog = ({urls, requestMs, clock = systemClock}: LogOptions): Log => {
+	const dispatcher = new Agent({pipelining: 1});
+	const connection: Connection = {dispatcher, clock, unavailableCode: failureCode.logUnavailable};
+	let urlIndex = 0;
+
+	const createUrl = (name: string): URL => {
+		const base = urls[urlIndex % urls.length];
+		return new URL(`/streams/${encodeURIComponent(name)}/records`, base);
+	};
+
+	const sendRequest = async <Schema extends z.ZodType>(
+		jsonRequest: JsonRequest<Schema>,
+	): Promise<Result<z.output<Schema>, Failure>> => {
+		const result = await requestJson(connection, jsonRequest);
+		if (result.isErr()) {
+			urlIndex += 1;
+		}
+
+		return result;
+	};
+
+	const append = async (name: string, value: unknown) => {
+		const result = await sendRequest({
+			method: 'POST',
+			url: createUrl(name),
+			body: value,
+			deadline: clock.now() + requestMs,
+			step: `append-to-${name}`,
+			status: createdStatus,
+			schema: appendAnswerSchema,
+		});
+		return result.map(({offset}) => offset);
+	};
+
+	const read = async (name: string, {from, limit, waitDeadline}: StreamRange) => {
+		const waitMs = Math.max(0, Math.floor(waitDeadline - clock.now()));
+		const url = createUrl(name);
+		url.search = new URLSearchParams({from: String(from), limit: String(limit), waitMs: String(waitMs)}).toString();
+		return sendRequest({
+			method: 'GET',
+			url,
+			deadline: clock.now() + waitMs + requestMs,
+			step: `read-${name}`,
+			status: okStatus,
+			schema: pageSchema,
+		});
+	};
+
+	return {
+		stream: name => ({
+			append: async value => append(name, value),
+			read: async range => read(name, range),
+		}),
+		close: async () => dispatcher.destroy(),
+	};
+};
--- /dev/null
+++ b/packages/chivestream-platform/src/request.ts
@@ -0,0 +1,86 @@
+/** JSON requests to the platform's services, each with a deadline and a checked answer. */
+import {
+	type Clock, Failure, failureCode, type FailureCode,
+} from 'chivestream-core';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {type Dispatcher, request} from 'undici';
+import {type z} from 'zod';
+
+/** What every request of a client shares. */
+export type Connection = {
+	dispatcher: Dispatcher;
+	clock: Clock;
+	/** Code of the failure when the service refuses or cannot be reached. */
+	unavailableCode: FailureCode;
+};
+
+/** One request with the shape that its answer must have. */
+export type JsonRequest<Schema extends z.ZodType> = {
+	method: 'GET' | 'POST';
+	url: URL;
+	/** Sent as JSON when it is given. */
+	body?: unknown;
+	/** Milliseconds since the Unix epoch. */
+	deadline: number;
+	step: string;
+	status: number;
+	schema: Schema;
+};
+
+const serverErrorStatus = 500;
+const maxShownBodyLength = 200;
+
+const send = async <Schema extends z.ZodType>(
+	connection: Connection,
+	{method, url, body, step, status, schema}: JsonRequest<Schema>,
+	signal: AbortSignal,
+): Promise<Result<z.output<Schema>, Failure>> => {
+	const origin = {step, peer: url.host};
+	const response = await request(url, {
+		method,
+		dispatcher: connection.dispatcher,
+		signal,
+		...(body !== undefined && {body: JSON.stringify(body), headers: {'content-type': 'application/json'}}),
+	});
+	const text = await response.body.text();
+	if (response.statusCode !== status) {
+		const code = response.statusCode >= serverErrorStatus ? connection.unavailableCode : failureCode.protocolError;
+		const message = `answered ${response.statusCode} in place of ${status}: ${text.slice(0, maxShownBodyLength)}`;
+		return new Err(new Failure(code, message, origin));
+	}
+
+	const parsed = schema.safeParse(JSON.parse(text));
+	if (!parsed.success) {
+		const message = `answered in an unknown shape: ${parsed.error.message}`;
+		return new Err(new Failure(failureCode.protocolError, message, origin));
+	}
+
+	return new Ok(parsed.data);
+};
+
+/** Sends a request; the error says whether the deadline passed, the service was unavailable or its answer was wrong. */
+export const requestJson = async <Schema extends z.ZodType>(
+	connection: Connection,
+	jsonRequest: JsonRequest<Schema>,
+): Promise<Result<z.output<Schema>, Failure>> => {
+	const origin = {step: jsonRequest.step, peer: jsonRequest.url.host};
+	const controller = new AbortController();
+	const timer = connection.clock.at(jsonRequest.deadline, () => {
+		controller.abort();
+	});
+	try {
+		return await send(connection, jsonRequest, controller.signal);
+	} catch (error) {
+		if (controller.signal.aborted) {
+			return new Err(new Failure(failureCode.timedOut, 'no answer before the deadline', origin, {cause: error}));
+		}
+
+		if (error instanceof SyntaxError) {
+			return new Err(new Failure(failureCode.protocolError, 'answered with broken JSON', origin, {cause: error}));
+		}
+
+		return new Err(new Failure(connection.unavailableCode, String(error), origin, {cause: error}));
+	} finally {
+		timer.cancel();
+	}
+};
