Fold the configuration stream and put accepted versions in force

During an outage a new host serves only once enough hosts of its zone told what they hold. A lost answer of an append is settled by the command id.

--- /dev/null
+++ b/packages/chivestream-configuration/src/__tests__/follower.test.ts
@@ -0,0 +1,150 @@
+import {afterEach, expect, test} from '@jest/globals';
+import {createRandom, systemClock, type Configuration} from 'chivestream-core';
+import {createCommand, sampleCommand} from '../__fixtures__/declarations.js';
+import {FakeStream} from '../__fixtures__/fake-stream.js';
+import {
+	applyRecord, type Change, createSnapshot, Follower, type FollowerOptions, initialState, type PeerState, type State, submitCommand,
+} from '../index.js';
+
+const patienceMs = 10_000;
+const quota: Change = {kind: 'team', team: 'day-a', maxTasksInFlight: 7};
+const followers: Follower[] = [];
+
+const soon = () => Date.now() + patienceMs;
+
+const follow = (stream: FakeStream, options: Partial<FollowerOptions> = {}) => {
+	const seen: Configuration[] = [];
+	const follower = new Follower({
+		stream,
+		clock: systemClock,
+		random: createRandom(1),
+		zone: 'a',
+		zoneSize: () => 3,
+		fetchFromPeers: async () => [],
+		onChange(configuration) {
+			seen.push(configuration);
+		},
+		pollMs: 50,
+		...options,
+	});
+	followers.push(follower);
+	follower.start();
+	return {
+		follower, seen, submit: {
+			stream, follower, clock: systemClock, random: createRandom(2),
+		},
+	};
+};
+
+afterEach(() => {
+	for (const follower of followers.splice(0)) {
+		follower.stop();
+	}
+});
+
+const stateAfter = (values: unknown[]): State => {
+	let state = initialState;
+	for (const [offset, value] of values.entries()) {
+		state = applyRecord(state, {offset, at: 0, value});
+	}
+
+	return state;
+};
+
+const peer = (hostId: string, state: State, isProven = true): PeerState => ({
+	hostId, zone: 'a', isProven, state,
+});
+
+test('a submitted command comes into force on every follower', async () => {
+	const stream = new FakeStream();
+	const first = follow(stream);
+	const second = follow(stream);
+	const submission = await submitCommand(first.submit, sampleCommand, soon());
+	expect(submission).toMatchObject({outcome: 'accepted', verdict: {version: 1}, currentVersion: 1});
+	expect(await second.follower.waitForVersion(1, soon())).toBe(true);
+	expect(second.follower.inForce).toEqual(first.follower.held.configuration);
+});
+
+test('of two racing operators one wins and the other is told the version that beat it', async () => {
+	const stream = new FakeStream();
+	const {submit} = follow(stream);
+	await submitCommand(submit, sampleCommand, soon());
+	const submissions = await Promise.all([
+		submitCommand(submit, createCommand('left', 1, quota, 'left'), soon()),
+		submitCommand(submit, createCommand('right', 1, {kind: 'drain', ids: ['m1']}, 'right'), soon()),
+	]);
+	expect(submissions.map(({outcome}) => outcome).toSorted()).toEqual(['accepted', 'beaten']);
+	expect(submissions.find(({outcome}) => outcome === 'beaten')).toMatchObject({verdict: {version: 2}});
+});
+
+test('a lost answer is settled by the command id, whether or not the append took effect', async () => {
+	const stream = new FakeStream();
+	const {submit} = follow(stream);
+	stream.lostAnswers = 1;
+	expect(await submitCommand(submit, sampleCommand, soon())).toMatchObject({outcome: 'accepted'});
+	stream.lostAppends = 1;
+	expect(await submitCommand(submit, createCommand('c1', 1, quota), soon())).toMatchObject({outcome: 'accepted'});
+	expect(submit.follower.held.configuration.version).toBe(2);
+});
+
+test('the same command submitted again has the same verdict; another under its id is refused', async () => {
+	const stream = new FakeStream();
+	const {submit} = follow(stream);
+	await submitCommand(submit, sampleCommand, soon());
+	const appends = stream.records.length;
+	expect(await submitCommand(submit, sampleCommand, soon())).toMatchObject({outcome: 'accepted', verdict: {version: 1}});
+	const other = await submitCommand(submit, createCommand('c0', 1, quota), soon());
+	expect(other).toMatchObject({outcome: 'refused', failure: {code: 'key-reused'}});
+	expect(stream.records).toHaveLength(appends);
+});
+
+test('without a verdict before the deadline the outcome is unknown', async () => {
+	const stream = new FakeStream();
+	stream.isOut = true;
+	const {submit} = follow(stream);
+	const submission = await submitCommand(submit, sampleCommand, Date.now() + 100);
+	expect(submission).toMatchObject({outcome: 'unknown', failure: {code: 'timed-out'}});
+});
+
+test('during an outage a new host serves only once enough hosts of its zone told what they hold', async () => {
+	const stream = new FakeStream();
+	stream.isOut = true;
+	const older = stateAfter([sampleCommand]);
+	const newer = stateAfter([sampleCommand, createCommand('c1', 1, quota)]);
+	const answers: PeerState[] = [peer('e1', older), peer('e2', newer, false)];
+	const {follower} = follow(stream, {fetchFromPeers: async () => answers});
+	expect(await follower.waitForVersion(0, Date.now() + 400)).toBe(false);
+	answers[1] = peer('e2', newer);
+	expect(await follower.waitForVersion(2, soon())).toBe(true);
+});
+
+test('a reader that retention has passed goes on from a snapshot', async () => {
+	const stream = new FakeStream();
+	await stream.append(sampleCommand);
+	await stream.append(createCommand('c1', 1, quota));
+	const state = stateAfter(stream.records.map(({value}) => value));
+	for (const part of createSnapshot(state, 200)) {
+		// eslint-disable-next-line no-await-in-loop
+		await stream.append(part);
+	}
+
+	await stream.append(createCommand('c2', 2, {kind: 'drain', ids: ['m1']}));
+	stream.dropBelow(2);
+	const {follower} = follow(stream);
+	expect(await follower.waitForVersion(3, soon())).toBe(true);
+	expect(follower.held.configuration.declarations).toMatchObject({drains: ['m1'], teams: {'day-a': {maxTasksInFlight: 7}}});
+});
+
+test('records and states from peers never take a version back', async () => {
+	const stream = new FakeStream();
+	const {follower, seen} = follow(stream);
+	await follower.waitForVersion(0, soon());
+	await stream.append(sampleCommand);
+	await follower.waitForVersion(1, soon());
+	const ahead = {offset: 1, at: 0, value: createCommand('c1', 1, quota)};
+	expect(follower.offer([ahead])).toBe(1);
+	expect(follower.adopt(stateAfter([sampleCommand]))).toBe(1);
+	expect(follower.offer([{offset: 5, at: 0, value: sampleCommand}])).toBe(1);
+	expect(await follower.waitForVersion(2, soon())).toBe(true);
+	expect(seen.map(({version}) => version)).toEqual([0, 1, 2]);
+});
--- /dev/null
+++ b/packages/chivestream-configuration/src/change.ts
@@ -0,0 +1,128 @@
+/** Applies one change to declarations. */
+import {type Declarations} from 'chivestream-core';
+import {formatPath} from 'chivestream-settings';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {type Change, changeKind, changeSchema} from './command.js';
+import {listUpstreamHostIds} from './cross-checks.js';
+
+const maxReasons = 5;
+const maxSummaryLength = 120;
+
+/** A change of the right shape, or what is wrong with it. */
+export const parseChange = (value: unknown): Result<Change, string[]> => {
+	const parsed = changeSchema.safeParse(value);
+	if (parsed.success) {
+		return new Ok(parsed.data);
+	}
+
+	const reasons = parsed.error.issues.map(issue => `${formatPath(issue.path) || 'change'}: ${issue.message}`);
+	return new Err(reasons.slice(0, maxReasons));
+};
+
+const drain = (declarations: Declarations, ids: string[]): Result<Declarations, string[]> => {
+	const known = listUpstreamHostIds(declarations);
+	const unknown = ids.filter(id => !known.has(id));
+	if (unknown.length > 0) {
+		return new Err(unknown.slice(0, maxReasons).map(id => `ids: no minion or worker is called "${id}"`));
+	}
+
+	return new Ok({...declarations, drains: [...new Set([...declarations.drains, ...ids])]});
+};
+
+const undrain = (declarations: Declarations, ids: string[]): Result<Declarations, string[]> => {
+	const removed = new Set(ids);
+	const drained = new Set(declarations.drains);
+	const others = ids.filter(id => !drained.has(id));
+	if (others.length > 0) {
+		return new Err(others.slice(0, maxReasons).map(id => `ids: "${id}" is not being drained`));
+	}
+
+	return new Ok({...declarations, drains: declarations.drains.filter(id => !removed.has(id))});
+};
+
+const setTeam = (
+	declarations: Declarations,
+	{team, weight, maxTasksInFlight}: Extract<Change, {kind: typeof changeKind.team}>,
+): Result<Declarations, string[]> => {
+	const current = Object.hasOwn(declarations.teams, team) ? declarations.teams[team] : undefined;
+	if (!current) {
+		return new Err([`team: no team is called "${team}"`]);
+	}
+
+	const changed = {weight: weight ?? current.weight, maxTasksInFlight: maxTasksInFlight ?? current.maxTasksInFlight};
+	return new Ok({...declarations, teams: {...declarations.teams, [team]: changed}});
+};
+
+const setLimits = (
+	declarations: Declarations,
+	{limits}: Extract<Change, {kind: typeof changeKind.limits}>,
+): Declarations => {
+	const current = declarations.limits;
+	return {
+		...declarations,
+		limits: {
+			maxTasksPerJob: limits.maxTasksPerJob ?? current.maxTasksPerJob,
+			maxDeadlineMs: limits.maxDeadlineMs ?? current.maxDeadlineMs,
+			retryRatio: limits.retryRatio ?? current.retryRatio,
+		},
+	};
+};
+
+/** The declarations after a change, or the reasons why it is not allowed. */
+export const applyChange = (declarations: Declarations, change: Change): Result<Declarations, string[]> => {
+	switch (change.kind) {
+		case changeKind.replace: {
+			return new Ok(change.declarations);
+		}
+
+		case changeKind.drain: {
+			return drain(declarations, change.ids);
+		}
+
+		case changeKind.undrain: {
+			return undrain(declarations, change.ids);
+		}
+
+		case changeKind.team: {
+			return setTeam(declarations, change);
+		}
+
+		case changeKind.limits: {
+			return new Ok(setLimits(declarations, change));
+		}
+	}
+};
+
+const describeFields = (fields: Record<string, unknown>): string =>
+	Object.entries(fields)
+		.filter(([, value]) => value !== undefined)
+		.map(([name, value]) => `${name}=${String(value)}`)
+		.join(' ');
+
+const describe = (change: Change): string => {
+	switch (change.kind) {
+		case changeKind.replace: {
+			return 'replace the declarations';
+		}
+
+		case changeKind.drain:
+		case changeKind.undrain: {
+			return `${change.kind} ${change.ids.join(', ')}`;
+		}
+
+		case changeKind.team: {
+			const {weight, maxTasksInFlight} = change;
+			return `set team ${change.team} ${describeFields({weight, maxTasksInFlight})}`;
+		}
+
+		case changeKind.limits: {
+			return `set limits ${describeFields(change.limits)}`;
+		}
+	}
+};
+
+/** One short line that says what a change does. */
+export const summarizeChange = (change: Change): string => {
+	const text = describe(change);
+	return text.length > maxSummaryLength ? `${text.slice(0, maxSummaryLength - 1)}…` : text;
+};
--- a/packages/chivestream-configuration/src/index.ts
+++ b/packages/chivestream-configuration/src/index.ts
@@ -1,4 +1,13 @@
-/** Package `chivestream-configuration`. */
-
-/** Name of this package. */
-export const packageName = 'chivestream-configuration';
+/** Declarations, the deterministic fold over the log and the task that puts its result in force. */
+export * from './change.js';
+export * from './command.js';
+export * from './cross-checks.js';
+export * from './declarations-schema.js';
+export * from './fold.js';
+export * from './follower.js';
+export * from './proof.js';
+export * from './read-declarations.js';
+export * from './reader.js';
+export * from './snapshot.js';
+export * from './state.js';
+export * from './submit.js';
--- /dev/null
+++ b/packages/chivestream-configuration/src/submit.ts
@@ -0,0 +1,98 @@
+/** Submits a command to the log and settles what became of it, also when the log's answer was lost. */
+import {
+	type Clock, Failure, failureCode, type Random,
+} from 'chivestream-core';
+import {type Stream} from 'chivestream-platform';
+import {retryDeadline} from './backoff.js';
+import {parseChange} from './change.js';
+import {type Command, commandSchema} from './command.js';
+import {digestCommand} from './fold.js';
+import {type Follower} from './follower.js';
+import {findVerdict, type Verdict} from './state.js';
+
+/** How a submission ended when the log gave no verdict. */
+export const submissionOutcome = {
+	/** Never sent. */
+	refused: 'refused',
+	/** May have taken effect or may do so yet; the same command may be submitted again. */
+	unknown: 'unknown',
+} as const;
+
+/** What became of a submitted command. */
+export type Submission
+	= | {outcome: Verdict['outcome']; verdict: Verdict; currentVersion: number}
+		| {outcome: typeof submissionOutcome[keyof typeof submissionOutcome]; failure: Failure};
+
+/** What a submission works with. */
+export type SubmitOptions = {
+	stream: Stream;
+	follower: Follower;
+	clock: Clock;
+	random: Random;
+};
+
+const origin = {step: 'submit-command', peer: 'configuration'} as const;
+
+const refuse = (code: Failure['code'], message: string): Submission => ({
+	outcome: submissionOutcome.refused,
+	failure: new Failure(code, message, origin),
+});
+
+const settle = (verdict: Verdict, digest: string, follower: Follower): Submission => {
+	if (verdict.digest !== digest) {
+		const message = `command id "${verdict.commandId}" was used for another command; choose a new one`;
+		return refuse(failureCode.keyReused, message);
+	}
+
+	return {outcome: verdict.outcome, verdict, currentVersion: follower.held.configuration.version};
+};
+
+/** Appends until the follower reads a verdict. The fold ignores repeats, so an append is repeated after a lost answer. */
+const appendUntilSettled = async (
+	{stream, follower, clock, random}: SubmitOptions,
+	command: Command,
+	deadline: number,
+): Promise<{verdict: Verdict | undefined; lastFailure: Failure | undefined}> => {
+	let failures = 0;
+	let lastFailure: Failure | undefined;
+	let verdict = findVerdict(follower.held, command.commandId);
+	while (verdict === undefined && clock.now() < deadline) {
+		// eslint-disable-next-line no-await-in-loop
+		const appended = await stream.append(command);
+		if (appended.isOk()) {
+			follower.offer([{offset: appended.value, at: clock.now(), value: command}]);
+		} else {
+			failures += 1;
+			lastFailure = appended.error;
+		}
+
+		const waitDeadline = appended.isOk() ? deadline : Math.min(deadline, retryDeadline(clock.now(), failures, random));
+		// eslint-disable-next-line no-await-in-loop
+		verdict = await follower.waitForVerdict(command.commandId, waitDeadline);
+	}
+
+	return {verdict, lastFailure};
+};
+
+/**
+Submits a command until a deadline, in milliseconds since the Unix epoch. The same command, with the same id, may be
+submitted any number of times through any host: it takes effect at most once.
+*/
+export const submitCommand = async (options: SubmitOptions, command: Command, deadline: number): Promise<Submission> => {
+	const identity = commandSchema.safeParse(command);
+	const change = parseChange(command.change);
+	if (!identity.success || change.isErr()) {
+		const reasons = change.isErr() ? change.error : identity.error?.issues.map(issue => issue.message) ?? [];
+		return refuse(failureCode.badRequest, `the command is not well formed: ${reasons.join('; ')}`);
+	}
+
+	const {verdict, lastFailure} = await appendUntilSettled(options, command, deadline);
+	if (verdict) {
+		return settle(verdict, digestCommand(command), options.follower);
+	}
+
+	const reason = lastFailure ? `${lastFailure.message} (${lastFailure.step} at ${lastFailure.peer})` : 'it was not read back';
+	const message = `no verdict on the command before the deadline: ${reason}; submit it again with the same id`;
+	const failure = new Failure(failureCode.timedOut, message, origin, {cause: lastFailure});
+	return {outcome: submissionOutcome.unknown, failure};
+};
