--- a/packages/chivestream-entry/src/dispatcher.ts
+++ b/packages/chivestream-entry/src/dispatcher.ts
@@ -18,7 +18,7 @@
 } from 'chivestream-core';
 import {type Assignment, type QueuedTask, type Scheduler} from 'chivestream-placement';
 import {
-	createJobRun, endTask, failRun, finishRun, type JobRun,
+	createJobRun, endTask, failRun, finishRun, type JobRun, type RunningAttempt,
 } from './job-run.js';
 
 /** Runs one attempt on a minion or worker. */
@@ -76,6 +76,10 @@
 	accelerators: task.accelerators ?? 0,
 });
 
+const describeAttempt = ({targetId, isWorker, startedAt, task}: Assignment): RunningAttempt => ({
+	targetId, isWorker, startedAt, declaredMs: task.declaredMs,
+});
+
 /** A dispatcher over one scheduler. */
 export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
 	const {clock, scheduler, runAttempt} = options;
@@ -85,6 +89,8 @@
 	};
 	let attempts = 0;
 	let expiryTimer: Timer | undefined;
+	let wakeTimer: Timer | undefined;
+	let wakeDeadline: number | undefined;
 
 	const giveUpTasks = (tasks: QueuedTask[]) => {
 		for (const task of tasks) {
@@ -145,6 +151,7 @@
 		}
 
 		run.states[task.taskIndex] = taskState.running;
+		run.attempts.set(task.taskIndex, describeAttempt(assignment));
 		counts.started += 1;
 		attempts += 1;
 		const overdue = new AbortController();
@@ -154,6 +161,7 @@
 		const result = await runAttempt(assignment, payload, AbortSignal.any([run.stopper.signal, overdue.signal]));
 		timer.cancel();
 		attempts -= 1;
+		run.attempts.delete(task.taskIndex);
 		const {isRetried} = scheduler.settle(assignment, result);
 		if (isRetried) {
 			retryTask(runs.get(task.key), task);
@@ -190,6 +198,21 @@
 		});
 	};
 
+	/** Starts tasks when the scheduler can bind them without any other event. */
+	const scheduleWake = () => {
+		const deadline = scheduler.wakeAt();
+		if (deadline === undefined || deadline === wakeDeadline) {
+			return;
+		}
+
+		wakeTimer?.cancel();
+		wakeDeadline = deadline;
+		wakeTimer = clock.at(deadline, () => {
+			wakeDeadline = undefined;
+			pump();
+		});
+	};
+
 	const pump = () => {
 		for (let assignment = scheduler.next(); assignment; assignment = scheduler.next()) {
 			void startAttempt(assignment);
@@ -198,6 +221,7 @@
 		if (hasQueuedTasks()) {
 			options.onDemand();
 			scheduleExpiry();
+			scheduleWake();
 		}
 	};
 
--- /dev/null
+++ b/packages/chivestream-entry/src/entry-process.ts
@@ -0,0 +1,140 @@
+/** The entry host as a process: its servers, its links to the outside, and its planned stop. */
+import {
+	createIncarnation,
+	createRandom,
+	Failure,
+	failureCode,
+	splitAddress,
+	systemClock,
+	type Host,
+	type Logger,
+} from 'chivestream-core';
+import {startCallerService, type CallerHandlers} from 'chivestream-caller';
+import {createMinionClient} from 'chivestream-minion';
+import {createPeerClients, startPeerService, type PeerHandlers} from 'chivestream-peer';
+import {createHostList, createLog, streamName} from 'chivestream-platform';
+import {type EntrySettings} from 'chivestream-settings';
+import {createAttempts, refuseWorkerAttempts} from './attempts.js';
+import {createEntryHost, type EntryHost} from './entry-host.js';
+
+/** Addresses that a process listens on. */
+export type ProcessAddresses = {
+	caller: string;
+	peer: string;
+};
+
+/** A running entry process. */
+export type EntryProcess = {
+	host: Host;
+	addresses: ProcessAddresses;
+	/** Finishes what is in progress, then ends every connection. */
+	stop: () => Promise<void>;
+};
+
+const requestTimeoutMs = 30_000;
+const keepAliveTimeoutMs = 65_000;
+const maxConnections = 20_000;
+
+const notReady = (step: string): Failure => new Failure(failureCode.notReady, 'this host is starting', {step, peer: 'self'});
+
+/** Handlers that refuse until the host is there, so that the servers can listen first and tell their ports. */
+const createStartingHandlers = (host: () => EntryHost | undefined) => {
+	const ready = (step: string): EntryHost => {
+		const current = host();
+		if (!current) {
+			throw notReady(step);
+		}
+
+		return current;
+	};
+
+	const caller: CallerHandlers = {
+		submit: async job => ready('submit').callerHandlers.submit(job),
+		fetch: async (key, deadline) => ready('fetch').callerHandlers.fetch(key, deadline),
+		cancel: async key => ready('cancel').callerHandlers.cancel(key),
+		homeToken: () => host()?.callerHandlers.homeToken(),
+		isReady: () => host()?.callerHandlers.isReady() ?? false,
+		metrics: async () => ready('metrics').callerHandlers.metrics(),
+	};
+	const peer: PeerHandlers = {
+		submit: async job => ready('submit').peerHandlers.submit(job),
+		fetch: async (key, deadline) => ready('fetch').peerHandlers.fetch(key, deadline),
+		cancel: async key => ready('cancel').peerHandlers.cancel(key),
+		lend: (borrowerId, demand) => ready('lend').peerHandlers.lend(borrowerId, demand),
+		reclaim(borrowerId, grants) {
+			ready('reclaim').peerHandlers.reclaim(borrowerId, grants);
+		},
+		readConfiguration: () => ready('read-configuration').peerHandlers.readConfiguration(),
+		query: async request => ready('query').peerHandlers.query(request),
+	};
+	return {
+		caller,
+		peer,
+		membership: {
+			receive: (request: Parameters<EntryHost['membership']['receive']>[0]) => ready('heartbeat').membership.receive(request),
+		},
+	};
+};
+
+/** Starts an entry host with the given settings; resolves once it listens. */
+export const startEntryProcess = async (settings: EntrySettings, logger: Logger): Promise<EntryProcess> => {
+	const clock = systemClock;
+	// The incarnation must differ between two starts within one millisecond, so the seed draws on more than the clock.
+	const random = createRandom(Math.floor(Math.random() * (2 ** 31)));
+	let host: EntryHost | undefined;
+	const handlers = createStartingHandlers(() => host);
+	const callerListen = splitAddress(settings.listen.caller);
+	const callerService = await startCallerService(handlers.caller, {
+		...callerListen,
+		maxBodyBytes: settings.limits.maxBodyBytes,
+		requestTimeoutMs,
+		keepAliveTimeoutMs,
+		maxConnections,
+		now: clock.now,
+	});
+	const peerService = await startPeerService({listen: settings.listen.peer, handlers: handlers.peer, membership: handlers.membership});
+
+	const self: Host = {
+		...settings.host,
+		incarnation: createIncarnation(clock.now(), random),
+		peerAddress: settings.advertise.peer ?? peerService.address,
+		callerAddress: settings.advertise.caller ?? callerService.address,
+		operatorAddress: settings.advertise.operator ?? settings.listen.operator,
+	};
+	const log = createLog({urls: settings.platform.logs, requestMs: settings.limits.platformRequestMs});
+	const hostList = createHostList({url: settings.platform.hosts, requestMs: settings.limits.platformRequestMs});
+	const minions = createMinionClient();
+	host = createEntryHost({
+		self,
+		clock,
+		random,
+		logger,
+		limits: settings.limits,
+		seeds: settings.peers,
+		links: {
+			configurationStream: log.stream(streamName.configuration),
+			claimsStream: log.stream(streamName.claims),
+			listHosts: hostList.list,
+			peers: createPeerClients(),
+			runAttempt: createAttempts(minions, refuseWorkerAttempts),
+		},
+	});
+	host.start();
+	const started = host;
+	logger.info('listening', {step: 'start', peer: self.id, caller: callerService.address, peerService: peerService.address});
+
+	return {
+		host: self,
+		addresses: {caller: callerService.address, peer: peerService.address},
+		async stop() {
+			await started.drain();
+			await callerService.close();
+			await started.close();
+			await peerService.close();
+			await minions.close();
+			await log.close();
+			await hostList.close();
+			logger.info('left', {step: 'stop', peer: self.id});
+		},
+	};
+};
--- a/packages/chivestream-entry/src/index.ts
+++ b/packages/chivestream-entry/src/index.ts
@@ -1,4 +1,11 @@
-/** Package `chivestream-entry`. */
-
-/** Name of this package. */
-export const packageName = 'chivestream-entry';
+/** The entry host. */
+export * from './attempts.js';
+export * from './claims.js';
+export * from './dispatcher.js';
+export * from './entry-host.js';
+export * from './entry-process.js';
+export * from './epochs.js';
+export * from './host-links.js';
+export * from './job-registry.js';
+export * from './job-router.js';
+export * from './job-run.js';
--- a/packages/chivestream-entry/src/job-run.ts
+++ b/packages/chivestream-entry/src/job-run.ts
@@ -11,12 +11,22 @@
 	type TaskState,
 } from 'chivestream-core';
 
+/** A running attempt of one of a job's tasks. */
+export type RunningAttempt = {
+	targetId: string;
+	isWorker: boolean;
+	startedAt: number;
+	declaredMs: number;
+};
+
 /** A job on its way. */
 export type JobRun = {
 	job: Job;
 	startedAt: number;
 	states: TaskState[];
 	results: unknown[];
+	/** Running attempts by task index. */
+	attempts: Map<number, RunningAttempt>;
 	/** Tasks that are neither ended nor given up. */
 	openTasks: number;
 	/** Why the job will fail, once that is certain. */
@@ -35,6 +45,7 @@
 	startedAt,
 	states: job.tasks.map(() => taskState.queued),
 	results: Array.from({length: job.tasks.length}),
+	attempts: new Map(),
 	openTasks: job.tasks.length,
 	isStarting: true,
 	stopper: new AbortController(),
--- a/packages/chivestream-entry/src/lending.ts
+++ b/packages/chivestream-entry/src/lending.ts
@@ -2,7 +2,6 @@
 Borrows free slots from other entry hosts of the zone when tasks wait, and gives idle ones back. What each host has
 free travels in the heartbeats, so that a request goes only to a host that can grant it; returns travel there too.
 */
-import {type Clock, type Logger} from 'chivestream-core';
 import {
 	type Scheduler, type SlotDemand, type SlotGrant, type TargetObservation,
 } from 'chivestream-placement';
@@ -14,6 +13,10 @@
 	observations: TargetObservation[];
 	/** Grants that the receiver lent and gets back. */
 	returned: SlotGrant[];
+	/** Grants that the receiver lent and is asked to extend. */
+	renewals: SlotGrant[];
+	/** Grants that the receiver borrowed and may keep longer. */
+	extended: SlotGrant[];
 };
 
 /** Asks a host for slots; an empty list where it grants none or can't be reached. */
@@ -34,8 +37,6 @@
 /** What lending needs. */
 export type LendingOptions = {
 	scheduler: Scheduler;
-	clock: Clock;
-	logger: Logger;
 	requestLoan: LoanRequest;
 	/** Called once borrowed or returned slots can take tasks. */
 	onSlots: () => void;
@@ -61,6 +62,8 @@
 	idle: z.array(z.object({upstream: z.string(), count: z.number().int().nonnegative()})),
 	observations: z.array(observationSchema),
 	returned: z.array(grantSchema),
+	renewals: z.array(grantSchema),
+	extended: z.array(grantSchema),
 });
 
 /** Parses a demand from another host. */
@@ -72,15 +75,30 @@
 /** Parses the lending part of a heartbeat. */
 export const parseLendingPayload = (text: string): LendingPayload => payloadSchema.parse(JSON.parse(text));
 
+type Outbox = {
+	observations: Map<string, TargetObservation>;
+	returned: SlotGrant[];
+	renewals: SlotGrant[];
+	extended: SlotGrant[];
+};
+
+const createOutbox = (): Outbox => ({
+	observations: new Map(), returned: [], renewals: [], extended: [],
+});
+
 /** Lending over one scheduler. */
-export const createLending = ({
-	scheduler, clock, logger, requestLoan, onSlots,
-}: LendingOptions): Lending => {
+export const createLending = ({scheduler, requestLoan, onSlots}: LendingOptions): Lending => {
 	const idleByHost = new Map<string, Map<string, number>>();
-	const returns = new Map<string, SlotGrant[]>();
+	const outboxes = new Map<string, Outbox>();
 	const asking = new Set<string>();
 	let requests = 0;
 
+	const outboxOf = (hostId: string): Outbox => {
+		const outbox = outboxes.get(hostId) ?? createOutbox();
+		outboxes.set(hostId, outbox);
+		return outbox;
+	};
+
 	const findLender = (upstream: string): {hostId: string; idle: number} | undefined => {
 		let best: {hostId: string; idle: number} | undefined;
 		for (const [hostId, idleByUpstream] of idleByHost) {
@@ -93,16 +111,18 @@
 		return best;
 	};
 
+	const noteLoan = (lenderId: string, upstream: string, granted: number) => {
+		const idleByUpstream = idleByHost.get(lenderId);
+		const idle = idleByUpstream?.get(upstream) ?? 0;
+		// A host that grants nothing has nothing free until its next heartbeat says otherwise.
+		idleByUpstream?.set(upstream, granted === 0 ? 0 : Math.max(0, idle - granted));
+	};
+
 	const borrowFrom = async (lenderId: string, demand: SlotDemand) => {
 		requests += 1;
 		const grants = await requestLoan(lenderId, demand);
 		const granted = grants.reduce((sum, {count}) => sum + count, 0);
-		const idleByUpstream = idleByHost.get(lenderId);
-		if (idleByUpstream) {
-			const left = Math.max(0, (idleByUpstream.get(demand.upstream) ?? 0) - granted);
-			idleByUpstream.set(demand.upstream, granted === 0 ? 0 : left);
-		}
-
+		noteLoan(lenderId, demand.upstream, granted);
 		if (granted > 0) {
 			scheduler.borrow(lenderId, grants);
 			onSlots();
@@ -110,18 +130,32 @@
 	};
 
 	const askFor = async ({upstream, count}: SlotDemand) => {
-		asking.add(upstream);
 		const lender = findLender(upstream);
-		if (lender) {
-			await borrowFrom(lender.hostId, {upstream, count: Math.min(count, lender.idle)});
+		if (!lender) {
+			return;
 		}
 
+		asking.add(upstream);
+		await borrowFrom(lender.hostId, {upstream, count: Math.min(count, lender.idle)});
 		asking.delete(upstream);
 	};
 
-	const collectReturns = () => {
+	/** Each observation goes to every host that this one sends heartbeats to, once. */
+	const collectObservations = () => {
+		for (const observation of scheduler.observations()) {
+			for (const {observations} of outboxes.values()) {
+				observations.set(observation.targetId, observation);
+			}
+		}
+	};
+
+	const collectGrants = () => {
 		for (const {lenderId, grants} of scheduler.releaseIdle()) {
-			returns.set(lenderId, [...(returns.get(lenderId) ?? []), ...grants]);
+			outboxOf(lenderId).returned.push(...grants);
+		}
+
+		for (const {lenderId, grants} of scheduler.renewals()) {
+			outboxOf(lenderId).renewals.push(...grants);
 		}
 	};
 
@@ -134,25 +168,23 @@
 			}
 		},
 		payloadFor(receiverId) {
-			collectReturns();
-			const returned = returns.get(receiverId) ?? [];
-			returns.delete(receiverId);
-			return {idle: scheduler.idleSlots(), observations: scheduler.observations(), returned};
+			const {observations, ...grants} = outboxOf(receiverId);
+			collectObservations();
+			collectGrants();
+			outboxes.set(receiverId, createOutbox());
+			return {...grants, idle: scheduler.idleSlots(), observations: [...observations.values()]};
 		},
-		receive(senderId, {idle, observations, returned}) {
-			idleByHost.set(senderId, new Map(idle.map(({upstream, count}) => [upstream, count])));
-			scheduler.observe(observations);
-			if (returned.length > 0) {
-				logger.debug('slots returned', {
-					step: 'reclaim', peer: senderId, grants: returned.length, at: clock.now(),
-				});
-				scheduler.reclaim(senderId, returned);
-				onSlots();
-			}
+		receive(senderId, payload) {
+			idleByHost.set(senderId, new Map(payload.idle.map(({upstream, count}) => [upstream, count])));
+			scheduler.observe(payload.observations);
+			scheduler.reclaim(senderId, payload.returned);
+			scheduler.borrow(senderId, payload.extended);
+			outboxOf(senderId).extended.push(...scheduler.extend(senderId, payload.renewals));
+			onSlots();
 		},
 		forget(hostId) {
 			idleByHost.delete(hostId);
-			returns.delete(hostId);
+			outboxes.delete(hostId);
 		},
 		requests: () => requests,
 	};
--- /dev/null
+++ b/packages/chivestream-entry/src/peer-calls.ts
@@ -0,0 +1,139 @@
+/** Calls from this entry host to the others, by host rather than by address. */
+import {
+	type Clock, type Job, type JobAnswer, type KeyStatus, type Logger,
+} from 'chivestream-core';
+import {type PeerState, type State} from 'chivestream-configuration';
+import {
+	isLive, type Member, type Membership, type PeerClients,
+} from 'chivestream-peer';
+import {type SlotDemand, type SlotGrant} from 'chivestream-placement';
+import {type Claimant} from './claims.js';
+import {type Relay} from './job-router.js';
+import {parseGrants} from './lending.js';
+import {formatPeerRequest, type PeerReplies, type PeerRequest} from './peer-request.js';
+
+/** Calls to other entry hosts. */
+export type PeerCalls = Relay & {
+	/** One request to one member; undefined where it gave no reply. */
+	ask: <Kind extends PeerRequest['kind']>(member: Member, request: Extract<PeerRequest, {kind: Kind}>, deadline: number) => Promise<PeerReplies[Kind] | undefined>;
+	requestLoan: (lenderId: string, demand: SlotDemand) => Promise<SlotGrant[]>;
+	fetchStates: () => Promise<PeerState[]>;
+	/** Offers a state to the hosts of the zone; resolves once enough hold it or all have answered. */
+	offerState: (state: State, holders: number, deadline: number) => Promise<void>;
+};
+
+/** What the calls need. */
+export type PeerCallsOptions = {
+	selfId: string;
+	zone: string;
+	clock: Clock;
+	logger: Logger;
+	peers: PeerClients;
+	/** The membership, which is made after the calls. */
+	membership: () => Membership;
+	/** Addresses to ask before any member is known. */
+	seedAddresses: readonly string[];
+	/** Counts jobs handed to their home. */
+	countForward: (wasAnswered: boolean) => void;
+};
+
+const loanTimeoutMs = 200;
+const stateTimeoutMs = 1000;
+const cancelTimeoutMs = 30_000;
+const relayGraceMs = 2000;
+
+/** Calls over the clients of one host. */
+export const createPeerCalls = (options: PeerCallsOptions): PeerCalls => {
+	const {
+		selfId, clock, logger, peers, membership,
+	} = options;
+
+	const findHome = (home: Claimant): Member | undefined => {
+		const member = membership().find(home.hostId);
+		return member?.host.incarnation === home.incarnation ? member : undefined;
+	};
+
+	const askAddress = async <Kind extends PeerRequest['kind']>(address: string, request: Extract<PeerRequest, {kind: Kind}>, deadline: number): Promise<PeerReplies[Kind] | undefined> => {
+		const reply = await peers.get(address).query(formatPeerRequest(request), deadline);
+		if (reply.isErr()) {
+			logger.debug('peer request failed', {step: request.kind, peer: address, reason: reply.error.message});
+			return undefined;
+		}
+
+		return JSON.parse(reply.value) as PeerReplies[Kind];
+	};
+
+	const ask: PeerCalls['ask'] = async (member, request, deadline) => askAddress(member.host.peerAddress, request, deadline);
+
+	const zoneMembers = () => membership().members().filter(member => member.host.zone === options.zone && isLive(member));
+
+	const stateAddresses = () => {
+		const live = membership().members().filter(member => isLive(member)).map(({host}) => host.peerAddress);
+		return new Set([...live, ...options.seedAddresses]);
+	};
+
+	return {
+		ask,
+		isClosed: home => membership().isClosed(home.hostId, home.incarnation),
+		async submit(home, job: Job): Promise<JobAnswer | undefined> {
+			const member = findHome(home);
+			if (!member) {
+				return undefined;
+			}
+
+			const reply = await peers.get(member.host.peerAddress).submit(job, job.deadline + relayGraceMs);
+			options.countForward(reply.isOk());
+			if (reply.isErr()) {
+				logger.warn('forwarded job got no answer', {
+					step: 'forward-job', peer: member.host.id, key: job.key, reason: reply.error.message,
+				});
+				return undefined;
+			}
+
+			return reply.value;
+		},
+		async fetch(home, key, waitDeadline): Promise<KeyStatus | undefined> {
+			const member = findHome(home);
+			return member && ask(member, {kind: 'fetch', key, waitDeadline}, waitDeadline + relayGraceMs);
+		},
+		async cancel(home, key): Promise<KeyStatus | undefined> {
+			const member = findHome(home);
+			return member && ask(member, {kind: 'cancel', key, isForced: false}, clock.now() + cancelTimeoutMs);
+		},
+		async requestLoan(lenderId, demand) {
+			const lender = membership().find(lenderId);
+			if (!lender || !isLive(lender)) {
+				return [];
+			}
+
+			const reply = await peers.get(lender.host.peerAddress).lend(selfId, JSON.stringify(demand), clock.now() + loanTimeoutMs);
+			return reply.isOk() ? parseGrants(reply.value) : [];
+		},
+		async fetchStates() {
+			const deadline = clock.now() + stateTimeoutMs;
+			const replies = await Promise.all([...stateAddresses()].map(async address => askAddress(address, {kind: 'state'}, deadline)));
+			return replies.filter(state => state !== undefined);
+		},
+		async offerState(state, holders, deadline) {
+			const others = zoneMembers();
+			let missing = Math.min(holders - 1, others.length);
+			if (missing === 0) {
+				return;
+			}
+
+			await new Promise<void>(resolve => {
+				const noteHolder = (offset: number | undefined) => {
+					missing -= offset !== undefined && offset >= state.configuration.offset ? 1 : 0;
+					if (missing === 0) {
+						resolve();
+					}
+				};
+
+				const asked = others.map(async member => noteHolder(await ask(member, {kind: 'adopt', state}, deadline)));
+				void Promise.allSettled(asked).then(() => {
+					resolve();
+				});
+			});
+		},
+	};
+};
--- /dev/null
+++ b/packages/chivestream-entry/src/peer-request.ts
@@ -0,0 +1,75 @@
+/** Requests between entry hosts that travel as JSON in the peer service's `Query` call. */
+import {type KeyStatus} from 'chivestream-core';
+import {type PeerState, type State, stateSchema} from 'chivestream-configuration';
+import {type TableName, tableNames} from 'chivestream-operator';
+import {z} from 'zod';
+
+const requestSchema = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('fetch'), key: z.string(), waitDeadline: z.number()}),
+	z.object({kind: z.literal('cancel'), key: z.string(), isForced: z.boolean()}),
+	z.object({kind: z.literal('rows'), table: z.enum(tableNames)}),
+	z.object({kind: z.literal('state')}),
+	z.object({kind: z.literal('adopt'), state: stateSchema}),
+	z.object({kind: z.literal('version')}),
+]);
+
+/** A request to another entry host. */
+export type PeerRequest = z.output<typeof requestSchema>;
+
+/** What each kind of request is answered with. */
+export type PeerReplies = {
+	fetch: KeyStatus;
+	cancel: KeyStatus;
+	rows: unknown[];
+	state: PeerState;
+	/** Offset that the host now holds. */
+	adopt: number;
+	/** Version in force, -1 while there is none. */
+	version: number;
+};
+
+/** Answers one kind of request each. */
+export type PeerRequestHandlers = {
+	fetch: (key: string, waitDeadline: number) => Promise<KeyStatus>;
+	cancel: (key: string, isForced: boolean) => Promise<KeyStatus>;
+	rows: (table: TableName) => unknown[];
+	state: () => PeerState;
+	adopt: (state: State) => number;
+	version: () => number;
+};
+
+const answer = async (request: PeerRequest, handlers: PeerRequestHandlers): Promise<unknown> => {
+	switch (request.kind) {
+		case 'fetch': {
+			return handlers.fetch(request.key, request.waitDeadline);
+		}
+
+		case 'cancel': {
+			return handlers.cancel(request.key, request.isForced);
+		}
+
+		case 'rows': {
+			return handlers.rows(request.table);
+		}
+
+		case 'state': {
+			return handlers.state();
+		}
+
+		case 'adopt': {
+			return handlers.adopt(request.state);
+		}
+
+		case 'version': {
+			return handlers.version();
+		}
+	}
+};
+
+/** The reply to a request in JSON text form. */
+export const answerPeerRequest = async (text: string, handlers: PeerRequestHandlers): Promise<string> =>
+	JSON.stringify(await answer(requestSchema.parse(JSON.parse(text)), handlers));
+
+/** The text of a request. */
+export const formatPeerRequest = (request: PeerRequest): string => JSON.stringify(request);
+
--- a/packages/chivestream-minion/src/client.ts
+++ b/packages/chivestream-minion/src/client.ts
@@ -6,9 +6,10 @@
 	formatAttempt,
 	type AttemptIdentity,
 	type AttemptResult,
+	type FailureCode,
 } from 'chivestream-core';
 import {Pool} from 'undici';
-import {exchange, type ExchangeEnd} from './exchange.js';
+import {exchange, type BrokenExchange, type ExchangeEnd} from './exchange.js';
 
 /** One attempt to run a task on a minion. */
 export type MinionAttempt = {
@@ -67,22 +68,29 @@
 	failure: new Failure(failureCode.taskUnknown, message, {step, peer}, {cause}),
 });
 
-const notStarted = (message: string, peer: string, cause?: Error): AttemptResult => ({
+const notStarted = (code: FailureCode, message: string, peer: string, cause?: Error): AttemptResult => ({
 	outcome: attemptOutcome.notStarted,
-	failure: new Failure(failureCode.connectionFailed, message, {step, peer}, {cause}),
+	failure: new Failure(code, message, {step, peer}, {cause}),
 });
 
+const judgeBroken = ({isWritten, isAborted, error}: BrokenExchange, peer: string): AttemptResult => {
+	if (isWritten) {
+		return unknown(`the connection broke after the task was sent: ${error.message}`, peer, error);
+	}
+
+	const code = isAborted ? failureCode.cancelled : failureCode.connectionFailed;
+	return notStarted(code, `the task was not sent: ${error.message}`, peer, error);
+};
+
 /** The outcome of an attempt from how its exchange ended. */
 export const judgeExchange = (end: ExchangeEnd, attempt: Pick<MinionAttempt, 'identity' | 'minionId' | 'notStartedStatuses'>): AttemptResult => {
 	const peer = attempt.minionId;
 	if (end.kind === 'broken') {
-		return end.isWritten
-			? unknown(`the connection broke after the task was sent: ${end.error.message}`, peer, end.error)
-			: notStarted(`the task was not sent: ${end.error.message}`, peer, end.error);
+		return judgeBroken(end, peer);
 	}
 
 	if (attempt.notStartedStatuses.includes(end.status)) {
-		return notStarted(`refused with status ${end.status}`, peer);
+		return notStarted(failureCode.overloaded, `refused with status ${end.status}`, peer);
 	}
 
 	if (end.headers[attemptHeader] !== formatAttempt(attempt.identity)) {
--- a/packages/chivestream-minion/src/exchange.ts
+++ b/packages/chivestream-minion/src/exchange.ts
@@ -17,10 +17,20 @@
 	signal: AbortSignal;
 };
 
+/** An exchange without an answer. */
+export type BrokenExchange = {
+	kind: 'broken';
+	/** Whether a byte of the request may have been written. */
+	isWritten: boolean;
+	/** Whether the request's own signal ended it. */
+	isAborted: boolean;
+	error: Error;
+};
+
 /** How an exchange ended. */
 export type ExchangeEnd
 	= | {kind: 'answered'; status: number; headers: IncomingHttpHeaders; body: string}
-		| {kind: 'broken'; isWritten: boolean; error: Error};
+		| BrokenExchange;
 
 const toError = (reason: unknown): Error => reason instanceof Error ? reason : new Error(String(reason));
 
@@ -37,7 +47,9 @@
 	const onAbort = () => {
 		controller?.abort(toError(signal.reason));
 		if (!controller) {
-			finish({kind: 'broken', isWritten: false, error: toError(signal.reason)});
+			finish({
+				kind: 'broken', isWritten: false, isAborted: true, error: toError(signal.reason),
+			});
 		}
 	};
 
@@ -47,7 +59,9 @@
 	};
 
 	if (signal.aborted) {
-		finish({kind: 'broken', isWritten: false, error: toError(signal.reason)});
+		finish({
+			kind: 'broken', isWritten: false, isAborted: true, error: toError(signal.reason),
+		});
 		return;
 	}
 
@@ -84,7 +98,9 @@
 			});
 		},
 		onResponseError(_controller, error) {
-			finish({kind: 'broken', isWritten, error});
+			finish({
+				kind: 'broken', isWritten, isAborted: signal.aborted, error,
+			});
 		},
 	});
 });
--- a/packages/chivestream-placement/src/create-scheduler.ts
+++ b/packages/chivestream-placement/src/create-scheduler.ts
@@ -24,6 +24,7 @@
 import {shareOut} from './share-out.js';
 import {estimateOf, learnLogarithm, logarithmOfRatio} from './speed.js';
 import {occupy, type Target, vacate} from './target.js';
+import {viewTargets} from './target-view.js';
 
 /** What a scheduler is made of. */
 export type SchedulerParts = {
@@ -221,6 +222,11 @@
 			return;
 		}
 
+		// An attempt that was withdrawn before it was sent says nothing about the target.
+		if (result.outcome === attemptOutcome.notStarted && result.failure.code === failureCode.cancelled) {
+			return;
+		}
+
 		if (result.outcome !== attemptOutcome.notStarted || result.failure.code === failureCode.connectionFailed || result.failure.code === failureCode.timedOut) {
 			failTarget(pool, target, assignment.task.key, now);
 			return;
@@ -442,6 +448,7 @@
 				}
 			}
 		},
+		targets: () => viewTargets(pools.values(), clock.now()),
 		load: () => [...pools.values()].map(pool => ({upstream: pool.name, queued: pool.queue.size(), running: pool.running})),
 	};
 	return scheduler;
--- a/packages/chivestream-placement/src/index.ts
+++ b/packages/chivestream-placement/src/index.ts
@@ -2,3 +2,4 @@
 export * from './create-scheduler.js';
 export type * from './scheduler.js';
 export * from './slot-share.js';
+export * from './target-view.js';
--- a/packages/chivestream-placement/src/scheduler.ts
+++ b/packages/chivestream-placement/src/scheduler.ts
@@ -3,6 +3,7 @@
 	type AttemptResult, type Configuration, type Failure, type Job,
 } from 'chivestream-core';
 import {type Result} from 'ts-results-es';
+import {type TargetView} from './target-view.js';
 
 /** A task that waits for a slot. */
 export type QueuedTask = {
@@ -110,4 +111,6 @@
 	observe: (observations: TargetObservation[]) => void;
 	/** Waiting and running tasks for each upstream. */
 	load: () => Array<{upstream: string; queued: number; running: number}>;
+	/** Minions and workers with this host's share of them. */
+	targets: () => TargetView[];
 };
