--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -22,7 +22,9 @@
 import {type HostOptions} from './host-links.js';
 import {createJobRegistry} from './job-registry.js';
 import {createJobRouter} from './job-router.js';
-import {createLending, parseDemand, parseGrants, parseLendingPayload} from './lending.js';
+import {
+	createLending, parseDemand, parseGrants, parseLendingPayload,
+} from './lending.js';
 import {createHostMetrics, type HostFigures, type HostMetrics} from './metrics.js';
 import {createPeerCalls, type PeerCalls} from './peer-calls.js';
 import {answerPeerRequest} from './peer-request.js';
@@ -143,7 +145,9 @@
 		const isFirst = configuration === undefined;
 		configuration = accepted;
 		shareSlots();
-		logger.info('configuration in force', {step: 'configure', peer: 'log', version: accepted.version, offset: accepted.offset});
+		logger.info('configuration in force', {
+			step: 'configure', peer: 'log', version: accepted.version, offset: accepted.offset,
+		});
 		if (isFirst && membership.phase() === hostPhase.joining) {
 			void membership.announce(hostPhase.serving).then(shareSlots);
 		}
--- a/packages/chivestream-entry/src/entry-process.ts
+++ b/packages/chivestream-entry/src/entry-process.ts
@@ -121,7 +121,9 @@
 	});
 	host.start();
 	const started = host;
-	logger.info('listening', {step: 'start', peer: self.id, caller: callerService.address, peerService: peerService.address});
+	logger.info('listening', {
+		step: 'start', peer: self.id, caller: callerService.address, peerService: peerService.address,
+	});
 
 	return {
 		host: self,
--- a/packages/chivestream-entry/src/index.ts
+++ b/packages/chivestream-entry/src/index.ts
@@ -5,7 +5,7 @@
 export * from './entry-host.js';
 export * from './entry-process.js';
 export * from './epochs.js';
-export * from './host-links.js';
+export type * from './host-links.js';
 export * from './job-registry.js';
 export * from './job-router.js';
 export * from './job-run.js';
--- a/packages/chivestream-entry/src/peer-calls.ts
+++ b/packages/chivestream-entry/src/peer-calls.ts
@@ -129,7 +129,9 @@
 					}
 				};
 
-				const asked = others.map(async member => noteHolder(await ask(member, {kind: 'adopt', state}, deadline)));
+				const asked = others.map(async member => {
+					noteHolder(await ask(member, {kind: 'adopt', state}, deadline));
+				});
 				void Promise.allSettled(asked).then(() => {
 					resolve();
 				});
