--- a/packages/chivestream-entry/src/peer-calls.ts
+++ b/packages/chivestream-entry/src/peer-calls.ts
@@ -49,7 +49,7 @@
 	} = options;
 
 	const findHome = (home: Claimant): Member | undefined => {
-		const member = membership().find(home.hostId);
+		const member = membership().findMember(home.hostId);
 		return member?.host.incarnation === home.incarnation ? member : undefined;
 	};
 
@@ -101,7 +101,7 @@
 			return member && ask(member, {kind: 'cancel', key, isForced: false}, clock.now() + cancelTimeoutMs);
 		},
 		async requestLoan(lenderId, demand) {
-			const lender = membership().find(lenderId);
+			const lender = membership().findMember(lenderId);
 			if (!lender || !isLive(lender)) {
 				return [];
 			}
