Add membership of entry hosts

Cause: the slots of a zone, the homes of jobs and the push of configurations need to know which entry hosts live. Change: heartbeats in a zone, digests between zone representatives relayed in the zone, incarnations, local suspicion, a share that lapses with the host's own silence, an immediate round for a newer configuration.

--- /dev/null
+++ b/packages/chivestream-peer/src/__tests__/membership.test.ts
@@ -0,0 +1,189 @@
+/* eslint-disable no-await-in-loop -- time passes step by step */
+import {
+	afterEach, beforeEach, describe, expect, test,
+} from '@jest/globals';
+import {createFakeClock, type FakeClock} from '../__fixtures__/fake-clock.js';
+import {createNetwork, type Network} from '../__fixtures__/network.js';
+import {defaultTiming, hostPhase, memberState} from '../index.js';
+
+const zones = ['a1', 'a2', 'a3'];
+const {
+	suspicionMs, heartbeatIntervalMs, zoneIntervalMs, zoneSuspicionMs, tickMs, aloneMs,
+} = defaultTiming;
+const twoRoundsMs = (2 * zoneIntervalMs) + heartbeatIntervalMs;
+const settleMs = 5000;
+
+const startNine = (network: Network) => {
+	for (const zone of zones) {
+		for (const index of [1, 2, 3]) {
+			network.start(`${zone}h${index}`, zone);
+		}
+	}
+};
+
+describe('membership', () => {
+	let clock: FakeClock;
+	let network: Network;
+	const node = (id: string) => network.nodes.get(id)!;
+	const listRepresentatives = (zone: string) => network.idsIn(zone).filter(id => node(id).membership.isRepresentative());
+	const stateOf = (viewer: string, id: string) => node(viewer).membership.findMember(id)?.state;
+	const sharers = (viewer: string) => node(viewer).membership.zoneMembers().map(({id}) => id);
+
+	beforeEach(async () => {
+		clock = createFakeClock();
+		network = createNetwork({clock});
+		startNine(network);
+		await clock.advance(settleMs);
+	});
+
+	afterEach(async () => {
+		const closing = network.close();
+		await clock.advance(settleMs);
+		await closing;
+	});
+
+	test('every host sees every other alive, and the hosts of a zone agree on its sharers', () => {
+		for (const {membership, host} of network.nodes.values()) {
+			expect(membership.members().filter(({state}) => state === memberState.alive)).toHaveLength(8);
+			expect(membership.zoneMembers().map(({id}) => id)).toEqual(network.idsIn(host.zone));
+		}
+	});
+
+	test('a dead host is suspected in its zone and beyond, and its slots pass on', async () => {
+		await network.kill('a1h1');
+		await clock.advance(suspicionMs + heartbeatIntervalMs + tickMs);
+		expect(stateOf('a1h2', 'a1h1')).toBe(memberState.suspected);
+		expect(sharers('a1h2')).toEqual(['a1h2', 'a1h3']);
+		await clock.advance(zoneSuspicionMs);
+		expect(stateOf('a2h1', 'a1h1')).toBe(memberState.suspected);
+		expect(node('a2h1').membership.isClosed('a1h1', 'i00000001')).toBe(false);
+	});
+
+	test('a restarted host on the same address closes its old incarnation at once', async () => {
+		const before = node('a1h1').host;
+		await network.kill('a1h1');
+		const after = network.start('a1h1', 'a1').host;
+		await clock.advance(twoRoundsMs);
+		for (const {membership, host} of network.nodes.values()) {
+			if (host.id !== 'a1h1') {
+				expect(membership.isClosed('a1h1', before.incarnation)).toBe(true);
+				expect(membership.isClosed('a1h1', after.incarnation)).toBe(false);
+				expect(membership.findMember('a1h1')?.host.incarnation).toBe(after.incarnation);
+			}
+		}
+	});
+
+	test('an old incarnation that wakes is told that it is over', async () => {
+		const old = node('a1h1');
+		network.pause(node('a1h1'));
+		await clock.advance(settleMs);
+		network.start('a1h1', 'a1');
+		await clock.advance(heartbeatIntervalMs);
+		network.resume(old);
+		await clock.advance(settleMs);
+		expect(old.events).toContain(`superseded by ${node('a1h1').host.incarnation}`);
+		void old.membership.close();
+		await clock.advance(settleMs);
+	});
+
+	test('a host that was paused holds no slots until the others have acknowledged it', async () => {
+		network.pause(node('a1h1'));
+		await clock.advance(suspicionMs + heartbeatIntervalMs + tickMs);
+		expect(sharers('a1h2')).toEqual(['a1h2', 'a1h3']);
+		expect(node('a1h1').membership.isSharing()).toBe(false);
+		network.resume(node('a1h1'));
+		expect(node('a1h1').membership.isSharing()).toBe(false);
+		await clock.advance(2 * heartbeatIntervalMs);
+		expect(node('a1h1').membership.isSharing()).toBe(true);
+		expect(sharers('a1h2')).toEqual(['a1h1', 'a1h2', 'a1h3']);
+		expect(sharers('a1h1')).toEqual(['a1h1', 'a1h2', 'a1h3']);
+	});
+
+	test('a pause does not make a host suspect the others', async () => {
+		network.pause(node('a1h1'));
+		await clock.advance(4 * suspicionMs);
+		network.resume(node('a1h1'));
+		await clock.advance(0);
+		expect(stateOf('a1h1', 'a1h2')).toBe(memberState.alive);
+		expect(stateOf('a1h1', 'a3h2')).toBe(memberState.alive);
+	});
+
+	test('a one-way cut between two hosts of a zone makes neither suspected while a third hears both', async () => {
+		network.cutOneWay('a1h1', 'a1h2');
+		await clock.advance(4 * suspicionMs);
+		for (const viewer of network.idsIn('a1')) {
+			expect(sharers(viewer)).toEqual(network.idsIn('a1'));
+		}
+	});
+
+	test('a host whose every message is lost holds no slots, and the others take them', async () => {
+		for (const id of network.nodes.keys()) {
+			network.cutOneWay('a1h1', id);
+		}
+
+		await clock.advance(suspicionMs + heartbeatIntervalMs + tickMs);
+		expect(node('a1h1').membership.isSharing()).toBe(false);
+		expect(sharers('a1h2')).toEqual(['a1h2', 'a1h3']);
+	});
+
+	test('a zone that is cut off keeps its own slots, and is seen again soon after the cut heals', async () => {
+		const others = [...network.idsIn('a2'), ...network.idsIn('a3')];
+		network.cut(network.idsIn('a1'), others);
+		await clock.advance(30_000);
+		expect(sharers('a1h1')).toEqual(network.idsIn('a1'));
+		expect(stateOf('a2h1', 'a1h1')).toBe(memberState.dead);
+		expect(stateOf('a1h1', 'a2h1')).toBe(memberState.dead);
+		network.heal();
+		await clock.advance(twoRoundsMs);
+		for (const {membership} of network.nodes.values()) {
+			expect(membership.members().every(({state}) => state === memberState.alive)).toBe(true);
+		}
+	});
+
+	test('the death of a representative interrupts no view of another zone', async () => {
+		const [representative] = listRepresentatives('a1');
+		const rest = network.idsIn('a1').find(id => id !== representative);
+		await network.kill(representative!);
+		for (let elapsedMs = 0; elapsedMs < 2 * zoneSuspicionMs; elapsedMs += heartbeatIntervalMs) {
+			await clock.advance(heartbeatIntervalMs);
+			expect(stateOf('a2h1', rest!)).toBe(memberState.alive);
+			expect(stateOf(rest!, 'a2h1')).toBe(memberState.alive);
+		}
+	});
+
+	test('a planned leave is known within the zone at once and everywhere within two rounds', async () => {
+		const {membership, host} = node('a1h1');
+		void membership.announce(hostPhase.draining);
+		await clock.advance(10);
+		expect(stateOf('a1h2', 'a1h1')).toBe(memberState.draining);
+		expect(sharers('a1h2')).toEqual(['a1h2', 'a1h3']);
+		void membership.announce(hostPhase.left);
+		await clock.advance(twoRoundsMs);
+		for (const id of ['a1h2', 'a2h1', 'a3h3']) {
+			expect(stateOf(id, 'a1h1')).toBe(memberState.left);
+			expect(node(id).membership.isClosed('a1h1', host.incarnation)).toBe(true);
+		}
+	});
+
+	test('a slow host stays a member', async () => {
+		network.slow('a1h1', 200);
+		await clock.advance(10 * suspicionMs);
+		expect(stateOf('a1h2', 'a1h1')).toBe(memberState.alive);
+		expect(node('a1h1').membership.isSharing()).toBe(true);
+	});
+
+	test('the last host of a zone takes its slots alone after a wait', async () => {
+		await network.kill('a1h1');
+		await network.kill('a1h2');
+		await clock.advance(suspicionMs + aloneMs + heartbeatIntervalMs);
+		expect(sharers('a1h3')).toEqual(['a1h3']);
+	});
+
+	test('a newer configuration reaches every host within the time of a few links', async () => {
+		const {membership, configuration} = node('a1h3');
+		configuration.offset = 9;
+		membership.pushConfiguration();
+		await clock.advance(100);
+		expect([...network.nodes.values()].map(each => each.configuration.offset)).toEqual(Array.from({length: 9}, () => 9));
+	});
+});
--- a/packages/chivestream-peer/src/client.ts
+++ b/packages/chivestream-peer/src/client.ts
@@ -74,7 +74,7 @@
 		return new Promise(resolve => {
 			client.makeUnaryRequest(path, requestSerialize, responseDeserialize, request, new Metadata(), options, (error, reply) => {
 				if (reply === undefined) {
-					resolve(new Err(toPeerFailure(error, step, address)));
+					resolve(new Err(toPeerFailure(error ?? undefined, step, address)));
 					return;
 				}
 
--- /dev/null
+++ b/packages/chivestream-peer/src/digest-table.ts
@@ -0,0 +1,70 @@
+/** The digests of all publishers: which hosts each of them hears directly, and when it last spoke. */
+import {type Digest} from './generated/peer.js';
+
+/** A publisher's latest digest. */
+export type HeldDigest = {
+	digest: Digest;
+	/** Ids with incarnations of the hosts that the publisher hears. */
+	heard: Set<string>;
+	/** Time at which its sequence last grew. */
+	advancedAt: number;
+};
+
+/** The digests by publisher id. */
+export type DigestTable = {
+	/** Takes in a digest if it is newer than the one held; false where its hosts are needed and were left out. */
+	merge: (digest: Digest, now: number) => boolean;
+	all: () => HeldDigest[];
+	drop: (publisherId: string) => void;
+	/** Leaves a silence of this host itself out of account: moves all times of evidence forward. */
+	excuse: (lengthMs: number) => void;
+};
+
+/** Text form of one run of a host. */
+export const formatRun = ({id, incarnation}: {id: string; incarnation: string}): string => `${id}~${incarnation}`;
+
+const isNewer = (digest: Digest, held: HeldDigest | undefined): boolean => {
+	if (!held || digest.publisherIncarnation > held.digest.publisherIncarnation) {
+		return true;
+	}
+
+	return digest.publisherIncarnation === held.digest.publisherIncarnation && digest.sequence > held.digest.sequence;
+};
+
+/** Creates an empty table. */
+export const createDigestTable = (): DigestTable => {
+	const digests = new Map<string, HeldDigest>();
+	return {
+		merge(digest, now) {
+			const held = digests.get(digest.publisherId);
+			if (!isNewer(digest, held)) {
+				return true;
+			}
+
+			const isSameVersion = held?.digest.version === digest.version
+				&& held.digest.publisherIncarnation === digest.publisherIncarnation;
+			if (digest.hasHosts) {
+				const heard = new Set(digest.hosts.map(host => formatRun(host)));
+				digests.set(digest.publisherId, {digest, heard, advancedAt: now});
+				return true;
+			}
+
+			if (!held || !isSameVersion) {
+				return false;
+			}
+
+			const whole = {...digest, hasHosts: true, hosts: held.digest.hosts};
+			digests.set(digest.publisherId, {digest: whole, heard: held.heard, advancedAt: now});
+			return true;
+		},
+		all: () => [...digests.values()],
+		drop(publisherId) {
+			digests.delete(publisherId);
+		},
+		excuse(lengthMs) {
+			for (const held of digests.values()) {
+				held.advancedAt += lengthMs;
+			}
+		},
+	};
+};
--- a/packages/chivestream-peer/src/index.ts
+++ b/packages/chivestream-peer/src/index.ts
@@ -1,5 +1,13 @@
 /** Entry host to entry host. */
 export * from './client.js';
+export * from './clients.js';
 export * from './handlers.js';
+export {
+	isLive, memberState, type Member, type MemberState,
+} from './member.js';
+export * from './membership.js';
 export * from './peer-failure.js';
+export {chooseRepresentatives} from './representatives.js';
 export * from './service.js';
+export * from './timing.js';
+export type {HeartbeatReply, HeartbeatRequest} from './generated/peer.js';
