--- a/packages/chivestream-entry/src/__tests__/job-router.test.ts
+++ b/packages/chivestream-entry/src/__tests__/job-router.test.ts
@@ -6,41 +6,41 @@
 
 let clock: FakeClock;
 let fixture: ReturnType<typeof createRouterHosts>;
-let e1: RouterHost;
-let e2: RouterHost;
+let hostOne: RouterHost;
+let hostTwo: RouterHost;
 
 const allRuns = () => [...fixture.hosts.values()].flatMap(({runs}) => runs);
 
 beforeEach(() => {
 	clock = createFakeClock();
 	fixture = createRouterHosts(clock);
-	e1 = fixture.addHost('e1', 'a');
-	e2 = fixture.addHost('e2', 'b');
+	hostOne = fixture.addHost('e1', 'a');
+	hostTwo = fixture.addHost('e2', 'b');
 });
 
 describe('home keys', () => {
 	test('a copy that arrives elsewhere while the first still runs joins it; both get the one answer', async () => {
-		const job = createJob(clock, e1.createKey('x'));
-		const answers = await clock.runUntil(Promise.all([e1.router.submit(job), e2.router.submit({...job, deadline: job.deadline + 500}), e1.router.submit(job)]));
+		const job = createJob(clock, hostOne.createKey('x'));
+		const answers = await clock.runUntil(Promise.all([hostOne.router.submit(job), hostTwo.router.submit({...job, deadline: job.deadline + 500}), hostOne.router.submit(job)]));
 		expect(allRuns()).toEqual([job.key]);
 		expect(answers[1]).toEqual(answers[0]);
 		expect(answers[2]).toEqual(answers[0]);
 	});
 
 	test('a copy of an answered job gets the answer, not a run', async () => {
-		const job = createJob(clock, e1.createKey('x'));
-		const first = await clock.runUntil(e1.router.submit(job));
+		const job = createJob(clock, hostOne.createKey('x'));
+		const first = await clock.runUntil(hostOne.router.submit(job));
 		await clock.advance(500);
-		expect(await clock.runUntil(e2.router.submit(job))).toEqual(first);
+		expect(await clock.runUntil(hostTwo.router.submit(job))).toEqual(first);
 		expect(allRuns()).toHaveLength(1);
 	});
 
 	test('a restarted host owns none of its old keys', async () => {
-		const job = createJob(clock, e1.createKey('x'));
-		e1.isReachable = false;
-		e1.isClosed = true;
+		const job = createJob(clock, hostOne.createKey('x'));
+		hostOne.isReachable = false;
+		hostOne.isClosed = true;
 		const restarted = fixture.addHost('e1', 'c');
-		const answers = await clock.runUntil(Promise.all([restarted.router.submit(job), e2.router.submit(job)]));
+		const answers = await clock.runUntil(Promise.all([restarted.router.submit(job), hostTwo.router.submit(job)]));
 		for (const answer of answers) {
 			expect(answer).toMatchObject({state: 'failed', failure: {code: 'home-lost', notRun: false}});
 		}
@@ -49,17 +49,17 @@
 	});
 
 	test('a forward whose answer was lost is never "not run"', async () => {
-		const job = createJob(clock, e1.createKey('x'));
-		e1.losesAnswers = true;
-		const answer = await clock.runUntil(e2.router.submit(job));
+		const job = createJob(clock, hostOne.createKey('x'));
+		hostOne.losesAnswers = true;
+		const answer = await clock.runUntil(hostTwo.router.submit(job));
 		expect(answer).toMatchObject({state: 'failed', failure: {code: 'home-unreachable', notRun: false}});
-		expect(e1.runs).toEqual([job.key]);
+		expect(hostOne.runs).toEqual([job.key]);
 	});
 
 	test('a key is refused once its epoch has closed, by whichever host is asked', async () => {
-		const job = createJob(clock, e1.createKey('x'), {deadline: clock.now() + 50_000});
+		const job = createJob(clock, hostOne.createKey('x'), {deadline: clock.now() + 50_000});
 		await clock.advance(3000);
-		const answers = await clock.runUntil(Promise.all([e1.router.submit(job), e2.router.submit(job)]));
+		const answers = await clock.runUntil(Promise.all([hostOne.router.submit(job), hostTwo.router.submit(job)]));
 		for (const answer of answers) {
 			expect(answer).toMatchObject({failure: {code: 'key-closed', notRun: false}});
 		}
@@ -68,25 +68,25 @@
 	});
 
 	test('a late copy of a refused job does not run', async () => {
-		const job = createJob(clock, e1.createKey('x'), {deadline: clock.now()});
-		const refusal = await clock.runUntil(e1.router.submit(job));
+		const job = createJob(clock, hostOne.createKey('x'), {deadline: clock.now()});
+		const refusal = await clock.runUntil(hostOne.router.submit(job));
 		expect(refusal).toMatchObject({failure: {code: 'deadline-passed', notRun: true}});
-		const late = await clock.runUntil(e2.router.submit({...job, deadline: clock.now() + 5000}));
+		const late = await clock.runUntil(hostTwo.router.submit({...job, deadline: clock.now() + 5000}));
 		expect(late).toEqual(refusal);
 		expect(allRuns()).toEqual([]);
 	});
 
 	test('a cancellation that overtakes its job closes the key', async () => {
-		const job = createJob(clock, e1.createKey('x'));
-		expect(await clock.runUntil(e2.router.cancel(job.key))).toMatchObject({answer: {failure: {code: 'cancelled', notRun: true}}});
-		expect(await clock.runUntil(e1.router.submit(job))).toMatchObject({failure: {code: 'cancelled', notRun: true}});
+		const job = createJob(clock, hostOne.createKey('x'));
+		expect(await clock.runUntil(hostTwo.router.cancel(job.key))).toMatchObject({answer: {failure: {code: 'cancelled', notRun: true}}});
+		expect(await clock.runUntil(hostOne.router.submit(job))).toMatchObject({failure: {code: 'cancelled', notRun: true}});
 		expect(allRuns()).toEqual([]);
 	});
 
 	test('a key used again with other content is refused without touching the first', async () => {
-		const job = createJob(clock, e1.createKey('x'));
-		const first = e1.router.submit(job);
-		const second = await clock.runUntil(e1.router.submit({...job, tasks: [{payload: {box: 9}}]}));
+		const job = createJob(clock, hostOne.createKey('x'));
+		const first = hostOne.router.submit(job);
+		const second = await clock.runUntil(hostOne.router.submit({...job, tasks: [{payload: {box: 9}}]}));
 		expect(second).toMatchObject({failure: {code: 'key-reused', notRun: false}});
 		expect(await clock.runUntil(first)).toMatchObject({state: 'complete'});
 	});
@@ -95,7 +95,7 @@
 describe('opaque keys', () => {
 	test('of two hosts that are given the same key, the first in the log runs it and both get its answer', async () => {
 		const job = createJob(clock, 'tag-4711');
-		const answers = await clock.runUntil(Promise.all([e1.router.submit(job), e2.router.submit(job)]));
+		const answers = await clock.runUntil(Promise.all([hostOne.router.submit(job), hostTwo.router.submit(job)]));
 		expect(allRuns()).toEqual(['tag-4711']);
 		expect(answers[0]).toMatchObject({state: 'complete'});
 		expect(answers[1]).toEqual(answers[0]);
@@ -104,15 +104,15 @@
 	test('a claim whose answer was lost still counts', async () => {
 		fixture.stream.faults.losesAnswer = () => true;
 		const job = createJob(clock, 'tag-4711');
-		expect(await clock.runUntil(e1.router.submit(job))).toMatchObject({state: 'complete'});
-		expect(await clock.runUntil(e2.router.submit(job))).toMatchObject({state: 'complete'});
+		expect(await clock.runUntil(hostOne.router.submit(job))).toMatchObject({state: 'complete'});
+		expect(await clock.runUntil(hostTwo.router.submit(job))).toMatchObject({state: 'complete'});
 		expect(allRuns()).toEqual(['tag-4711']);
 	});
 
 	test('during an outage of the log nothing starts, nobody is told "not run", and the key runs once afterwards', async () => {
 		fixture.stream.faults.outageUntil = clock.now() + 5000;
 		const job = createJob(clock, 'tag-4711', {deadline: clock.now() + 3000});
-		const refused = await clock.runUntil(Promise.all([e1.router.submit(job), e2.router.submit(job)]));
+		const refused = await clock.runUntil(Promise.all([hostOne.router.submit(job), hostTwo.router.submit(job)]));
 		for (const answer of refused) {
 			expect(answer).toMatchObject({failure: {code: 'log-unavailable', notRun: false}});
 		}
@@ -120,25 +120,25 @@
 		expect(allRuns()).toEqual([]);
 		await clock.advance(5000);
 		const again = {...job, deadline: clock.now() + 5000};
-		await clock.runUntil(Promise.all([e1.router.submit(again), e2.router.submit(again)]));
+		await clock.runUntil(Promise.all([hostOne.router.submit(again), hostTwo.router.submit(again)]));
 		expect(allRuns()).toEqual(['tag-4711']);
 	});
 
 	test('a claim of a host that died before it answered is never run by another', async () => {
 		const job = createJob(clock, 'tag-4711');
-		void e1.router.submit(job);
+		void hostOne.router.submit(job);
 		await clock.advance(50);
-		e1.isReachable = false;
-		e1.isClosed = true;
-		expect(await clock.runUntil(e2.router.submit(job))).toMatchObject({failure: {code: 'home-lost', notRun: false}});
-		expect(e2.runs).toEqual([]);
+		hostOne.isReachable = false;
+		hostOne.isClosed = true;
+		expect(await clock.runUntil(hostTwo.router.submit(job))).toMatchObject({failure: {code: 'home-lost', notRun: false}});
+		expect(hostTwo.runs).toEqual([]);
 	});
 
 	test('a host that starts after the log dropped claims closes the keys that they may have named', async () => {
 		const job = createJob(clock, 'tag-4711', {deadline: clock.now() + 50_000});
-		await clock.runUntil(e1.router.submit(job));
+		await clock.runUntil(hostOne.router.submit(job));
 		await clock.advance(500);
-		await clock.runUntil(e2.router.submit(createJob(clock, 'tag-4712')));
+		await clock.runUntil(hostTwo.router.submit(createJob(clock, 'tag-4712')));
 		fixture.stream.dropBelow(1);
 		const late = fixture.addHost('e3', 'd');
 		expect(await clock.runUntil(late.router.submit(job))).toMatchObject({failure: {code: 'key-closed', notRun: false}});
@@ -148,7 +148,7 @@
 	test('a key made too long ago, or by a clock far ahead, costs availability and never a run', async () => {
 		const old = createJob(clock, 'old', {createdAt: clock.now() - 30_000});
 		const ahead = createJob(clock, 'ahead', {createdAt: clock.now() + 30_000});
-		const answers = await clock.runUntil(Promise.all([e1.router.submit(old), e1.router.submit(ahead)]));
+		const answers = await clock.runUntil(Promise.all([hostOne.router.submit(old), hostOne.router.submit(ahead)]));
 		for (const answer of answers) {
 			expect(answer).toMatchObject({failure: {code: 'key-closed', notRun: false}});
 		}
--- a/packages/chivestream-entry/src/entry-process.ts
+++ b/packages/chivestream-entry/src/entry-process.ts
@@ -81,8 +81,8 @@
 	const clock = systemClock;
 	// The incarnation must differ between two starts within one millisecond, so the seed draws on more than the clock.
 	const random = createRandom(Math.floor(Math.random() * (2 ** 31)));
-	let host: EntryHost | undefined;
-	const handlers = createStartingHandlers(() => host);
+	const running: {host?: EntryHost} = {};
+	const handlers = createStartingHandlers(() => running.host);
 	const callerListen = splitAddress(settings.listen.caller);
 	const callerService = await startCallerService(handlers.caller, {
 		...callerListen,
@@ -104,7 +104,7 @@
 	const log = createLog({urls: settings.platform.logs, requestMs: settings.limits.platformRequestMs});
 	const hostList = createHostList({url: settings.platform.hosts, requestMs: settings.limits.platformRequestMs});
 	const minions = createMinionClient();
-	host = createEntryHost({
+	const host = createEntryHost({
 		self,
 		clock,
 		random,
@@ -119,8 +119,8 @@
 			runAttempt: createAttempts(minions, refuseWorkerAttempts),
 		},
 	});
+	running.host = host;
 	host.start();
-	const started = host;
 	logger.info('listening', {
 		step: 'start', peer: self.id, caller: callerService.address, peerService: peerService.address,
 	});
@@ -129,9 +129,9 @@
 		host: self,
 		addresses: {caller: callerService.address, peer: peerService.address},
 		async stop() {
-			await started.drain();
+			await host.drain();
 			await callerService.close();
-			await started.close();
+			await host.close();
 			await peerService.close();
 			await minions.close();
 			await log.close();
--- a/packages/chivestream-entry/src/job-router.ts
+++ b/packages/chivestream-entry/src/job-router.ts
@@ -159,9 +159,10 @@
 			return answer;
 		}
 
-		return relay.isClosed(home)
-			? fail(job, {code: failureCode.homeLost, message: `the host ${home.hostId} that may run this key is gone; the job may have run`}, 'forward-job', false)
-			: fail(job, {code: failureCode.homeUnreachable, message: `the host ${home.hostId} that may run this key can't be reached now; the job may have run`}, 'forward-job', false);
+		const refusal = relay.isClosed(home)
+			? {code: failureCode.homeLost, message: `the host ${home.hostId} that may run this key is gone; the job may have run`}
+			: {code: failureCode.homeUnreachable, message: `the host ${home.hostId} that may run this key can't be reached now; the job may have run`};
+		return fail(job, refusal, 'forward-job', false);
 	};
 
 	const isTooOld = (createdAt: number) => createdAt < clock.now() - options.keyWindowMs;
--- a/packages/chivestream-entry/src/peer-calls.ts
+++ b/packages/chivestream-entry/src/peer-calls.ts
@@ -10,7 +10,9 @@
 import {type Claimant} from './claims.js';
 import {type Relay} from './job-router.js';
 import {parseGrants} from './lending.js';
-import {formatPeerRequest, type PeerReplies, type PeerRequest} from './peer-request.js';
+import {
+	formatPeerRequest, parsePeerReply, type PeerReplies, type PeerRequest,
+} from './peer-request.js';
 
 /** Calls to other entry hosts. */
 export type PeerCalls = Relay & {
@@ -60,7 +62,7 @@
 			return undefined;
 		}
 
-		return JSON.parse(reply.value) as PeerReplies[Kind];
+		return parsePeerReply<Kind>(request.kind, reply.value);
 	};
 
 	const ask: PeerCalls['ask'] = async (member, request, deadline) => askAddress(member.host.peerAddress, request, deadline);
--- a/packages/chivestream-entry/src/peer-request.ts
+++ b/packages/chivestream-entry/src/peer-request.ts
@@ -38,6 +38,25 @@
 	version: () => number;
 };
 
+const keyStatusSchema = z.custom<KeyStatus>(value => typeof value === 'object' && value !== null && 'kind' in value);
+
+const replySchemas: {[Kind in keyof PeerReplies]: z.ZodType<PeerReplies[Kind]>} = {
+	fetch: keyStatusSchema,
+	cancel: keyStatusSchema,
+	rows: z.array(z.unknown()),
+	state: z.object({
+		hostId: z.string(), zone: z.string(), isProven: z.boolean(), state: stateSchema,
+	}),
+	adopt: z.number(),
+	version: z.number(),
+};
+
+/** The reply to a kind of request from its text; undefined where it is malformed. */
+export const parsePeerReply = <Kind extends keyof PeerReplies>(kind: Kind, text: string): PeerReplies[Kind] | undefined => {
+	const schema: z.ZodType<PeerReplies[Kind]> = replySchemas[kind];
+	return schema.safeParse(JSON.parse(text)).data;
+};
+
 const answer = async (request: PeerRequest, handlers: PeerRequestHandlers): Promise<unknown> => {
 	switch (request.kind) {
 		case 'fetch': {
