Let a draining host keep its slots until it has left

Cause: a draining host dropped out of the zone's sharers at once, so the tasks still waiting in its queue had no slot but borrowed ones, and a planned stop at high load would have cut them. Ruled out: borrowing alone, since a busy zone grants nothing. The test expected the other sharers while draining; it now expects all three while draining on both sides and two once the host has left, which is as strict.

--- a/packages/chivestream-peer/src/__tests__/membership.test.ts
+++ b/packages/chivestream-peer/src/__tests__/membership.test.ts
@@ -156,9 +156,12 @@
 		void membership.announce(hostPhase.draining);
 		await clock.advance(10);
 		expect(stateOf('a1h2', 'a1h1')).toBe(memberState.draining);
-		expect(sharers('a1h2')).toEqual(['a1h2', 'a1h3']);
+		expect(sharers('a1h2')).toEqual(['a1h1', 'a1h2', 'a1h3']);
+		expect(sharers('a1h1')).toEqual(['a1h1', 'a1h2', 'a1h3']);
 		void membership.announce(hostPhase.left);
 		await clock.advance(twoRoundsMs);
+		expect(sharers('a1h2')).toEqual(['a1h2', 'a1h3']);
+		expect(sharers('a1h1')).toEqual(['a1h2', 'a1h3']);
 		for (const id of ['a1h2', 'a2h1', 'a3h3']) {
 			expect(stateOf(id, 'a1h1')).toBe(memberState.left);
 			expect(node(id).membership.isClosed('a1h1', host.incarnation)).toBe(true);
--- a/packages/chivestream-peer/src/membership.ts
+++ b/packages/chivestream-peer/src/membership.ts
@@ -72,6 +72,9 @@
 	close: () => Promise<void>;
 };
 
+// A draining host keeps its slots until it has left, or the jobs that it still holds would be cut.
+const sharingPhases = new Set<HostPhase>([hostPhase.serving, hostPhase.draining]);
+
 /** Starts the membership of a host. */
 export const createMembership = (options: MembershipOptions): Membership => {
 	const {
@@ -101,7 +104,7 @@
 
 	const isInZone = ({host}: Member) => host.zone === self.zone;
 	const livePeerIds = () => members.filter(member => isInZone(member) && isLive(member)).map(({host}) => host.id);
-	const isSharing = () => sharing.check(clock.now(), livePeerIds()) && lifeCycle.phase() === hostPhase.serving;
+	const isSharing = () => sharing.check(clock.now(), livePeerIds()) && sharingPhases.has(lifeCycle.phase());
 
 	const selfMember = (): Member => ({
 		host: self,
@@ -350,7 +353,7 @@
 		},
 		members: () => members,
 		zoneMembers() {
-			const sharers = members.filter(member => isInZone(member) && member.state === memberState.alive && member.phase === hostPhase.serving);
+			const sharers = members.filter(member => isInZone(member) && isLive(member) && sharingPhases.has(member.phase));
 			const all = [...sharers.map(({host}) => host), ...(isSharing() ? [self] : [])];
 			return all.toSorted((left, right) => left.id < right.id ? -1 : 1);
 		},
