--- a/packages/chivestream-configuration/src/__tests__/follower.test.ts
+++ b/packages/chivestream-configuration/src/__tests__/follower.test.ts
@@ -1,39 +1,18 @@
 import {afterEach, expect, test} from '@jest/globals';
-import {createRandom, systemClock, type Configuration} from 'chivestream-core';
 import {createCommand, sampleCommand} from '../__fixtures__/declarations.js';
 import {FakeStream} from '../__fixtures__/fake-stream.js';
+import {soon, startFollower} from '../__fixtures__/test-follower.js';
 import {
-	applyRecord, type Change, createSnapshot, Follower, type FollowerOptions, initialState, type PeerState, type State, submitCommand,
+	applyRecord, type Change, createSnapshot, type Follower, initialState, type PeerState, type State, submitCommand,
 } from '../index.js';
 
-const patienceMs = 10_000;
 const quota: Change = {kind: 'team', team: 'day-a', maxTasksInFlight: 7};
 const followers: Follower[] = [];
 
-const soon = () => Date.now() + patienceMs;
-
-const follow = (stream: FakeStream, options: Partial<FollowerOptions> = {}) => {
-	const seen: Configuration[] = [];
-	const follower = new Follower({
-		stream,
-		clock: systemClock,
-		random: createRandom(1),
-		zone: 'a',
-		zoneSize: () => 3,
-		fetchFromPeers: async () => [],
-		onChange(configuration) {
-			seen.push(configuration);
-		},
-		pollMs: 50,
-		...options,
-	});
-	followers.push(follower);
-	follower.start();
-	return {
-		follower, seen, submit: {
-			stream, follower, clock: systemClock, random: createRandom(2),
-		},
-	};
+const follow: typeof startFollower = (stream, options) => {
+	const started = startFollower(stream, options);
+	followers.push(started.follower);
+	return started;
 };
 
 afterEach(() => {
--- a/packages/chivestream-configuration/src/index.ts
+++ b/packages/chivestream-configuration/src/index.ts
@@ -9,5 +9,6 @@
 export * from './read-declarations.js';
 export * from './reader.js';
 export * from './snapshot.js';
+export * from './snapshot-writer.js';
 export * from './state.js';
 export * from './submit.js';
