--- a/packages/chivestream-configuration/src/__fixtures__/fake-stream.ts
+++ b/packages/chivestream-configuration/src/__fixtures__/fake-stream.ts
@@ -11,6 +11,8 @@
 	records: StreamRecord[] = [];
 	first = 0;
 	isOut = false;
+	/** Reads lag: they do not show records from this offset on. */
+	hiddenFrom = Number.POSITIVE_INFINITY;
 	/** Appends that take effect while their answer is lost. */
 	lostAnswers = 0;
 	/** Appends that neither take effect nor are answered. */
@@ -29,7 +31,8 @@
 
 	page(from: number, limit: number): StreamPage {
 		const start = Math.max(from, this.first);
-		return {records: this.records.slice(start, start + limit), first: this.first, next: this.next};
+		const next = Math.min(this.next, this.hiddenFrom);
+		return {records: this.records.slice(start, Math.min(start + limit, next)), first: this.first, next};
 	}
 
 	append = async (value: unknown) => {
@@ -58,7 +61,7 @@
 	};
 
 	read = async ({from, limit, waitDeadline}: Parameters<Stream['read']>[0]) => {
-		if (!this.isOut && from >= this.next) {
+		if (!this.isOut && from >= Math.min(this.next, this.hiddenFrom)) {
 			await this.#waitForAppend(waitDeadline);
 		}
 
--- a/packages/chivestream-configuration/src/snapshot.ts
+++ b/packages/chivestream-configuration/src/snapshot.ts
@@ -31,9 +31,12 @@
 /** Parts of snapshots that are not complete yet, by snapshot id. */
 export type PendingSnapshots = ReadonlyMap<string, readonly SnapshotPart[]>;
 
+/** The text of a state: the same for equal states, whatever the order in which their fields were set. */
+export const formatState = (state: State): string => JSON.stringify(stateSchema.parse(state));
+
 /** A state cut into the parts to be appended, in order. */
 export const createSnapshot = (state: State, partLength = snapshotPartLength): SnapshotPart[] => {
-	const text = JSON.stringify(state);
+	const text = formatState(state);
 	const covers = state.configuration.offset;
 	const snapshotId = `${covers}-${digestText(text)}`;
 	const parts = Math.ceil(text.length / partLength);
--- a/packages/chivestream-configuration/src/submit.ts
+++ b/packages/chivestream-configuration/src/submit.ts
@@ -29,6 +29,8 @@
 	follower: Follower;
 	clock: Clock;
 	random: Random;
+	/** Whether an append whose answer was lost is repeated; always, by default. */
+	canRepeat?: (failure: Failure) => boolean;
 };
 
 const origin = {step: 'submit-command', peer: 'configuration'} as const;
@@ -49,7 +51,7 @@
 
 /** Appends until the follower reads a verdict. The fold ignores repeats, so an append is repeated after a lost answer. */
 const appendUntilSettled = async (
-	{stream, follower, clock, random}: SubmitOptions,
+	{stream, follower, clock, random, canRepeat = () => true}: SubmitOptions,
 	command: Command,
 	deadline: number,
 ): Promise<{verdict: Verdict | undefined; lastFailure: Failure | undefined}> => {
@@ -64,6 +66,9 @@
 		} else {
 			failures += 1;
 			lastFailure = appended.error;
+			if (!canRepeat(lastFailure)) {
+				break;
+			}
 		}
 
 		const waitDeadline = appended.isOk() ? deadline : Math.min(deadline, retryDeadline(clock.now(), failures, random));
