--- a/packages/chivestream-configuration/src/cross-checks.ts
+++ b/packages/chivestream-configuration/src/cross-checks.ts
@@ -43,9 +43,20 @@
 	return places;
 };
 
-/** Ids of every declared minion and worker. */
-export const listUpstreamHostIds = ({upstreams}: Declarations): Set<string> => new Set(Object.values(upstreams).flatMap(upstream =>
-	[...upstream.minions, ...upstream.workers].map(host => host.id)));
+const idsByUpstreams = new WeakMap<Declarations['upstreams'], ReadonlySet<string>>();
+
+/** Ids of every declared minion and worker; kept for upstreams that were asked about before. */
+export const listUpstreamHostIds = ({upstreams}: Declarations): ReadonlySet<string> => {
+	const known = idsByUpstreams.get(upstreams);
+	if (known) {
+		return known;
+	}
+
+	const hosts = Object.values(upstreams).flatMap(({minions, workers}) => [...minions, ...workers]);
+	const ids = new Set(hosts.map(({id}) => id));
+	idsByUpstreams.set(upstreams, ids);
+	return ids;
+};
 
 const findNarrowMinions = ({upstreams}: Declarations): Conflict[] =>
 	Object.entries(upstreams).flatMap(([name, upstream]) => upstream.minions.flatMap((minion, index) =>
