--- a/packages/chivestream-configuration/src/__tests__/declarations.test.ts
+++ b/packages/chivestream-configuration/src/__tests__/declarations.test.ts
@@ -1,5 +1,7 @@
 import {expect, test} from '@jest/globals';
-import {readDeclarations} from '../index.js';
+import {readDeclarations, readDeclarationsFile} from '../index.js';
+
+const examplePath = new URL('../../../../docs/examples/declarations.jsonc', import.meta.url).pathname;
 
 const text = `{
 	"upstreams": {
@@ -41,3 +43,10 @@
 	expect(declarations.limits).toEqual({maxTasksPerJob: 180, maxDeadlineMs: 60_000, retryRatio: 0.1});
 	expect(declarations.teams).toEqual({});
 });
+
+test('the example file is valid', async () => {
+	const result = await readDeclarationsFile(examplePath);
+	const {upstreams, teams} = result.unwrap();
+	expect(Object.keys(upstreams)).toEqual(['lens', 'stock']);
+	expect(teams['day-a']).toEqual({weight: 2, maxTasksInFlight: 400});
+});
--- a/packages/chivestream-configuration/src/change.ts
+++ b/packages/chivestream-configuration/src/change.ts
@@ -2,12 +2,18 @@
 import {type Declarations} from 'chivestream-core';
 import {formatPath} from 'chivestream-settings';
 import {Err, Ok, type Result} from 'ts-results-es';
+import {type z} from 'zod';
 import {type Change, changeKind, changeSchema} from './command.js';
 import {listUpstreamHostIds} from './cross-checks.js';
+import {declarationsSchema} from './declarations-schema.js';
+import {buildDeclarations, listEntries} from './entries.js';
 
 const maxReasons = 5;
 const maxSummaryLength = 120;
 
+const listReasons = ({issues}: z.ZodError): string[] =>
+	issues.slice(0, maxReasons).map(issue => `${formatPath(issue.path) || 'change'}: ${issue.message}`);
+
 /** A change of the right shape, or what is wrong with it. */
 export const parseChange = (value: unknown): Result<Change, string[]> => {
 	const parsed = changeSchema.safeParse(value);
@@ -15,8 +21,36 @@
 		return new Ok(parsed.data);
 	}
 
-	const reasons = parsed.error.issues.map(issue => `${formatPath(issue.path) || 'change'}: ${issue.message}`);
-	return new Err(reasons.slice(0, maxReasons));
+	return new Err(listReasons(parsed.error));
+};
+
+const edit = (
+	declarations: Declarations,
+	{set, remove}: Extract<Change, {kind: typeof changeKind.edit}>,
+): Result<Declarations, string[]> => {
+	const entries = new Map(listEntries(declarations));
+	for (const path of remove) {
+		entries.delete(path);
+	}
+
+	for (const [path, value] of Object.entries(set)) {
+		entries.set(path, value);
+	}
+
+	const {draft, unknownPaths} = buildDeclarations(entries);
+	if (unknownPaths.length > 0) {
+		return new Err(unknownPaths.slice(0, maxReasons).map(path => `set: "${path}" has no place in the declarations`));
+	}
+
+	const parsed = declarationsSchema.safeParse(draft);
+	if (!parsed.success) {
+		return new Err(listReasons(parsed.error));
+	}
+
+	const misnamed = [...listEntries(parsed.data).keys()].filter(path => !entries.has(path));
+	return misnamed.length === 0
+		? new Ok(parsed.data)
+		: new Err(misnamed.slice(0, maxReasons).map(path => `set: an entry belongs under "${path}" by its own id or name`));
 };
 
 const drain = (declarations: Declarations, ids: string[]): Result<Declarations, string[]> => {
@@ -75,6 +109,10 @@
 			return new Ok(change.declarations);
 		}
 
+		case changeKind.edit: {
+			return edit(declarations, change);
+		}
+
 		case changeKind.drain: {
 			return drain(declarations, change.ids);
 		}
@@ -105,6 +143,11 @@
 			return 'replace the declarations';
 		}
 
+		case changeKind.edit: {
+			const removals = change.remove.map(path => `-${path}`);
+			return `edit ${[...Object.keys(change.set), ...removals].join(', ')}`;
+		}
+
 		case changeKind.drain:
 		case changeKind.undrain: {
 			return `${change.kind} ${change.ids.join(', ')}`;
--- a/packages/chivestream-configuration/src/command.ts
+++ b/packages/chivestream-configuration/src/command.ts
@@ -14,6 +14,7 @@
 /** Kinds of changes. */
 export const changeKind = {
 	replace: 'replace',
+	edit: 'edit',
 	drain: 'drain',
 	undrain: 'undrain',
 	team: 'team',
@@ -21,11 +22,19 @@
 } as const;
 
 const maxIdLength = 128;
+const maxPathLength = 256;
 const maxDrainIds = 10_000;
 
 const idsSchema = z.array(nameSchema).min(1).max(maxDrainIds);
 
 const replaceSchema = z.strictObject({kind: z.literal(changeKind.replace), declarations: declarationsSchema});
+const editSchema = z.strictObject({
+	kind: z.literal(changeKind.edit),
+	/** New or changed entries by path. */
+	set: z.record(z.string().max(maxPathLength), z.unknown()),
+	/** Paths of entries that go. */
+	remove: z.array(z.string().max(maxPathLength)),
+});
 const drainSchema = z.strictObject({kind: z.literal(changeKind.drain), ids: idsSchema});
 const undrainSchema = z.strictObject({kind: z.literal(changeKind.undrain), ids: idsSchema});
 
@@ -43,7 +52,7 @@
 
 /** Schema of a change. */
 export const changeSchema = z.discriminatedUnion('kind', [
-	replaceSchema, drainSchema, undrainSchema, teamSchema, limitsChangeSchema,
+	replaceSchema, editSchema, drainSchema, undrainSchema, teamSchema, limitsChangeSchema,
 ]);
 
 /** One change of the declarations. */
--- a/packages/chivestream-configuration/src/declarations-schema.ts
+++ b/packages/chivestream-configuration/src/declarations-schema.ts
@@ -77,19 +77,32 @@
 	retryRatio: limitShape.retryRatio.default(defaultLimits.retryRatio),
 });
 
-/** Schema of the whole declared state. */
-export const declarationsSchema = z.strictObject({
+const drainsSchema = z.array(nameSchema);
+
+const fieldsSchema = z.strictObject({
 	upstreams: z.record(nameSchema, upstreamSchema).default({}),
 	teams: z.record(nameSchema, teamSchema).default({}),
-	drains: z.array(nameSchema).default([]),
+	drains: drainsSchema.default([]),
 	limits: limitsWithDefaultsSchema.prefault({}),
 	objectives: z.array(objectiveSchema).default([]),
-}).check(({value, issues}) => {
+});
+
+const checkConflicts = (value: Declarations, issues: z.core.$ZodRawIssue[]): void => {
 	for (const {path, found, allowed, fix} of findConflicts(value)) {
 		issues.push({
 			code: 'custom', input: found, path, message: allowed, params: {fix},
 		});
 	}
+};
+
+/** Schema of the whole declared state. */
+export const declarationsSchema = fieldsSchema.check(({value, issues}) => {
+	checkConflicts(value, issues);
+});
+
+/** Schema of a declarations file, in which drains may be left to the operators' commands. */
+export const declarationsFileSchema = fieldsSchema.extend({drains: drainsSchema.optional()}).check(({value, issues}) => {
+	checkConflicts({...value, drains: value.drains ?? []}, issues);
 });
 
 /** Declarations of a deployment in which nothing is declared yet. */
--- /dev/null
+++ b/packages/chivestream-configuration/src/difference.ts
@@ -0,0 +1,63 @@
+/** Differences between two sets of declarations, and the smallest change that leads from one to the other. */
+import {isDeepStrictEqual} from 'node:util';
+import {type Declarations} from 'chivestream-core';
+import {type Change, changeKind} from './command.js';
+import {type Entries, listEntries} from './entries.js';
+
+/** Kinds of differences. */
+export const differenceKind = {
+	added: 'added',
+	changed: 'changed',
+	removed: 'removed',
+} as const;
+
+/** One entry of the declarations that differs; its path reads such as `worker/lens/w1`. */
+export type Difference = {
+	kind: (typeof differenceKind)[keyof typeof differenceKind];
+	path: string;
+	/** Undefined for an added entry. */
+	before: unknown;
+	/** Undefined for a removed entry. */
+	after: unknown;
+};
+
+const compareEntries = (before: Entries, after: Entries): Difference[] => {
+	const differences: Difference[] = [];
+	for (const [path, value] of after) {
+		if (!before.has(path)) {
+			differences.push({
+				kind: differenceKind.added, path, before: undefined, after: value,
+			});
+		} else if (!isDeepStrictEqual(before.get(path), value)) {
+			differences.push({
+				kind: differenceKind.changed, path, before: before.get(path), after: value,
+			});
+		}
+	}
+
+	for (const [path, value] of before) {
+		if (!after.has(path)) {
+			differences.push({
+				kind: differenceKind.removed, path, before: value, after: undefined,
+			});
+		}
+	}
+
+	return differences;
+};
+
+/** What would change if `target` took the place of `current`; empty when nothing would. */
+export const findDifferences = (current: Declarations, target: Declarations): Difference[] =>
+	compareEntries(listEntries(current), listEntries(target));
+
+/** The change that makes `target` of `current`, with no more than what differs. */
+export const planChange = (current: Declarations, target: Declarations): Change => {
+	const differences = findDifferences(current, target);
+	const kept = differences.filter(({kind}) => kind !== differenceKind.removed);
+	const removed = differences.filter(({kind}) => kind === differenceKind.removed);
+	return {
+		kind: changeKind.edit,
+		set: Object.fromEntries(kept.map(({path, after}) => [path, after])),
+		remove: removed.map(({path}) => path),
+	};
+};
