Start stand-ins as processes, several to a process where wanted

The demo needs some sixty minions; a process for each would cost more than the system under test. A group runs several in one process, each at its own address.

--- a/packages/chivestream-stand-ins/src/main.ts
+++ b/packages/chivestream-stand-ins/src/main.ts
@@ -19,14 +19,16 @@
 	log       --max-records N  --max-age-ms MS
 	hosts     --lag-ms MS
 	minion    --id ID  --slots N  --speed FACTOR  --max-connections N
+	          --count N  --speeds FACTOR,...  several in one process
 	worker    --id ID  --speed FACTOR  --cores N  --memory-mb N  --accelerators N
+	          --count N  --speeds FACTOR,...  several in one process
 	          --usage-lag-ms MS  --clock-offset-ms MS  --longest-lease-ms MS
 	balancer  --targets IP:PORT,...  --spread round-robin|random
 	          --control-listen IP:PORT  --health-interval-ms MS
 
 	Prints one line of JSON with the bound address once it is ready.
 	Exit codes: 0 ended by SIGTERM or SIGINT, 1 failed, 2 wrong arguments.
-`, {importMeta: import.meta, flags: {listen: {type: 'string'}, targets: {type: 'string'}}});
+`, {importMeta: import.meta, flags: {listen: {type: 'string'}, targets: {type: 'string'}, speeds: {type: 'string'}}});
 
 const end = async (standIn: StandIn) => {
 	await standIn.close();
@@ -49,7 +51,9 @@
 	const standIn = await command.start();
 	endOn('SIGTERM', standIn);
 	endOn('SIGINT', standIn);
-	console.log(JSON.stringify({kind: cli.input[0], address: standIn.address, controlAddress: standIn.controlAddress}));
+	console.log(JSON.stringify({
+		kind: cli.input[0], address: standIn.address, addresses: standIn.addresses, controlAddress: standIn.controlAddress,
+	}));
 };
 
 try {
