--- a/packages/chivestream-stand-ins/src/__tests__/launched-stand-in.test.ts
+++ b/packages/chivestream-stand-ins/src/__tests__/launched-stand-in.test.ts
@@ -9,7 +9,7 @@
 		payload: null, headers: {'chivestream-attempt': 'k/0/1'},
 	})));
 	expect(answers.map(answer => answer.body.servedBy)).toEqual(['m-0', 'm-1']);
-	expect(await minions.process.stop(Date.now() + 10_000)).toEqual({code: 0, signal: null});
+	expect(await minions.process.stop(Date.now() + 10_000)).toEqual({code: 0, signal: undefined});
 });
 
 test('a program that ends before it is ready says why', async () => {
--- a/packages/chivestream-stand-ins/src/launched-process.ts
+++ b/packages/chivestream-stand-ins/src/launched-process.ts
@@ -51,8 +51,9 @@
 	const ended = new Promise<ProcessEnd>((resolve, reject) => {
 		child.once('error', reject);
 		child.once('close', (code, signal) => {
-			end = {code, signal};
-			resolve(end);
+			const result: ProcessEnd = {code: code ?? undefined, signal: signal ?? undefined};
+			end = result;
+			resolve(result);
 		});
 	});
 
