--- a/packages/chivestream-stand-ins/src/__tests__/launched-stand-in.test.ts
+++ b/packages/chivestream-stand-ins/src/cluster/__tests__/launched-stand-in.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from '@jest/globals';
 import {launchStandIn} from '../launched-stand-in.js';
-import {call} from './http.js';
+import {call} from '../../__tests__/http.js';
 
 test('a group of minions runs as its own process, each member at its own address', async () => {
 	const minions = await launchStandIn('minion', {id: 'm', count: 2, speeds: '1,2'});
--- a/packages/chivestream-stand-ins/src/launched-process.ts
+++ b/packages/chivestream-stand-ins/src/cluster/launched-process.ts
@@ -1,6 +1,6 @@
 /** Starts programs for the demo and for tests, each ended by its own id. */
 import {Buffer} from 'node:buffer';
-import {spawn} from 'node:child_process';
+import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
@@ -38,10 +38,33 @@
 };
 
 const tailLength = 4000;
+const running = new Set<ChildProcess>();
+
+/** Children would outlive a parent that ends before it has stopped them. */
+const killRunning = () => {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+};
+
+const track = (child: ChildProcess) => {
+	if (running.size === 0) {
+		process.once('exit', killRunning);
+	}
+
+	running.add(child);
+	child.once('close', () => {
+		running.delete(child);
+		if (running.size === 0) {
+			process.off('exit', killRunning);
+		}
+	});
+};
 
 /** Starts a program without waiting for it. */
 export const launchProcess = ({name, script, arguments: scriptArguments, nodeOptions = []}: Program): LaunchedProcess => {
 	const child = spawn(process.execPath, [...nodeOptions, script, ...scriptArguments], {stdio: ['ignore', 'pipe', 'pipe']});
+	track(child);
 	let end: ProcessEnd | undefined;
 	let errors = '';
 	child.stderr.on('data', (chunk: Uint8Array) => {
--- a/packages/chivestream-stand-ins/src/launched-stand-in.ts
+++ b/packages/chivestream-stand-ins/src/cluster/launched-stand-in.ts
@@ -17,7 +17,7 @@
 	controlAddress: z.string().default(''),
 });
 
-const script = fileURLToPath(new URL('../bin/chivestream-stand-in.js', import.meta.url));
+const script = fileURLToPath(new URL('../../bin/chivestream-stand-in.js', import.meta.url));
 
 /** Starts a stand-in and waits until it is ready. Options are named as on the command line, without dashes. */
 export const launchStandIn = async (kind: string, options: Record<string, string | number> = {}): Promise<LaunchedStandIn> => {
--- a/packages/chivestream-stand-ins/src/ports.ts
+++ b/packages/chivestream-stand-ins/src/cluster/ports.ts
@@ -1,6 +1,6 @@
 /** Addresses that were free a moment ago, for programs that have to know one another's before they start. */
 import {createServer, type Server} from 'node:net';
-import {anyLoopbackAddress, listenOn} from './service.js';
+import {anyLoopbackAddress, listenOn} from '../service.js';
 
 const closeServer = async (server: Server): Promise<void> => new Promise(resolve => {
 	server.close(() => {
--- a/packages/chivestream-stand-ins/src/index.ts
+++ b/packages/chivestream-stand-ins/src/index.ts
@@ -9,6 +9,4 @@
 export * from './task-faults.js';
 export * from './upstream-routes.js';
 export * from './worker.js';
-export * from './launched-process.js';
-export * from './launched-stand-in.js';
-export * from './ports.js';
+export * from './cluster/index.js';
