--- a/packages/chivestream-stand-ins/src/index.ts
+++ b/packages/chivestream-stand-ins/src/index.ts
@@ -11,3 +11,4 @@
 export * from './task-faults.js';
 export * from './upstream-routes.js';
 export * from './worker.js';
+export * from './cluster/index.js';
