--- a/packages/chivestream-placement/src/scheduler.ts
+++ b/packages/chivestream-placement/src/scheduler.ts
@@ -3,6 +3,7 @@
 	type AttemptResult, type Configuration, type Failure, type Job,
 } from 'chivestream-core';
 import {type Result} from 'ts-results-es';
+import {type TargetView} from './target-view.js';
 
 /** A task that waits for a slot. */
 export type QueuedTask = {
@@ -96,6 +97,12 @@
 	releaseIdle: () => Array<{lenderId: string; grants: SlotGrant[]}>;
 	/** Takes back slots that a borrower returned. */
 	reclaim: (borrowerId: string, grants: SlotGrant[]) => void;
+	/** Borrowed slots whose grant ends while a task still runs on them: ask the lender for the deadline given. */
+	renewals: () => Array<{lenderId: string; grants: SlotGrant[]}>;
+	/** Extends grants whose slots are still in use; the answer goes to the borrower's `borrow`. */
+	extend: (borrowerId: string, grants: SlotGrant[]) => SlotGrant[];
+	/** When `next` may bind a task that it can't bind now without any other event; undefined when never. */
+	wakeAt: () => number | undefined;
 	/** Free slots of this host for each upstream. */
 	idleSlots: () => SlotDemand[];
 	/** What this host knows of its targets, to be shared with the zone. */
@@ -104,4 +111,6 @@
 	observe: (observations: TargetObservation[]) => void;
 	/** Waiting and running tasks for each upstream. */
 	load: () => Array<{upstream: string; queued: number; running: number}>;
+	/** Minions and workers with this host's share of them. */
+	targets: () => TargetView[];
 };
