--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -10,11 +10,12 @@
 } from 'chivestream-core';
 import {type CallerHandlers} from 'chivestream-caller';
 import {
-	Follower, holdersNeeded, type PeerState, type State,
+	Follower, holdersNeeded, runSnapshotWriter, type PeerState, type State,
 } from 'chivestream-configuration';
 import {
 	createMembership, hostPhase, isLive, type Membership, type PeerHandlers,
 } from 'chivestream-peer';
+import {type OperatorSource} from 'chivestream-operator';
 import {createScheduler, type Scheduler} from 'chivestream-placement';
 import {createClaims} from './claims.js';
 import {createDispatcher, type AttemptRunner} from './dispatcher.js';
@@ -26,6 +27,7 @@
 	createLending, parseDemand, parseGrants, parseLendingPayload,
 } from './lending.js';
 import {createHostMetrics, type HostFigures, type HostMetrics} from './metrics.js';
+import {createOperatorSource} from './operator-source.js';
 import {createPeerCalls, type PeerCalls} from './peer-calls.js';
 import {answerPeerRequest} from './peer-request.js';
 import {type HostState, readRows} from './host-rows.js';
@@ -39,7 +41,7 @@
 	scheduler: Scheduler;
 	calls: PeerCalls;
 	metrics: HostMetrics;
-	state: HostState;
+	operatorSource: OperatorSource;
 	/** Starts to follow the log and to talk to the other hosts. */
 	start: () => void;
 	/** Refuses new work, finishes what it holds and leaves; resolves once nothing of it is left. */
@@ -126,17 +128,18 @@
 		onDemand: lending.ask,
 	});
 
+	const liveHosts = () => [self.id, ...membership.members().filter(member => isLive(member)).map(({host}) => host.id)];
+
 	const shareSlots = () => {
 		if (!configuration) {
 			return;
 		}
 
-		const live = membership.members().filter(member => isLive(member));
 		scheduler.configure(configuration, {
 			selfId: self.id,
 			zone: self.zone,
 			hostIds: membership.zoneMembers().map(({id}) => id),
-			totalHosts: live.length + 1,
+			totalHosts: liveHosts().length,
 		});
 		dispatcher.pump();
 	};
@@ -266,6 +269,18 @@
 		}),
 	};
 
+	const operatorSource = createOperatorSource({
+		state: hostState,
+		clock,
+		random,
+		membership,
+		calls,
+		router,
+		follower,
+		stream: links.configurationStream,
+		seeds: options.seeds,
+	});
+
 	const homeToken = () => isServing()
 		? formatHome({...claimant, epoch: epochs.current()})
 		: undefined;
@@ -318,10 +333,13 @@
 		scheduler,
 		calls,
 		metrics,
-		state: hostState,
+		operatorSource,
 		start() {
 			follower.start();
 			void claims.follow(stopping.signal);
+			void runSnapshotWriter({
+				stream: links.configurationStream, follower, clock, hostId: self.id, liveHosts, logger,
+			}, stopping.signal);
 			scheduleSweep();
 		},
 		async drain() {
--- a/packages/chivestream-entry/src/job-router.ts
+++ b/packages/chivestream-entry/src/job-router.ts
@@ -61,6 +61,8 @@
 	fetchLocal: (key: string, waitDeadline: number) => Promise<KeyStatus>;
 	cancel: (key: string) => Promise<KeyStatus>;
 	cancelLocal: (key: string, isForced?: boolean) => Promise<KeyStatus>;
+	/** The host that may run a key, as far as this one can tell. */
+	ownerOf: (key: string) => Claimant | undefined;
 };
 
 type Refusal = {code: FailureCode; message: string};
@@ -300,5 +302,6 @@
 			return await relay.cancel(owner, key) ?? {kind: 'unknown'};
 		},
 		cancelLocal,
+		ownerOf,
 	};
 };
