--- a/packages/chivestream-placement/src/index.ts
+++ b/packages/chivestream-placement/src/index.ts
@@ -1,4 +1,7 @@
 /** Decisions of one entry host: placement, admission, fairness and retries. */
 export * from './create-scheduler.js';
+export * from './heap.js';
+export * from './lender-choice.js';
+export * from './policies.js';
 export type * from './scheduler.js';
 export * from './slot-share.js';
--- /dev/null
+++ b/packages/chivestream-placement/src/lender-choice.ts
@@ -0,0 +1,78 @@
+/** Decides which hosts of the zone to ask for slots, from what they last said of their idle ones. */
+
+/** A request for slots to one host. */
+export type SlotRequest = {
+	lenderId: string;
+	upstream: string;
+	count: number;
+};
+
+/** What one host knows of the idle slots of the others, for each upstream. */
+export type LenderChoice = {
+	/** Takes what a host said of its idle slots. */
+	noteIdle: (lenderId: string, upstream: string, count: number) => void;
+	/** Forgets a host that left. */
+	forget: (lenderId: string) => void;
+	/** Whom to ask for how many, the one with most idle slots first; nothing while an answer is outstanding. */
+	plan: (upstream: string, count: number) => SlotRequest[];
+	/** Takes the answer to a request; 0 when the host lent nothing or did not answer. */
+	noteAnswer: (request: SlotRequest, granted: number) => void;
+};
+
+/** Share of a host's idle slots that it may be expected to lend. */
+const expectedLentShare = 0.5;
+
+/** A choice that knows no lender yet. */
+export const createLenderChoice = (): LenderChoice => {
+	const idle = new Map<string, Map<string, number>>();
+	const outstanding = new Set<string>();
+
+	const idleOf = (upstream: string): Map<string, number> => {
+		let counts = idle.get(upstream);
+		if (!counts) {
+			counts = new Map();
+			idle.set(upstream, counts);
+		}
+
+		return counts;
+	};
+
+	return {
+		noteIdle(lenderId, upstream, count) {
+			idleOf(upstream).set(lenderId, count);
+		},
+		forget(lenderId) {
+			for (const counts of idle.values()) {
+				counts.delete(lenderId);
+			}
+		},
+		plan(upstream, count) {
+			if (outstanding.has(upstream)) {
+				return [];
+			}
+
+			let left = count;
+			const requests: SlotRequest[] = [];
+			const lenders = [...idleOf(upstream)].toSorted(([, leftIdle], [, rightIdle]) => rightIdle - leftIdle);
+			for (const [lenderId, lenderIdle] of lenders) {
+				const asked = Math.min(left, Math.floor(lenderIdle * expectedLentShare));
+				if (asked > 0) {
+					requests.push({lenderId, upstream, count: asked});
+					left -= asked;
+				}
+			}
+
+			if (requests.length > 0) {
+				outstanding.add(upstream);
+			}
+
+			return requests;
+		},
+		noteAnswer({lenderId, upstream, count}, granted) {
+			outstanding.delete(upstream);
+			const counts = idleOf(upstream);
+			const known = counts.get(lenderId) ?? 0;
+			counts.set(lenderId, granted < count ? 0 : Math.max(0, known - granted));
+		},
+	};
+};
