--- a/packages/chivestream-stand-ins/src/demo/demo.ts
+++ b/packages/chivestream-stand-ins/src/demo/demo.ts
@@ -1,5 +1,5 @@
 /** One run of the demo: a cluster, its load, the events on the way and the verdict. */
-import {createRandom} from 'chivestream-core';
+import {createRandom, systemClock, waitUntil} from 'chivestream-core';
 import {
 	readStarts, startCluster, type Cluster, type CountedStarts,
 } from '../cluster/index.js';
@@ -20,11 +20,24 @@
 	rateFactor: number;
 };
 
+/** Exchanges beyond one for each job and one for each task. */
+export type WastedMessages = {
+	/** Tasks that a minion refused. */
+	refusals: number;
+	/** Jobs handed to the entry host that is their home. */
+	forwards: number;
+	/** Requests for another entry host's free slots. */
+	loanRequests: number;
+	/** Copies of jobs that callers sent again. */
+	resubmissions: number;
+	/** Messages of all of these, a request and an answer each, over the number of tasks. */
+	perTask: number;
+};
+
 /** What a run of the demo showed. */
 export type DemoResult = {
 	verdict: Verdict;
-	resubmissions: number;
-	wastedMessagesPerTask: number;
+	wasted: WastedMessages;
 	configurationInForceMs: number;
 	/** Time from the drain of a minion to the last task that started there; 0 when none did. */
 	newWorkAfterLeaveMs: number;
@@ -38,6 +51,8 @@
 const hostListLagMs = 2000;
 const callers = 24;
 const jobTimeoutMs = 15_000;
+/** Entry hosts that have just met hold off from one another's slots for a while. */
+const warmUpMs = 4000;
 const messagesPerExchange = 2;
 
 const startDemoCluster = async (seed: number): Promise<Cluster> => startCluster({
@@ -58,17 +73,20 @@
 		.toSorted((left, right) => left.sendAt - right.sendAt);
 };
 
-/** Exchanges beyond one for each job and one for each task, over the number of tasks. */
-const countWastedMessages = (load: LoadResult, counted: readonly CountedStarts[], scraper: Scraper): number => {
+const countWastedMessages = (load: LoadResult, counted: readonly CountedStarts[], scraper: Scraper): WastedMessages => {
 	const refusals = counted.reduce((sum, {requests, total}) => sum + requests - total, 0);
 	const forwards = scraper.sum('chivestream_forwards_total');
-	const loans = scraper.sum('chivestream_loan_requests_total');
-	const exchanges = refusals + forwards + loans + load.resubmissions;
+	const loanRequests = scraper.sum('chivestream_loan_requests_total');
+	const {resubmissions} = load;
+	const exchanges = refusals + forwards + loanRequests + resubmissions;
 	const tasks = load.outcomes.reduce((sum, {job}) => sum + job.tasks.length, 0);
-	return exchanges * messagesPerExchange / tasks;
+	return {
+		refusals, forwards, loanRequests, resubmissions, perTask: exchanges * messagesPerExchange / tasks,
+	};
 };
 
 const runOn = async (cluster: Cluster, options: DemoOptions): Promise<DemoResult> => {
+	await waitUntil(systemClock, Date.now() + warmUpMs);
 	const scraper = startScraper(cluster.entries);
 	const [load, events] = await Promise.all([
 		runLoad(planAll(options), {
@@ -89,8 +107,7 @@
 	});
 	return {
 		verdict,
-		resubmissions: load.resubmissions,
-		wastedMessagesPerTask: countWastedMessages(load, counted, scraper),
+		wasted: countWastedMessages(load, counted, scraper),
 		configurationInForceMs: events.configurationInForceMs,
 		newWorkAfterLeaveMs: Math.max(0, (drainedMinion.lastStartAt ?? 0) - events.minionDrainedAt),
 		events,
--- a/packages/chivestream-stand-ins/src/demo/table.ts
+++ b/packages/chivestream-stand-ins/src/demo/table.ts
@@ -32,15 +32,18 @@
 	return parts.length === 0 ? '0' : parts.join(', ');
 };
 
-/** Rows of label and value. */
-export const createRows = (result: DemoResult): Array<[label: string, value: string | number]> => {
-	const {verdict, events} = result;
+/** A label and its value. */
+export type Row = [label: string, value: string | number];
+
+/** The rows of the table. */
+export const createRows = (result: DemoResult): Row[] => {
+	const {verdict, events, wasted} = result;
 	const {violations} = verdict;
 	return [
 		['jobs', verdict.jobs],
 		['  complete', verdict.complete],
 		['  failed', formatFailures(verdict.failed)],
-		['  resubmissions', result.resubmissions],
+		['  resubmissions', wasted.resubmissions],
 		['tasks', verdict.tasks],
 		['  starts counted by the minions', verdict.starts],
 		['started twice', violations.startedTwice],
@@ -51,7 +54,9 @@
 		['cut by the planned stop', violations.cutByStop],
 		['response ratio p50', verdict.ratio.p50],
 		['response ratio p99', verdict.ratio.p99],
-		['wasted messages per task', result.wastedMessagesPerTask.toFixed(3)],
+		...Object.entries(verdict.ratioByUpstream).map(([upstream, {p50, p99}]): Row => [`  ${upstream}, p50 and p99`, `${p50}, ${p99}`]),
+		['wasted messages per task', wasted.perTask.toFixed(3)],
+		['  forwards, loan requests, refusals', `${wasted.forwards}, ${wasted.loanRequests}, ${wasted.refusals}`],
 		['configuration change in force, ms', result.configurationInForceMs],
 		['new work after a minion left, ms', result.newWorkAfterLeaveMs],
 		['entry host killed', events.killedHostId],
@@ -60,7 +65,7 @@
 };
 
 /** The rows as text in two columns. */
-export const formatTable = (rows: Array<[label: string, value: string | number]>): string => {
+export const formatTable = (rows: readonly Row[]): string => {
 	const width = Math.max(...rows.map(([label]) => label.length));
 	return rows.map(([label, value]) => `${label.padEnd(width)}  ${value}`).join('\n');
 };
--- a/packages/chivestream-stand-ins/src/demo/verdict.ts
+++ b/packages/chivestream-stand-ins/src/demo/verdict.ts
@@ -22,6 +22,12 @@
 	cutByStop: number;
 };
 
+/** Percentiles of response time over ideal. */
+export type Ratio = {
+	p50: number;
+	p99: number;
+};
+
 /** What a run showed. */
 export type Verdict = {
 	jobs: number;
@@ -32,7 +38,8 @@
 	failed: Record<string, number>;
 	violations: Violations;
 	/** Response time over ideal, of the complete jobs. */
-	ratio: {p50: number; p99: number};
+	ratio: Ratio;
+	ratioByUpstream: Record<string, Ratio>;
 };
 
 /** What the verdict is drawn from. */
@@ -115,7 +122,7 @@
 	return answer.failure.notRun ? `${answer.failure.code} (not run)` : answer.failure.code;
 };
 
-const measureRatio = (outcomes: readonly JobOutcome[], slotSpeeds: Record<string, number[]>): Verdict['ratio'] => {
+const measureRatio = (outcomes: readonly JobOutcome[], slotSpeeds: Record<string, number[]>): Ratio => {
 	const histogram = build({numberOfSignificantValueDigits: 3});
 	for (const {job, answers, sentAt, endedAt} of outcomes) {
 		if (answers.at(-1)?.state === 'complete') {
@@ -156,6 +163,8 @@
 		failed,
 		violations,
 		ratio: measureRatio(outcomes, slotSpeeds),
+		ratioByUpstream: Object.fromEntries(Object.keys(slotSpeeds).map(upstream =>
+			[upstream, measureRatio(outcomes.filter(({job}) => job.upstream === upstream), slotSpeeds)])),
 	};
 };
 
