--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -15,7 +15,7 @@
 import {
 	createMembership, hostPhase, isLive, type Membership, type PeerHandlers,
 } from 'chivestream-peer';
-import {type OperatorSource} from 'chivestream-operator';
+import {answerPeerRequest as answerOperatorRequest, type OperatorSource} from 'chivestream-operator';
 import {createScheduler, type Scheduler} from 'chivestream-placement';
 import {createClaims} from './claims.js';
 import {createDispatcher, type AttemptRunner} from './dispatcher.js';
@@ -30,7 +30,7 @@
 import {createOperatorSource} from './operator-source.js';
 import {createPeerCalls, type PeerCalls} from './peer-calls.js';
 import {answerPeerRequest} from './peer-request.js';
-import {type HostState, readRows} from './host-rows.js';
+import {type HostState} from './host-rows.js';
 
 /** A running entry host without its servers. */
 export type EntryHost = {
@@ -262,7 +262,7 @@
 		query: async request => answerPeerRequest(request, {
 			fetch: router.fetchLocal,
 			cancel: router.cancelLocal,
-			rows: table => readRows(hostState, table),
+			operator: text => answerOperatorRequest(operatorSource, text),
 			state: peerState,
 			adopt: (state: State) => follower.adopt(state),
 			version: () => configuration?.version ?? -1,
@@ -279,6 +279,9 @@
 		follower,
 		stream: links.configurationStream,
 		seeds: options.seeds,
+		readHistory: () => ({
+			host: self.id, zone: self.zone, since: startedAt, at: clock.now(), from: startedAt, objectives: [],
+		}),
 	});
 
 	const homeToken = () => isServing()
--- a/packages/chivestream-entry/src/entry-process.ts
+++ b/packages/chivestream-entry/src/entry-process.ts
@@ -10,7 +10,9 @@
 	type Logger,
 } from 'chivestream-core';
 import {startCallerService, type CallerHandlers} from 'chivestream-caller';
+import {readDeclarations} from 'chivestream-configuration';
 import {createMinionClient} from 'chivestream-minion';
+import {createOperatorService} from 'chivestream-operator';
 import {createPeerClients, startPeerService, type PeerHandlers} from 'chivestream-peer';
 import {createHostList, createLog, streamName} from 'chivestream-platform';
 import {type EntrySettings} from 'chivestream-settings';
@@ -21,6 +23,7 @@
 export type ProcessAddresses = {
 	caller: string;
 	peer: string;
+	operator: string;
 };
 
 /** A running entry process. */
@@ -101,6 +104,7 @@
 		callerAddress: settings.advertise.caller ?? callerService.address,
 		operatorAddress: settings.advertise.operator ?? settings.listen.operator,
 	};
+	const operatorListen = splitAddress(settings.listen.operator);
 	const log = createLog({urls: settings.platform.logs, requestMs: settings.limits.platformRequestMs});
 	const hostList = createHostList({url: settings.platform.hosts, requestMs: settings.limits.platformRequestMs});
 	const minions = createMinionClient();
@@ -121,16 +125,26 @@
 	});
 	running.host = host;
 	host.start();
+	const operatorService = createOperatorService(host.operatorSource, {
+		token: settings.operatorToken,
+		checkDeclarations: text => readDeclarations(text, 'declarations', host.follower.held.configuration.declarations.drains)
+			.mapErr(failure => [failure.message]),
+		logger,
+	});
+	const operatorPort = await operatorService.listen(operatorListen.port, operatorListen.host);
+	const operatorAddress = `${operatorListen.host}:${operatorPort}`;
+	self.operatorAddress = settings.advertise.operator ?? operatorAddress;
 	logger.info('listening', {
 		step: 'start', peer: self.id, caller: callerService.address, peerService: peerService.address,
 	});
 
 	return {
 		host: self,
-		addresses: {caller: callerService.address, peer: peerService.address},
+		addresses: {caller: callerService.address, peer: peerService.address, operator: operatorAddress},
 		async stop() {
 			await host.drain();
 			await callerService.close();
+			await operatorService.close();
 			await host.close();
 			await peerService.close();
 			await minions.close();
--- a/packages/chivestream-entry/src/operator-source.ts
+++ b/packages/chivestream-entry/src/operator-source.ts
@@ -1,12 +1,11 @@
 /** What the operators' service asks of this entry host: rows and versions of all hosts, and commands. */
 import {
-	Failure, failureCode, type Clock, type JobAnswer, type Random,
+	Failure, failureCode, type Clock, type Declarations, type HostHistory, type JobAnswer, type Random,
 } from 'chivestream-core';
 import {
 	changeKind,
 	findVersion,
 	planChange,
-	readDeclarations,
 	recordKind,
 	submitCommand,
 	verdictOutcome,
@@ -20,12 +19,9 @@
 	submissionOutcome,
 	type ConfigurationChange,
 	type ConfigurationCommand,
-	type Gathered,
-	type MissingHost,
 	type OperatorSource,
-	type RowsByTable,
+	type QueriedPeer,
 	type Submission,
-	type TableName,
 } from 'chivestream-operator';
 import {
 	memberState, type Member, type Membership,
@@ -47,13 +43,12 @@
 	follower: Follower;
 	stream: Stream;
 	seeds: ReadonlyArray<{id: string; zone: string}>;
+	/** What this host has recorded about its objectives. */
+	readHistory: () => HostHistory;
 };
 
 const author = 'operator';
 
-const areRows = <Table extends TableName>(rows: unknown[]): rows is Array<RowsByTable[Table]> =>
-	rows.every(row => typeof row === 'object' && row !== null);
-
 const invalid = (faults: string[]): Submission => ({outcome: submissionOutcome.invalid, faults});
 
 const toSubmission = (submission: CommandSubmission): Submission => {
@@ -85,31 +80,36 @@
 	} = options;
 	const {self} = state;
 
+	const queryMember = async (member: Member, request: string, deadline: number): Promise<Result<string, Failure>> => {
+		const reply = await calls.ask<'operator'>(member, {kind: 'operator', request}, deadline);
+		const failure = new Failure(failureCode.connectionFailed, `no answer; last known state: ${member.state}`, {step: 'query', peer: member.host.id});
+		return reply === undefined ? Err(failure) : Ok(reply);
+	};
+
 	/** Every host that should answer: members that have not left, and seeds that were never seen. */
-	const listOthers = (): {members: Member[]; unseen: MissingHost[]} => {
+	const listPeers = (): QueriedPeer[] => {
 		const known = membership.members();
 		const knownIds = new Set([self.id, ...known.map(({host}) => host.id)]);
-		const unseen = options.seeds
-			.filter(({id}) => !knownIds.has(id))
-			.map(({id, zone}) => ({host: id, zone, reason: 'never seen since this host started'}));
-		return {members: known.filter(member => member.state !== memberState.left), unseen};
+		const unseen = options.seeds.filter(({id}) => !knownIds.has(id)).map(({id, zone}) => ({
+			host: id,
+			zone,
+			query: async () => Err(new Failure(failureCode.connectionFailed, 'never seen since this host started', {step: 'query', peer: id})),
+		}));
+		const seen = known.filter(member => member.state !== memberState.left).map(member => ({
+			host: member.host.id,
+			zone: member.host.zone,
+			query: async (request: string, deadline: number) => queryMember(member, request, deadline),
+		}));
+		return [...seen, ...unseen];
 	};
 
-	const gatherReplies = async <Item>(ask: (member: Member) => Promise<Item[] | undefined>, own: Item[]): Promise<Gathered<Item>> => {
-		const {members, unseen} = listOthers();
-		const missing = [...unseen];
-		const replies = await Promise.all(members.map(async member => {
-			const items = await ask(member);
-			if (!items) {
-				missing.push({host: member.host.id, zone: member.host.zone, reason: `no answer; last known state: ${member.state}`});
-			}
-
-			return items ?? [];
-		}));
-		return {items: [...own, ...replies.flat()], missing};
+	/** The smallest change where it is certain what it starts from; otherwise the whole declarations. */
+	const replaceWith = (declarations: Declarations, baseVersion: number): Change => {
+		const {version, declarations: current} = follower.held.configuration;
+		return version === baseVersion ? planChange(current, declarations) : {kind: changeKind.replace, declarations};
 	};
 
-	const resolveChange = async (change: ConfigurationChange): Promise<Result<Change, string[]>> => {
+	const resolveChange = async (change: ConfigurationChange, baseVersion: number): Promise<Result<Change, string[]>> => {
 		switch (change.kind) {
 			case commandKind.drain:
 			case commandKind.undrain: {
@@ -129,23 +129,20 @@
 			}
 
 			case commandKind.replace: {
-				const current = follower.held.configuration.declarations;
-				return readDeclarations(change.declarations, 'declarations', current.drains)
-					.map(declarations => planChange(current, declarations))
-					.mapErr(failure => [failure.message]);
+				return Ok(replaceWith(change.declarations, baseVersion));
 			}
 
 			case commandKind.rollback: {
 				const found = await findVersion(stream, change.version);
 				return found
-					.map(({declarations}) => planChange(follower.held.configuration.declarations, declarations))
+					.map(({declarations}) => replaceWith(declarations, baseVersion))
 					.mapErr(failure => [failure.message]);
 			}
 		}
 	};
 
 	const submit = async ({commandId, baseVersion, change}: ConfigurationCommand, deadline: number): Promise<Submission> => {
-		const target = await resolveChange(change);
+		const target = await resolveChange(change, baseVersion);
 		if (target.isErr()) {
 			return invalid(target.error);
 		}
@@ -172,14 +169,8 @@
 	return {
 		self: {host: self.id, zone: self.zone},
 		localRows: table => readRows(state, table),
-		async gather<Table extends TableName>(table: Table, deadline: number): Promise<Gathered<RowsByTable[Table]>> {
-			const ask = async (member: Member) => {
-				const rows = await calls.ask<'rows'>(member, {kind: 'rows', table}, deadline);
-				return rows && areRows<Table>(rows) ? rows : undefined;
-			};
-
-			return gatherReplies(ask, readRows(state, table));
-		},
+		localHistory: options.readHistory,
+		peers: listPeers,
 		async cancel(key, mode, deadline): Promise<Result<JobAnswer | undefined, Failure>> {
 			const status = await cancelAt(findHolder(key), key, mode === cancelMode.stop, deadline);
 			if (!status) {
@@ -196,13 +187,5 @@
 			})));
 		},
 		submit,
-		async inForce(deadline) {
-			const own = {host: self.id, zone: self.zone, version: state.configuration()?.version ?? -1};
-			return gatherReplies(async ({host}) => {
-				const member = membership.findMember(host.id);
-				const version = member && await calls.ask<'version'>(member, {kind: 'version'}, deadline);
-				return version === undefined ? undefined : [{host: host.id, zone: host.zone, version}];
-			}, [own]);
-		},
 	};
 };
--- a/packages/chivestream-entry/src/peer-request.ts
+++ b/packages/chivestream-entry/src/peer-request.ts
@@ -1,13 +1,12 @@
 /** Requests between entry hosts that travel as JSON in the peer service's `Query` call. */
 import {type KeyStatus} from 'chivestream-core';
 import {type PeerState, type State, stateSchema} from 'chivestream-configuration';
-import {type TableName, tableNames} from 'chivestream-operator';
 import {z} from 'zod';
 
 const requestSchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('fetch'), key: z.string(), waitDeadline: z.number()}),
 	z.object({kind: z.literal('cancel'), key: z.string(), isForced: z.boolean()}),
-	z.object({kind: z.literal('rows'), table: z.enum(tableNames)}),
+	z.object({kind: z.literal('operator'), request: z.string()}),
 	z.object({kind: z.literal('state')}),
 	z.object({kind: z.literal('adopt'), state: stateSchema}),
 	z.object({kind: z.literal('version')}),
@@ -20,7 +19,8 @@
 export type PeerReplies = {
 	fetch: KeyStatus;
 	cancel: KeyStatus;
-	rows: unknown[];
+	/** Reply to a question of an operator. */
+	operator: string;
 	state: PeerState;
 	/** Offset that the host now holds. */
 	adopt: number;
@@ -32,7 +32,7 @@
 export type PeerRequestHandlers = {
 	fetch: (key: string, waitDeadline: number) => Promise<KeyStatus>;
 	cancel: (key: string, isForced: boolean) => Promise<KeyStatus>;
-	rows: (table: TableName) => unknown[];
+	operator: (request: string) => string;
 	state: () => PeerState;
 	adopt: (state: State) => number;
 	version: () => number;
@@ -43,7 +43,7 @@
 const replySchemas: {[Kind in keyof PeerReplies]: z.ZodType<PeerReplies[Kind]>} = {
 	fetch: keyStatusSchema,
 	cancel: keyStatusSchema,
-	rows: z.array(z.unknown()),
+	operator: z.string(),
 	state: z.object({
 		hostId: z.string(), zone: z.string(), isProven: z.boolean(), state: stateSchema,
 	}),
@@ -67,8 +67,8 @@
 			return handlers.cancel(request.key, request.isForced);
 		}
 
-		case 'rows': {
-			return handlers.rows(request.table);
+		case 'operator': {
+			return handlers.operator(request.request);
 		}
 
 		case 'state': {
--- a/packages/chivestream-replay/src/profile/baselines.ts
+++ b/packages/chivestream-replay/src/profile/baselines.ts
@@ -108,6 +108,7 @@
 		idleSlots: () => [],
 		observations: () => [],
 		observe: doNothing,
+		targets: () => [],
 		load: () => [],
 	};
 };
