Run tasks on workers under leases with deadlines and fences

Leases are taken when a task needs room, shared by the tasks that fit, renewed by one task per worker while in use and released once idle. A task is not sent under a lease near its deadline; when the holder was paused and does not know that its lease lapsed, the worker refuses with 409, which counts as not started.

--- a/packages/chivestream-worker/src/index.ts
+++ b/packages/chivestream-worker/src/index.ts
@@ -1,4 +1,4 @@
-/** Package `chivestream-worker`. */
-
-/** Name of this package. */
-export const packageName = 'chivestream-worker';
+/** Client of the workers: tasks under leases. */
+export * from './lease-client.js';
+export * from './leases.js';
+export * from './worker-client.js';
