--- a/packages/chivestream-configuration/src/follower.ts
+++ b/packages/chivestream-configuration/src/follower.ts
@@ -4,11 +4,11 @@
 } from 'chivestream-core';
 import {type Stream, type StreamPage, type StreamRecord} from 'chivestream-platform';
 import {retryDeadline} from './backoff.js';
+import {initialLogView, type LogView, viewPage} from './log-view.js';
 import {isProven, type PeerState, type Proof} from './proof.js';
 import {
 	applyOffer, applyPage, applyState, heldOffset, initialReader, nextOffset, type Reader, type ReaderRules,
 } from './reader.js';
-import {parseSnapshotPart} from './snapshot.js';
 import {findVerdict, type State, type Verdict} from './state.js';
 import {createWaiters} from './waiters.js';
 
@@ -22,7 +22,7 @@
 	zone: string;
 	/** Entry hosts known in the zone, this one included. */
 	zoneSize: () => number;
-	/** What the other entry hosts hold, from those that answer. */
+	/** What the other entry hosts hold, from those that answer before a deadline of its own. */
 	fetchFromPeers: () => Promise<PeerState[]>;
 	/** Offers a version to the zone before it comes into force; resolves once enough hosts hold it or at the deadline. */
 	confirmHeld?: (state: State, deadline: number) => Promise<void>;
@@ -35,14 +35,6 @@
 	rules?: ReaderRules;
 };
 
-/** The log's bounds and newest snapshot, as far as this host has read. */
-export type LogView = {
-	first: number;
-	next: number;
-	/** Offset that the newest snapshot covers, and when this host saw it. */
-	snapshot: {covers: number; seenAt: number} | undefined;
-};
-
 const pageLimit = 500;
 const defaultPollMs = 10_000;
 const confirmMs = 300;
@@ -50,12 +42,6 @@
 const quietPauseMs = 50;
 const step = 'follow-configuration';
 
-/** Offset that the newest complete snapshot among the records covers, or -1. */
-const newestSnapshot = (records: readonly StreamRecord[]): number => {
-	const lastParts = records.map(record => parseSnapshotPart(record)).filter(part => part?.part === (part?.parts ?? 0) - 1);
-	return Math.max(-1, ...lastParts.map(part => part?.covers ?? -1));
-};
-
 /** The task that follows the configuration stream. */
 export class Follower {
 	readonly #options: FollowerOptions;
@@ -72,7 +58,7 @@
 	#isPublishing = false;
 	#failures = 0;
 	#lastFailure: Failure | undefined;
-	#logView: LogView = {first: 0, next: 0, snapshot: undefined};
+	#logView: LogView = initialLogView;
 
 	constructor(options: FollowerOptions) {
 		this.#options = options;
@@ -205,7 +191,7 @@
 	}
 
 	#takePage(page: StreamPage): void {
-		this.#viewLog(page);
+		this.#logView = viewPage(this.#logView, page, this.#options.clock.now());
 		const reader = applyPage(this.#reader, page, this.#options.rules);
 		const isAtEnd = nextOffset(reader) >= page.next;
 		if (reader.search && isAtEnd) {
@@ -216,13 +202,6 @@
 		this.#take(reader);
 	}
 
-	#viewLog({first, next, records}: StreamPage): void {
-		const covers = newestSnapshot(records);
-		const known = this.#logView.snapshot;
-		const snapshot = covers > (known?.covers ?? -1) ? {covers, seenAt: this.#options.clock.now()} : known;
-		this.#logView = {first, next, snapshot};
-	}
-
 	/** Asks the peers what they hold, one round at a time. */
 	async #askPeers(): Promise<void> {
 		if (this.#isAskingPeers) {
--- a/packages/chivestream-configuration/src/index.ts
+++ b/packages/chivestream-configuration/src/index.ts
@@ -8,6 +8,7 @@
 export * from './fold.js';
 export * from './follower.js';
 export * from './history.js';
+export * from './log-view.js';
 export * from './proof.js';
 export * from './read-declarations.js';
 export * from './reader.js';
--- a/packages/chivestream-configuration/src/snapshot-writer.ts
+++ b/packages/chivestream-configuration/src/snapshot-writer.ts
@@ -4,7 +4,8 @@
 } from 'chivestream-core';
 import {type Stream} from 'chivestream-platform';
 import {Err, Ok, type Result} from 'ts-results-es';
-import {type Follower, type LogView} from './follower.js';
+import {type Follower} from './follower.js';
+import {type LogView} from './log-view.js';
 import {createSnapshot} from './snapshot.js';
 import {type State} from './state.js';
 
