--- a/packages/chivestream-configuration/bench/fold.js
+++ b/packages/chivestream-configuration/bench/fold.js
@@ -4,7 +4,7 @@
 */
 import process from 'node:process';
 import {
-	applyPage, applyRecord, createSnapshot, formatState, initialReader, initialState, nextOffset, parseState,
+	applyChange, applyPage, applyRecord, createSnapshot, declarationsSchema, formatState, initialReader, initialState, nextOffset, parseState, planChange,
 } from '../dist/index.js';
 
 const changes = 13_000;
@@ -77,6 +77,11 @@
 	const all = measureMs(() => readAll(records));
 	const snapshot = measureMs(() => createSnapshot(all.result));
 	const restored = measureMs(() => parseState(formatState(all.result)));
+	const current = declarationsSchema.parse(createDeclarations(workerCount));
+	const target = declarationsSchema.parse(createDeclarations(workerCount));
+	target.upstreams.lens.workers[0].cores = 32;
+	const plan = measureMs(() => planChange(current, target));
+	const edit = measureMs(() => applyChange(current, plan.result));
 	const changeBytes = others.reduce((sum, {value}) => sum + JSON.stringify(value).length, 0);
 	console.log(JSON.stringify({
 		workers: workerCount,
@@ -87,6 +92,9 @@
 		foldAllMs: Math.round(all.ms),
 		foldEachUs: Math.round((all.ms - first.ms) / changes * 1000),
 		replaceBytes: JSON.stringify(replace.value).length,
+		planMs: Math.round(plan.ms),
+		editMs: Math.round(edit.ms),
+		editBytes: JSON.stringify(plan.result).length,
 		changeBytesEach: Math.round(changeBytes / changes),
 		snapshotBytes: formatState(all.result).length,
 		snapshotParts: snapshot.result.length,
--- a/packages/chivestream-configuration/src/__tests__/mechanisms.test.ts
+++ b/packages/chivestream-configuration/src/__tests__/mechanisms.test.ts
@@ -4,7 +4,7 @@
 import {FakeStream} from '../__fixtures__/fake-stream.js';
 import {soon, startFollower} from '../__fixtures__/test-follower.js';
 import {
-	answersNeeded, type Change, type Follower, holdersNeeded, type PeerState, submitCommand,
+	answersNeeded, type Change, createSnapshot, type Follower, type FollowerOptions, holdersNeeded, type PeerState, submitCommand,
 } from '../index.js';
 
 const shortWaitMs = 400;
@@ -27,9 +27,9 @@
 	hostId, zone: 'a', isProven, state: held,
 });
 
-/** Pushes what one follower holds to another, as hosts of a zone do before a version comes into force. */
-const pushTo = (target: Follower) => async (state: Follower['held']) => {
-	target.adopt(state);
+/** Offers the records of a version to another follower, as hosts of a zone do before the version comes into force. */
+const offerTo = (target: Follower): FollowerOptions['confirmHeld'] => async (state, deadline, records) => {
+	await target.hold(state.configuration.offset, records, deadline);
 };
 
 /** One host reads a version and dies; then the log fails and a new host asks the rest of the zone. */
@@ -42,7 +42,7 @@
 	await stream.append(createCommand('c1', 1, quota));
 	const fresh = new FakeStream();
 	fresh.records = stream.records;
-	const {follower: dying} = follow(fresh, options.isConfirming ? {confirmHeld: pushTo(rest)} : {});
+	const {follower: dying} = follow(fresh, options.isConfirming ? {confirmHeld: offerTo(rest)} : {});
 	await dying.waitForVersion(2, soon());
 	dying.stop();
 	stream.isOut = true;
@@ -96,6 +96,24 @@
 	expect(await untold.waitForVersion(1, soon())).toBe(true);
 });
 
+test('a host offers the records since the version in force, without the text of snapshots', async () => {
+	const stream = new FakeStream();
+	const offered: number[][] = [];
+	const {follower} = follow(stream, {
+		async confirmHeld(_state, _deadline, records) {
+			offered.push(records.map(({offset}) => offset));
+			expect(JSON.stringify(records)).not.toContain('snapshotId');
+		},
+	});
+	await follower.waitForVersion(0, soon());
+	await stream.append(sampleCommand);
+	await follower.waitForVersion(1, soon());
+	await stream.append(createSnapshot(follower.held)[0]);
+	await stream.append(createCommand('c1', 1, quota));
+	await follower.waitForVersion(2, soon());
+	expect(offered).toEqual([[], [0], [1, 2]]);
+});
+
 test('an append that was lost on its way is settled by repeating it', async () => {
 	const stream = new FakeStream();
 	const {submit} = follow(stream);
--- a/packages/chivestream-configuration/src/follower.ts
+++ b/packages/chivestream-configuration/src/follower.ts
@@ -6,6 +6,7 @@
 import {retryDeadline} from './backoff.js';
 import {initialLogView, type LogView, viewPage} from './log-view.js';
 import {isProven, type PeerState, type Proof} from './proof.js';
+import {addRecentRecords} from './recent-records.js';
 import {
 	applyOffer, applyPage, applyState, heldOffset, initialReader, nextOffset, type Reader, type ReaderRules,
 } from './reader.js';
@@ -24,8 +25,11 @@
 	zoneSize: () => number;
 	/** What the other entry hosts hold, from those that answer before a deadline of its own. */
 	fetchFromPeers: () => Promise<PeerState[]>;
-	/** Offers a version to the zone before it comes into force; resolves once enough hosts hold it or at the deadline. */
-	confirmHeld?: (state: State, deadline: number) => Promise<void>;
+	/**
+	Offers a version to the zone before it comes into force; resolves once enough hosts hold it or at the deadline. The records
+	lead to it from the version before; other hosts pass them to `hold`.
+	*/
+	confirmHeld?: (state: State, deadline: number, records: readonly StreamRecord[]) => Promise<void>;
 	/** Called with each version that comes into force here, in order. */
 	onChange: (configuration: Configuration) => void;
 	/** How long one read waits for news, in milliseconds. */
@@ -51,6 +55,7 @@
 	#wake = new AbortController();
 	#reader: Reader = initialReader;
 	#inForce: Configuration | undefined;
+	#recent: readonly StreamRecord[] = [];
 	#hasReachedLogEnd = false;
 	#havePeersAnswered = false;
 	#isProven = false;
@@ -118,11 +123,19 @@
 
 	/** Takes records that another host read, or that this one appended; gives the offset that it now holds. */
 	offer(records: readonly StreamRecord[]): number {
-		this.#take(applyOffer(this.#reader, records, this.#options.rules));
+		this.#take(applyOffer(this.#reader, records, this.#options.rules), records);
 		this.notice(records.at(-1)?.offset ?? -1);
 		return heldOffset(this.#reader);
 	}
 
+	/** Takes records that another host offers and waits until this one holds the offset; gives the offset it holds at the deadline. */
+	async hold(offset: number, records: readonly StreamRecord[], deadline: number): Promise<number> {
+		this.offer(records);
+		this.notice(offset);
+		await this.waitForOffset(offset, deadline);
+		return heldOffset(this.#reader);
+	}
+
 	/** Takes the state of another host if it holds more; gives the offset that this host now holds. */
 	adopt(state: State): number {
 		this.#take(applyState(this.#reader, state));
@@ -199,7 +212,7 @@
 		}
 
 		this.#hasReachedLogEnd ||= isAtEnd && !reader.search;
-		this.#take(reader);
+		this.#take(reader, page.records);
 	}
 
 	/** Asks the peers what they hold, one round at a time. */
@@ -231,7 +244,8 @@
 	}
 
 	/** Goes on with a reader that holds at least as much as the one before. */
-	#take(reader: Reader): void {
+	#take(reader: Reader, records: readonly StreamRecord[] = []): void {
+		this.#recent = addRecentRecords(this.#recent, records, {before: heldOffset(this.#reader), after: heldOffset(reader)});
 		this.#reader = reader;
 		this.#isProven ||= (this.#options.proof ?? isProven)({
 			hasReachedLogEnd: this.#hasReachedLogEnd,
@@ -254,8 +268,10 @@
 		this.#isPublishing = true;
 		while (this.held.configuration.version > (this.#inForce?.version ?? -1) && !this.#stopping.signal.aborted) {
 			const state = this.held;
+			const {offset} = state.configuration;
 			// eslint-disable-next-line no-await-in-loop
 			await this.#confirmHeld(state);
+			this.#recent = this.#recent.filter(record => record.offset > offset);
 			this.#putInForce(state.configuration);
 		}
 
@@ -264,7 +280,7 @@
 
 	async #confirmHeld(state: State): Promise<void> {
 		try {
-			await this.#options.confirmHeld?.(state, this.#options.clock.now() + confirmMs);
+			await this.#options.confirmHeld?.(state, this.#options.clock.now() + confirmMs, this.#recent);
 		} catch (error) {
 			this.#warn('the zone could not be offered a version', error);
 		}
