--- a/packages/chivestream-operator/src/execute/declarations.ts
+++ b/packages/chivestream-operator/src/execute/declarations.ts
@@ -1,39 +1,42 @@
 /** Carries out `plan` and `apply`. */
-import {
-	type Declarations, Failure, failureCode,
-} from 'chivestream-core';
+import {findDifferences, readDeclarations} from 'chivestream-configuration';
+import {type Declarations, Failure, failureCode} from 'chivestream-core';
 import {type Result} from 'ts-results-es';
 import {type Answer, type ChangeAnswer, type PlanAnswer} from '../answers.js';
 import {commandKind, submissionOutcome} from '../source.js';
 import {executeChange} from './change.js';
 import {type ExecutionContext, requireConfiguration} from './context.js';
-import {findDifferences} from './differences.js';
-
-const readDeclarations = (context: ExecutionContext): Result<Declarations, string[]> => {
-	const {declarations: text} = context.request;
-	if (text === undefined) {
-		throw new Failure(
-			failureCode.badRequest,
-			'the request lacks the text of the file in the field "declarations"',
-			{step: 'operate', peer: context.source.self.host},
-		);
+
+const requireText = (context: ExecutionContext): string => {
+	const {declarations} = context.request;
+	if (declarations !== undefined) {
+		return declarations;
 	}
 
-	return context.checkDeclarations(text);
+	throw new Failure(
+		failureCode.badRequest,
+		'the request lacks the text of the file in the field "declarations"',
+		{step: 'operate', peer: context.source.self.host},
+	);
+};
+
+const checkText = (context: ExecutionContext, text: string): Result<Declarations, Failure> => {
+	const {drains} = requireConfiguration(context).declarations;
+	return readDeclarations(text, 'declarations', drains);
 };
 
-const refuse = (context: ExecutionContext, baseVersion: number, faults: string[]): ChangeAnswer => ({
+const refuse = (context: ExecutionContext, baseVersion: number, failure: Failure): ChangeAnswer => ({
 	kind: 'change',
 	commandId: context.request.commandId ?? '',
 	baseVersion,
 	outcome: submissionOutcome.invalid,
-	faults,
+	faults: failure.message.split('\n'),
 });
 
 /** What the file would change against the configuration in force. */
 export const executePlan = (context: ExecutionContext): PlanAnswer | ChangeAnswer => {
 	const {version, offset, declarations} = requireConfiguration(context);
-	const proposed = readDeclarations(context);
+	const proposed = checkText(context, requireText(context));
 	if (proposed.isErr()) {
 		return refuse(context, version, proposed.error);
 	}
@@ -45,11 +48,12 @@
 
 /** Puts the file's declarations in force, if the version that they were planned from still is. */
 export const executeApply = async (context: ExecutionContext, statedBaseVersion?: number): Promise<Answer> => {
-	const proposed = readDeclarations(context);
+	const text = requireText(context);
+	const proposed = checkText(context, text);
 	const baseVersion = statedBaseVersion ?? context.request.baseVersion ?? requireConfiguration(context).version;
 	if (proposed.isErr()) {
 		return refuse(context, baseVersion, proposed.error);
 	}
 
-	return executeChange(context, {kind: commandKind.replace, declarations: proposed.value}, baseVersion);
+	return executeChange(context, {kind: commandKind.replace, declarations: text}, baseVersion);
 };
