--- a/packages/chivestream-core/src/histograms.ts
+++ b/packages/chivestream-core/src/histograms.ts
@@ -1,4 +1,5 @@
 /** What each entry host exports about its objectives: response times and counts by minute. */
+import {type Objective} from './declarations.js';
 
 /** Length of a bucket in milliseconds. */
 export const bucketMs = 60_000;
@@ -19,7 +20,7 @@
 
 /** The buckets of one objective, oldest first; a bucket without jobs is left out. */
 export type ObjectiveHistory = {
-	objective: string;
+	objective: Objective;
 	buckets: ObjectiveBucket[];
 };
 
--- a/packages/chivestream-report/src/main.ts
+++ b/packages/chivestream-report/src/main.ts
@@ -1,4 +1,16 @@
 /** The program `chivestream-report`. */
-import {packageName} from './index.js';
+import process from 'node:process';
+import {systemClock} from 'chivestream-core';
+import {runReport} from './run.js';
 
-console.log(packageName);
+process.exitCode = await runReport({
+	arguments: process.argv.slice(2),
+	environment: process.env,
+	write(text) {
+		process.stdout.write(`${text}\n`);
+	},
+	writeError(text) {
+		process.stderr.write(`${text}\n`);
+	},
+	clock: systemClock,
+});
