--- a/packages/chivestream-operator/src/__fixtures__/command-line.ts
+++ b/packages/chivestream-operator/src/__fixtures__/command-line.ts
@@ -1,4 +1,7 @@
 /** Runs the command line against a service on a port of the system's choice. */
+import {readDeclarations} from 'chivestream-configuration';
+import {type Declarations} from 'chivestream-core';
+import {type Result} from 'ts-results-es';
 import {runCommandLine} from '../command-line/run.js';
 import {createOperatorService, type OperatorServiceOptions} from '../service/service.js';
 import {type OperatorSource} from '../source.js';
@@ -19,9 +22,12 @@
 	close: () => Promise<void>;
 };
 
+const checkDeclarations = (text: string): Result<Declarations, string[]> =>
+	readDeclarations(text).mapErr(failure => failure.message.split('\n'));
+
 /** Starts the operators' service. */
 export const startService = async (source: OperatorSource, options: Partial<OperatorServiceOptions> = {}): Promise<ListeningService> => {
-	const service = createOperatorService(source, {token: testToken, ...options});
+	const service = createOperatorService(source, {token: testToken, checkDeclarations, ...options});
 	const port = await service.listen(0, '127.0.0.1');
 	return {url: `http://127.0.0.1:${port}`, close: service.close};
 };
--- a/packages/chivestream-operator/src/__fixtures__/fake-source.ts
+++ b/packages/chivestream-operator/src/__fixtures__/fake-source.ts
@@ -1,12 +1,13 @@
 /** An entry host's side for tests: rows by host, a configuration kept in memory, and links that can be cut. */
-import {readDeclarations} from 'chivestream-configuration';
 import {
-	answerState, type Configuration, type Declarations, Failure, failureCode, type JobAnswer, noneRun,
+	answerState, type Configuration, type Declarations, Failure, failureCode, type HostHistory, type JobAnswer, noneRun,
 	preference,
 } from 'chivestream-core';
 import {Err, Ok} from 'ts-results-es';
+import {type QueriedPeer} from '../peers/gather.js';
+import {answerPeerRequest} from '../peers/requests.js';
 import {
-	type ConfigurationChange, type ConfigurationCommand, type Gathered, type HistoryEntry, type OperatorSource,
+	type ConfigurationChange, type ConfigurationCommand, type HistoryEntry, type LocalSource, type OperatorSource,
 	type Submission, submissionOutcome,
 } from '../source.js';
 import {type JobRow, type RowsByTable, type TableName} from '../tables/rows.js';
@@ -61,7 +62,7 @@
 	}
 
 	if (change.kind === 'replace') {
-		return readDeclarations(change.declarations).unwrap();
+		return change.declarations;
 	}
 
 	return change.kind === 'rollback' ? versions[change.version] ?? declarations : declarations;
@@ -77,25 +78,37 @@
 	},
 });
 
-const readLocalRows = <Table extends TableName>(fake: FakeHost, table: Table): Array<RowsByTable[Table]> => {
-	const rows: {[Name in TableName]: Array<RowsByTable[Name]>} = {
-		jobs: fake.jobs,
-		upstreams: [],
-		minions: [],
-		workers: [],
-		hosts: [],
-		configuration: [{
-			host: fake.host, zone: fake.zone, version: fake.version, offset: fake.version * 2, isLogReachable: true, logAge: 5,
-		}],
-	};
-	return rows[table];
-};
+const emptyHistory = ({host, zone}: FakeHost): HostHistory => ({
+	host, zone, since: 0, at: 60_000, from: 0, objectives: [],
+});
 
-/** Items of the hosts that can be reached, and the others as missing. */
-const gatherFrom = <Item>(hosts: FakeHost[], read: (fake: FakeHost) => Item[]): Gathered<Item> => {
-	const missing = hosts.flatMap(({host, zone, cut}) => cut === undefined ? [] : [{host, zone, reason: cut}]);
-	return {items: hosts.filter(({cut}) => cut === undefined).flatMap(host => read(host)), missing};
-};
+const createLocalSource = (fake: FakeHost): LocalSource => ({
+	self: {host: fake.host, zone: fake.zone},
+	localRows<Table extends TableName>(table: Table): Array<RowsByTable[Table]> {
+		const rows: {[Name in TableName]: Array<RowsByTable[Name]>} = {
+			jobs: fake.jobs,
+			upstreams: [],
+			minions: [],
+			workers: [],
+			hosts: [],
+			configuration: [{
+				host: fake.host, zone: fake.zone, version: fake.version, offset: fake.version * 2, isLogReachable: true, logAge: 5,
+			}],
+		};
+		return rows[table];
+	},
+	localHistory: () => emptyHistory(fake),
+});
+
+const createPeer = (fake: FakeHost): QueriedPeer => ({
+	host: fake.host,
+	zone: fake.zone,
+	async query(request) {
+		return fake.cut === undefined
+			? new Ok(answerPeerRequest(createLocalSource(fake), request))
+			: new Err(new Failure(failureCode.connectionFailed, fake.cut, {step: 'query', peer: fake.host}));
+	},
+});
 
 /** A deployment whose first host is the one that operators talk to. */
 export const createFakeDeployment = (hosts: FakeHost[]): FakeDeployment => {
@@ -148,10 +161,8 @@
 	};
 
 	const source: OperatorSource = {
-		self: {host: first.host, zone: first.zone},
-		localRows: table => readLocalRows(first, table),
-		gather: async <Table extends TableName>(table: Table) => gatherFrom(hosts, host => readLocalRows(host, table)),
-		inForce: async () => gatherFrom(hosts, ({host, zone, version}) => [{host, zone, version}]),
+		...createLocalSource(first),
+		peers: () => hosts.slice(1).map(host => createPeer(host)),
 		async cancel(key, mode) {
 			const home = hosts.find(host => host.jobs.some(job => job.key === key));
 			if (home?.cut !== undefined) {
--- a/packages/chivestream-operator/src/__tests__/commands.test.ts
+++ b/packages/chivestream-operator/src/__tests__/commands.test.ts
@@ -6,6 +6,7 @@
 import {
 	afterEach, beforeEach, describe, expect, test,
 } from '@jest/globals';
+import {Ok} from 'ts-results-es';
 import {answerSchema} from '../answers.js';
 import {exitCode} from '../command-line/exit-code.js';
 import {
@@ -82,6 +83,13 @@
 		expect(output).toContain('NO ANSWER from c-1 (zone c): no route to host');
 	});
 
+	test('name a host that answers with nonsense', async () => {
+		fake.source.peers = () => [{host: 'b-1', zone: 'b', query: async () => new Ok('{"rows": 7}')}];
+		const {code, answer} = await runJson('jobs');
+		expect(code).toBe(exitCode.incomplete);
+		expect(answer).toMatchObject({missing: [{host: 'b-1', reason: 'its answer could not be read'}]});
+	});
+
 	test('show a readable table', async () => {
 		const {output} = await run('jobs where key = late-a-2');
 		const [heading, row] = output.split('\n');
@@ -92,15 +100,15 @@
 
 	test('repeat until interrupted', async () => {
 		const controller = new AbortController();
-		const {gather} = fake.source;
+		const {peers} = fake.source;
 		let rounds = 0;
-		fake.source.gather = async (table, deadline) => {
+		fake.source.peers = () => {
 			rounds += 1;
 			if (rounds === 3) {
 				controller.abort();
 			}
 
-			return gather(table, deadline);
+			return peers();
 		};
 
 		const words = ['jobs', '--watch', '--interval', '1', '--json'];
--- a/packages/chivestream-operator/src/answers.ts
+++ b/packages/chivestream-operator/src/answers.ts
@@ -1,9 +1,8 @@
 /** Answers of the operators' service, as they go over the network. */
 import {z} from 'zod';
+import {rowSchema} from './peers/schemas.js';
 import {submissionOutcome} from './source.js';
 
-const cellSchema = z.union([z.string(), z.number(), z.boolean(), z.array(z.string())]);
-const rowSchema = z.record(z.string(), cellSchema);
 const missingSchema = z.object({host: z.string(), zone: z.string(), reason: z.string()});
 const hostVersionSchema = z.object({host: z.string(), zone: z.string(), version: z.number()});
 
--- a/packages/chivestream-operator/src/execute/cancellation.ts
+++ b/packages/chivestream-operator/src/execute/cancellation.ts
@@ -5,8 +5,8 @@
 import {type Result} from 'ts-results-es';
 import {type CancellationAnswer, cancellationOutcome} from '../answers.js';
 import {type Cancellation} from '../language/syntax.js';
-import {type Gathered} from '../source.js';
-import {gatherRows} from '../gather-rows.js';
+import {type Gathered} from '../peers/gather.js';
+import {gatherRows} from '../peers/requests.js';
 import {type ExecutionContext} from './context.js';
 
 type JobCancellation = CancellationAnswer['jobs'][number];
@@ -40,9 +40,10 @@
 		return {items: [target.key.text], missing: []};
 	}
 
-	const {source, clock, deadline} = context;
-	const {items, missing} = await gatherRows(source, target.query, deadline, clock);
-	return {items: items.flatMap(row => 'key' in row ? [row.key] : []), missing};
+	const {source, clock, deadline, request} = context;
+	const statement = request.statement.slice(target.query.table.place.start);
+	const {items, missing} = await gatherRows(source, statement, deadline, clock);
+	return {items: items.map(row => String(row.key)), missing};
 };
 
 /** Ends the jobs, a bounded number at a time. */
--- a/packages/chivestream-operator/src/execute/change.ts
+++ b/packages/chivestream-operator/src/execute/change.ts
@@ -3,6 +3,7 @@
 import {type Clock, waitUntil} from 'chivestream-core';
 import {type ChangeAnswer, type InForce} from '../answers.js';
 import {type Change} from '../language/syntax.js';
+import {gatherRows} from '../peers/requests.js';
 import {
 	commandKind, type ConfigurationChange, type OperatorSource, type Submission, submissionOutcome,
 } from '../source.js';
@@ -38,11 +39,12 @@
 	}
 };
 
-const readInForce = async (source: OperatorSource, version: number, deadline: number): Promise<InForce> => {
-	const {items, missing} = await source.inForce(deadline);
+const readInForce = async (source: OperatorSource, version: number, deadline: number, clock: Clock): Promise<InForce> => {
+	const {items, missing} = await gatherRows(source, 'configuration', deadline, clock);
+	const versions = items.map(row => ({host: String(row.host), zone: String(row.zone), version: Number(row.version)}));
 	return {
-		hosts: items.filter(host => host.version >= version),
-		behind: items.filter(host => host.version < version),
+		hosts: versions.filter(host => host.version >= version),
+		behind: versions.filter(host => host.version < version),
 		missing,
 	};
 };
@@ -52,7 +54,7 @@
 	for (;;) {
 		const askDeadline = Math.min(deadline, clock.now() + askMs);
 		// eslint-disable-next-line no-await-in-loop -- each round needs the answer of the one before
-		const inForce = await readInForce(source, version, askDeadline);
+		const inForce = await readInForce(source, version, askDeadline, clock);
 		if (inForce.behind.length === 0 || clock.now() + pollMs >= deadline) {
 			return inForce;
 		}
--- a/packages/chivestream-operator/src/execute/query.ts
+++ b/packages/chivestream-operator/src/execute/query.ts
@@ -1,14 +1,14 @@
 /** Carries out queries. */
 import {type RowsAnswer} from '../answers.js';
 import {type Query} from '../language/syntax.js';
-import {gatherRows} from '../gather-rows.js';
+import {gatherRows} from '../peers/requests.js';
 import {type ExecutionContext} from './context.js';
 
 /** Rows of all hosts that the query selects. */
 export const executeQuery = async (context: ExecutionContext, query: Query): Promise<RowsAnswer> => {
-	const {source, clock, deadline} = context;
+	const {source, clock, deadline, request} = context;
 	const at = clock.now();
-	const {items, missing} = await gatherRows(source, query, deadline, clock);
+	const {items, missing} = await gatherRows(source, request.statement, deadline, clock);
 	return {
 		kind: 'rows', table: query.table.text, at, rows: items, missing,
 	};
--- a/packages/chivestream-operator/src/index.ts
+++ b/packages/chivestream-operator/src/index.ts
@@ -8,4 +8,7 @@
 export * from './tables/job-state.js';
 export * from './tables/rows.js';
 export * from './answers.js';
+export * from './peers/gather.js';
+export {answerPeerRequest, maxRowsPerHost} from './peers/requests.js';
+export {type DeclarationsCheck} from './execute/context.js';
 export * from './service/service.js';
--- a/packages/chivestream-operator/src/service/__tests__/service.test.ts
+++ b/packages/chivestream-operator/src/service/__tests__/service.test.ts
@@ -60,14 +60,10 @@
 	});
 
 	test('exports the recorded histories of all hosts and names the missing ones', async () => {
-		await expect(send('/v1/histograms')).resolves.toMatchObject({status: 503, answer: {code: 'not-ready'}});
-		await service.close();
-		const own = {
-			host: 'a-1', zone: 'a', since: 0, at: 60_000, from: 0, objectives: [],
-		};
-		const missing = [{host: 'b-1', zone: 'b', reason: 'no route to host'}];
-		service = await startService(fake.source, {histories: {local: () => own, gather: async () => ({items: [own], missing})}});
-		await expect(send('/v1/histograms')).resolves.toMatchObject({status: 200, answer: {hosts: [own], missing}});
-		await expect(send('/v1/histograms?scope=host')).resolves.toMatchObject({answer: {hosts: [own], missing: []}});
+		fake.hosts[1]!.cut = 'no route to host';
+		await expect(send('/v1/histograms')).resolves.toMatchObject({
+			status: 200, answer: {hosts: [{host: 'a-1'}], missing: [{host: 'b-1', zone: 'b', reason: 'no route to host'}]},
+		});
+		await expect(send('/v1/histograms?scope=host')).resolves.toMatchObject({answer: {hosts: [{host: 'a-1'}], missing: []}});
 	});
 });
--- a/packages/chivestream-operator/src/service/service.ts
+++ b/packages/chivestream-operator/src/service/service.ts
@@ -5,13 +5,14 @@
 } from 'node:http';
 import {createServer as createSecureServer} from 'node:https';
 import {
-	type Clock, type HostHistory, Failure, failureCode, type Logger, silentLogger, systemClock, toFailure,
+	type Clock, Failure, failureCode, type Logger, silentLogger, systemClock, toFailure,
 } from 'chivestream-core';
 import polka from 'polka';
 import {type Answer, requestSchema} from '../answers.js';
-import {toErrorAnswer} from '../execute/context.js';
+import {type DeclarationsCheck, toErrorAnswer} from '../execute/context.js';
 import {executeStatement} from '../execute/statement.js';
-import {type Gathered, type OperatorSource} from '../source.js';
+import {gatherHistories} from '../peers/requests.js';
+import {type OperatorSource} from '../source.js';
 import {readBody} from './body.js';
 import {statusOf} from './status.js';
 import {isAuthorized} from './token.js';
@@ -35,20 +36,11 @@
 	close: () => Promise<void>;
 };
 
-/** What entry hosts have recorded about their objectives. */
-export type HistorySource = {
-	/** Of this host alone. */
-	local: () => HostHistory;
-	/** Of all hosts, with those that did not answer by the deadline. */
-	gather: (deadline: number) => Promise<Gathered<HostHistory>>;
-};
-
 /** How the operators' service runs. */
 export type OperatorServiceOptions = {
 	/** Bearer token that every request must carry. */
 	token: string;
-	/** What the hosts have recorded about their objectives; `/v1/histograms` is not served without it. */
-	histories?: HistorySource;
+	checkDeclarations: DeclarationsCheck;
 	clock?: Clock;
 	logger?: Logger;
 	/** How long one statement may take, in milliseconds. */
@@ -83,7 +75,7 @@
 */
 export const createOperatorService = (source: OperatorSource, options: OperatorServiceOptions): OperatorService => {
 	const {
-		token, histories, certificate, clock = systemClock, logger = silentLogger, requestMs = defaults.requestMs,
+		token, checkDeclarations, certificate, clock = systemClock, logger = silentLogger, requestMs = defaults.requestMs,
 		maxBodyBytes = defaults.maxBodyBytes,
 	} = options;
 	const {host} = source.self;
@@ -104,7 +96,7 @@
 		const operatorRequest = await readRequest(request, maxBodyBytes, host);
 		const deadline = clock.now() + requestMs;
 		const answer = await executeStatement({
-			source, clock, request: operatorRequest, deadline,
+			source, clock, checkDeclarations, request: operatorRequest, deadline,
 		});
 		logger.info('statement', {
 			step: 'operate', statement: operatorRequest.statement, answer: answer.kind, status: statusOf(answer),
@@ -142,14 +134,10 @@
 			send(response, statusOf(answer), answer);
 		}))
 		.get('/v1/histograms', handle(async (request, response) => {
-			if (!histories) {
-				throw new Failure(failureCode.notReady, 'this entry host records no histograms', {step: 'read-histograms', peer: host});
-			}
-
-			const {items, missing} = readScope(request) === 'host'
-				? {items: [histories.local()], missing: []}
-				: await histories.gather(clock.now() + requestMs);
-			send(response, 200, {kind: 'histograms', hosts: items, missing});
+			const histories = readScope(request) === 'host'
+				? {items: [source.localHistory()], missing: []}
+				: await gatherHistories(source, clock.now() + requestMs, clock);
+			send(response, 200, {kind: 'histograms', hosts: histories.items, missing: histories.missing});
 		}));
 
 	return {
--- a/packages/chivestream-operator/src/source.ts
+++ b/packages/chivestream-operator/src/source.ts
@@ -1,23 +1,12 @@
 /** What the operators' service needs of the entry host that it runs in. */
-import {type Configuration, type Failure, type JobAnswer} from 'chivestream-core';
+import {
+	type Configuration, type Declarations, type Failure, type HostHistory, type JobAnswer,
+} from 'chivestream-core';
 import {type Result} from 'ts-results-es';
 import {type CancelMode} from './language/syntax.js';
+import {type QueriedPeer} from './peers/gather.js';
 import {type RowsByTable, type TableName} from './tables/rows.js';
 
-/** A host, or a zone of which no host is known, that did not answer. */
-export type MissingHost = {
-	/** Id of the entry host; `*` for a whole zone. */
-	host: string;
-	zone: string;
-	reason: string;
-};
-
-/** What all hosts together answered. Never a silent part: whoever did not answer is listed. */
-export type Gathered<Item> = {
-	items: Item[];
-	missing: MissingHost[];
-};
-
 /** The kinds of configuration command. */
 export const commandKind = {
 	drain: 'drain',
@@ -36,8 +25,8 @@
 		| {kind: typeof commandKind.limit; name: string; value: number}
 		| {kind: typeof commandKind.quota; team: string; maxTasksInFlight: number}
 		| {kind: typeof commandKind.weight; team: string; weight: number}
-		/** Puts whole declarations in force, given as the text of a file in JSON with comments. */
-		| {kind: typeof commandKind.replace; declarations: string}
+		/** Puts whole declarations in force. */
+		| {kind: typeof commandKind.replace; declarations: Declarations}
 		/** Puts the declarations of an earlier version in force as a new version. */
 		| {kind: typeof commandKind.rollback; version: number};
 
@@ -64,7 +53,7 @@
 /** The outcome of a submitted command. */
 export type Submission
 	= | {outcome: typeof submissionOutcome.accepted; version: number; offset: number}
-		/** `version` is the one in force that beat the command, `commandId` the command that made it. */
+		/** `version` is the one that beat the command, `commandId` the command that made it. */
 		| {outcome: typeof submissionOutcome.beaten; version: number; commandId?: string}
 		| {outcome: typeof submissionOutcome.invalid; faults: string[]}
 		| {outcome: typeof submissionOutcome.unknown; failure: Failure};
@@ -80,21 +69,23 @@
 	summary: string;
 };
 
-/** The configuration that one host has in force. */
-export type HostVersion = {
-	host: string;
-	zone: string;
-	version: number;
-};
-
-/** Everything that the operators' service asks of its entry host. Calls over the network end by the deadline. */
-export type OperatorSource = {
+/** What an entry host knows by itself. */
+export type LocalSource = {
 	/** The entry host that answers. */
 	self: {host: string; zone: string};
 	/** Rows of this host alone. */
 	localRows: <Table extends TableName>(table: Table) => Array<RowsByTable[Table]>;
-	/** Rows of all hosts, with those that did not answer. */
-	gather: <Table extends TableName>(table: Table, deadline: number) => Promise<Gathered<RowsByTable[Table]>>;
+	/** What this host has recorded about its objectives. */
+	localHistory: () => HostHistory;
+};
+
+/** Everything that the operators' service asks of its entry host. Calls over the network end by their deadline. */
+export type OperatorSource = LocalSource & {
+	/**
+	Every other entry host that this one knows or that the platform lists, also those it can't reach now: each is asked,
+	and one that does not answer is named in the answer.
+	*/
+	peers: () => QueriedPeer[];
 	/** Ends a job wherever its home is; undefined when the key is unknown. */
 	cancel: (key: string, mode: CancelMode, deadline: number) => Promise<Result<JobAnswer | undefined, Failure>>;
 	/** The configuration that this host has in force; undefined while it has none. */
@@ -103,6 +94,4 @@
 	history: (deadline: number) => Promise<Result<HistoryEntry[], Failure>>;
 	/** Appends a command and waits until its outcome is known. */
 	submit: (command: ConfigurationCommand, deadline: number) => Promise<Submission>;
-	/** The versions that the hosts have in force now, with the hosts that could not be reached. */
-	inForce: (deadline: number) => Promise<Gathered<HostVersion>>;
 };
