--- a/packages/chivestream-operator/src/answers.ts
+++ b/packages/chivestream-operator/src/answers.ts
@@ -41,7 +41,7 @@
 });
 
 const differenceSchema = z.object({
-	/** Path of the declaration, such as `teams.day-a.weight`. */
+	/** Path of the entry, such as `worker/lens/w1`. */
 	path: z.string(),
 	kind: z.enum(['added', 'removed', 'changed']),
 	before: z.unknown().optional(),
