Make a heartbeat and its reply carry the same, once for each pair of hosts

Cause: over loopback a call cost far more than its content, and a record of the sender in each message was most of its bytes. Change: request and reply are one message type; a host that was just in touch is not called again; records travel in digests only; representatives of the same rank exchange digests, and only what came from the publisher is passed on in the zone; lengths of time grow beyond 16 hosts in a zone.

--- a/packages/chivestream-peer/src/__fixtures__/fake-clock.ts
+++ b/packages/chivestream-peer/src/__fixtures__/fake-clock.ts
@@ -1,7 +1,7 @@
 /** A clock that moves only when told to. */
 import {type Clock} from 'chivestream-core';
 
-type Entry = {deadline: number; order: number; callback: () => void};
+type Entry = {callback: () => void};
 
 export type FakeClock = Clock & {
 	/** Moves on, running what falls due in order, and lets promises settle in between. */
@@ -12,54 +12,43 @@
 	setImmediate(resolve);
 });
 
+/** Time goes in whole milliseconds. */
 export const createFakeClock = (startAt = 1_000_000): FakeClock => {
-	const entries = new Set<Entry>();
+	const entries = new Map<number, Set<Entry>>();
 	let time = startAt;
-	let order = 0;
 
-	const takeDue = (limit: number): Entry[] => {
-		let earliest = Infinity;
-		for (const {deadline} of entries) {
-			earliest = Math.min(earliest, deadline);
-		}
-
-		if (earliest > limit) {
-			return [];
-		}
+	const runDue = async () => {
+		for (let due = entries.get(time); due !== undefined; due = entries.get(time)) {
+			entries.delete(time);
+			for (const {callback} of due) {
+				callback();
+			}
 
-		time = Math.max(time, earliest);
-		const due = [...entries].filter(({deadline}) => deadline <= time);
-		for (const entry of due) {
-			entries.delete(entry);
+			await settle();
 		}
-
-		return due.toSorted((left, right) => left.deadline - right.deadline || left.order - right.order);
 	};
 
 	return {
 		now: () => time,
 		at(deadline, callback) {
-			order += 1;
-			const entry = {deadline, order, callback};
-			entries.add(entry);
+			const due = Math.max(time, Math.ceil(deadline));
+			const entry = {callback};
+			const sameTime = entries.get(due) ?? new Set();
+			entries.set(due, sameTime.add(entry));
 			return {
 				cancel() {
-					entries.delete(entry);
+					sameTime.delete(entry);
 				},
 			};
 		},
 		async advance(lengthMs) {
-			const limit = time + lengthMs;
+			const limit = time + Math.ceil(lengthMs);
 			await settle();
-			for (let due = takeDue(limit); due.length > 0; due = takeDue(limit)) {
-				for (const {callback} of due) {
-					callback();
-				}
-
-				await settle();
+			await runDue();
+			while (time < limit) {
+				time += 1;
+				await runDue();
 			}
-
-			time = limit;
 		},
 	};
 };
--- a/packages/chivestream-peer/src/__fixtures__/network.ts
+++ b/packages/chivestream-peer/src/__fixtures__/network.ts
@@ -3,7 +3,7 @@
 	createRandom, failureCode, waitUntil, type Clock, type Host,
 } from 'chivestream-core';
 import {Err, Ok} from 'ts-results-es';
-import {HeartbeatReply, HeartbeatRequest} from '../generated/peer.js';
+import {HeartbeatMessage} from '../generated/peer.js';
 import {
 	createMembership, delivery, hostPhase, PeerFailure, type Membership, type MembershipOptions, type PeerResult,
 } from '../index.js';
@@ -58,21 +58,21 @@
 
 	const lost = (peer: string) => new Err(new PeerFailure(failureCode.timedOut, 'lost', {step: 'heartbeat', peer, delivery: delivery.unknown}));
 
-	const deliver = async (from: string, address: string, request: HeartbeatRequest): PeerResult<HeartbeatReply> => {
+	const deliver = async (from: string, address: string, request: HeartbeatMessage): PeerResult<HeartbeatMessage> => {
 		const target = [...nodes.values()].find(({host}) => host.peerAddress === address);
-		const bytes = HeartbeatRequest.encode(request).finish();
+		const bytes = HeartbeatMessage.encode(request).finish();
 		const isDelivered = await carry(from, target?.host.id ?? address, bytes.length);
 		const receiver = target && nodes.get(target.host.id);
 		if (!isDelivered || !receiver) {
 			return lost(address);
 		}
 
-		const reply = HeartbeatReply.encode(receiver.membership.receive(HeartbeatRequest.decode(bytes))).finish();
+		const reply = HeartbeatMessage.encode(receiver.membership.receive(HeartbeatMessage.decode(bytes))).finish();
 		const isAnswered = await carry(receiver.host.id, from, reply.length);
-		return isAnswered ? new Ok(HeartbeatReply.decode(reply)) : lost(address);
+		return isAnswered ? new Ok(HeartbeatMessage.decode(reply)) : lost(address);
 	};
 
-	const send = async ({id: from, incarnation}: Host, address: string, request: HeartbeatRequest, deadline: number): PeerResult<HeartbeatReply> => {
+	const send = async ({id: from, incarnation}: Host, address: string, request: HeartbeatMessage, deadline: number): PeerResult<HeartbeatMessage> => {
 		await whileRunning(incarnation);
 		return new Promise(resolve => {
 			const timer = clock.at(deadline, () => {
--- a/packages/chivestream-peer/src/client.ts
+++ b/packages/chivestream-peer/src/client.ts
@@ -6,7 +6,7 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import {createConnection} from './connection.js';
 import {codeOfStatus, readFailure} from './failure-metadata.js';
-import {PeerService, type HeartbeatReply, type HeartbeatRequest} from './generated/peer.js';
+import {PeerService, type HeartbeatMessage} from './generated/peer.js';
 import {
 	decodeJson, decodeOptionalJson, decodeText, encodeJson, encodeText, isConfiguration, isJobAnswer,
 } from './json-bytes.js';
@@ -20,7 +20,7 @@
 /** Calls to one entry host. Deadlines are milliseconds since the Unix epoch. */
 export type PeerClient = {
 	address: string;
-	heartbeat: (request: HeartbeatRequest, deadline: number) => PeerResult<HeartbeatReply>;
+	heartbeat: (request: HeartbeatMessage, deadline: number) => PeerResult<HeartbeatMessage>;
 	/** Hands a job to its home, until the job's own deadline unless another is given. */
 	submit: (job: Job, deadline?: number) => PeerResult<JobAnswer>;
 	/** The answer to a key; undefined where the host does not know the key. */
--- a/packages/chivestream-peer/src/digest-table.ts
+++ b/packages/chivestream-peer/src/digest-table.ts
@@ -8,12 +8,14 @@
 	heard: Set<string>;
 	/** Time at which its sequence last grew. */
 	advancedAt: number;
+	/** Came from the publisher itself. */
+	isDirect: boolean;
 };
 
 /** The digests by publisher id. */
 export type DigestTable = {
 	/** Takes in a digest if it is newer than the one held; false where its hosts are needed and were left out. */
-	merge: (digest: Digest, now: number) => boolean;
+	merge: (digest: Digest, now: number, isDirect: boolean) => boolean;
 	all: () => HeldDigest[];
 	drop: (publisherId: string) => void;
 	/** Leaves a silence of this host itself out of account: moves all times of evidence forward. */
@@ -35,7 +37,7 @@
 export const createDigestTable = (): DigestTable => {
 	const digests = new Map<string, HeldDigest>();
 	return {
-		merge(digest, now) {
+		merge(digest, now, isDirect) {
 			const held = digests.get(digest.publisherId);
 			if (!isNewer(digest, held)) {
 				return true;
@@ -45,7 +47,9 @@
 				&& held.digest.publisherIncarnation === digest.publisherIncarnation;
 			if (digest.hasHosts) {
 				const heard = new Set(digest.hosts.map(host => formatRun(host)));
-				digests.set(digest.publisherId, {digest, heard, advancedAt: now});
+				digests.set(digest.publisherId, {
+					digest, heard, advancedAt: now, isDirect,
+				});
 				return true;
 			}
 
@@ -53,8 +57,10 @@
 				return false;
 			}
 
-			const whole = {...digest, hasHosts: true, hosts: held.digest.hosts};
-			digests.set(digest.publisherId, {digest: whole, heard: held.heard, advancedAt: now});
+			const whole = {...held.digest, sequence: digest.sequence, configuration: digest.configuration};
+			digests.set(digest.publisherId, {
+				digest: whole, heard: held.heard, advancedAt: now, isDirect,
+			});
 			return true;
 		},
 		all: () => [...digests.values()],
--- a/packages/chivestream-peer/src/index.ts
+++ b/packages/chivestream-peer/src/index.ts
@@ -10,4 +10,4 @@
 export {chooseRepresentatives} from './representatives.js';
 export * from './service.js';
 export * from './timing.js';
-export type {HeartbeatReply, HeartbeatRequest} from './generated/peer.js';
+export type {HeartbeatMessage} from './generated/peer.js';
--- a/packages/chivestream-peer/src/membership.ts
+++ b/packages/chivestream-peer/src/membership.ts
@@ -7,23 +7,21 @@
 	Failure, failureCode, waitUntil, type Clock, type Host, type Random,
 } from 'chivestream-core';
 import {type PeerResult} from './client.js';
-import {createDigestTable, formatRun} from './digest-table.js';
-import {
-	type ConfigurationMark, type Digest, type HeartbeatReply, type HeartbeatRequest, type HostRecord,
-} from './generated/peer.js';
+import {formatRun} from './digest-table.js';
+import {type ConfigurationMark, type HeartbeatMessage, type HostRecord} from './generated/peer.js';
 import {hostPhase, type HostPhase} from './handlers.js';
-import {createHeartbeatWriter} from './heartbeat-writer.js';
-import {createHostTable} from './host-table.js';
+import {createKnowledge} from './knowledge.js';
 import {createLifeCycle} from './life-cycle.js';
 import {
 	isLive, memberState, toRecord, type Member,
 } from './member.js';
-import {createPeerTasks, type Peer} from './peer-tasks.js';
-import {representativesOf} from './representatives.js';
+import {createOwnDigest} from './own-digest.js';
+import {createPeerTasks} from './peer-tasks.js';
+import {listTargets, representativesOf} from './representatives.js';
 import {runSeedTask} from './seed-task.js';
 import {createSharing} from './sharing.js';
-import {defaultTiming, type Timing} from './timing.js';
-import {computeMembers, listHeard, type Evidence} from './view.js';
+import {defaultTiming, stretchTiming, type Timing} from './timing.js';
+import {computeMembers, listHeard} from './view.js';
 
 /** What membership needs and whom it tells. */
 export type MembershipOptions = {
@@ -34,7 +32,7 @@
 	seeds: readonly string[];
 	/** Further peer addresses from the platform's list, which lags. */
 	listHosts?: () => Promise<readonly string[]>;
-	send: (address: string, request: HeartbeatRequest, deadline: number) => PeerResult<HeartbeatReply>;
+	send: (address: string, request: HeartbeatMessage, deadline: number) => PeerResult<HeartbeatMessage>;
 	/** The configuration that this host has in force; undefined while it has none. */
 	configuration?: () => {version: number; offset: number} | undefined;
 	/** JSON bytes to add to the next heartbeat to a member. */
@@ -52,7 +50,7 @@
 /** The membership of one entry host. */
 export type Membership = {
 	/** Answers another host's heartbeat. */
-	receive: (request: HeartbeatRequest) => HeartbeatReply;
+	receive: (request: HeartbeatMessage) => HeartbeatMessage;
 	/** All known hosts but this one. */
 	members: () => Member[];
 	/** Hosts of this zone that share its slots, in order of id; this host too while it may. */
@@ -77,20 +75,16 @@
 	const {
 		self, clock, random, send,
 	} = options;
-	const timing = {...defaultTiming, ...options.timing};
-	const hosts = createHostTable();
-	const digests = createDigestTable();
-	const evidence: Evidence = {
-		hosts, digests, zone: self.zone, timing,
-	};
+	const baseTiming = {...defaultTiming, ...options.timing};
 	const lifeCycle = createLifeCycle();
-	const sharing = createSharing(timing, clock.now());
+	const sharing = createSharing(clock.now());
+	const publishDigest = createOwnDigest();
 	const stop = new AbortController();
+	let timing = baseTiming;
 	let members: Member[] = [];
 	let signature = '';
 	let refreshedAt = clock.now();
-
-	const selfRecord = (): HostRecord => toRecord(self, lifeCycle.phase(), lifeCycle.revision());
+	let isSuperseded = false;
 
 	const ownMark = (): ConfigurationMark | undefined => {
 		const configuration = options.configuration?.();
@@ -98,10 +92,42 @@
 	};
 
 	const ownNextOffset = () => ownMark()?.nextOffset ?? 0;
+	const selfRecord = (): HostRecord => toRecord(self, lifeCycle.phase(), lifeCycle.revision());
+	let ownDigest = publishDigest(selfRecord(), [], ownMark());
 
+	const findMember = (hostId: string) => members.find(({host}) => host.id === hostId);
 	const isInZone = ({host}: Member) => host.zone === self.zone;
+	const intervalMs = (member: Member) => isInZone(member) ? timing.heartbeatIntervalMs : timing.zoneIntervalMs;
 	const livePeerIds = () => members.filter(member => isInZone(member) && isLive(member)).map(({host}) => host.id);
-	const isSharing = () => sharing.check(clock.now(), livePeerIds()) && lifeCycle.phase() === hostPhase.serving;
+	const mayHoldSlots = () => !isSuperseded && sharing.check(clock.now(), livePeerIds(), timing);
+	const isSharing = () => mayHoldSlots() && lifeCycle.phase() === hostPhase.serving;
+
+	const knowledge = createKnowledge({
+		self,
+		clock,
+		onNews() {
+			refresh();
+		},
+		onConfiguration(hostId, mark) {
+			const member = findMember(hostId);
+			if (member && mark.nextOffset > ownNextOffset()) {
+				options.onNewerConfiguration?.({...member, configuration: mark});
+			}
+		},
+		onSuperseded(incarnation) {
+			isSuperseded = true;
+			options.onSuperseded?.(incarnation);
+		},
+		onAcknowledged({id, zone}, sentAt) {
+			if (zone === self.zone) {
+				sharing.acknowledge(id, sentAt);
+			}
+		},
+		isLive(hostId) {
+			const member = findMember(hostId);
+			return member !== undefined && isLive(member);
+		},
+	});
 
 	const selfMember = (): Member => ({
 		host: self,
@@ -114,49 +140,23 @@
 	const isRepresentative = () =>
 		representativesOf(self.zone, [...members, selfMember()]).some(({host}) => host.id === self.id);
 
-	const writer = createHeartbeatWriter({
-		self: selfRecord,
-		configuration: ownMark,
-		heard: () => listHeard(evidence, clock.now()),
-		digests,
-		isRepresentative,
-	});
-
-	const listTargets = (): Member[] => {
-		const present = members.filter(({state}) => state !== memberState.left);
-		const inZone = present.filter(member => isInZone(member));
-		if (!isRepresentative()) {
-			return inZone;
+	const excuseOwnSilence = (now: number) => {
+		const gapMs = now - refreshedAt - timing.tickMs;
+		refreshedAt = now;
+		if (gapMs > timing.tickMs) {
+			knowledge.excuse(gapMs);
 		}
-
-		const otherZones = new Set(present.filter(member => !isInZone(member)).map(({host}) => host.zone));
-		return [...inZone, ...[...otherZones].flatMap(zone => representativesOf(zone, present))];
 	};
 
 	const forgetSilent = (now: number) => {
 		for (const {host, evidenceAt} of members) {
 			if (now - evidenceAt >= timing.forgetMs) {
-				hosts.forget(host.id);
-				digests.drop(host.id);
+				knowledge.forget(host.id);
 			}
 		}
 	};
 
-	const excuseOwnSilence = (now: number) => {
-		const gapMs = now - refreshedAt - timing.tickMs;
-		refreshedAt = now;
-		if (gapMs > timing.tickMs) {
-			hosts.excuse(gapMs);
-			digests.excuse(gapMs);
-		}
-	};
-
-	const refresh = () => {
-		const now = clock.now();
-		excuseOwnSilence(now);
-		members = computeMembers(evidence, now);
-		forgetSilent(now);
-		tasks.reconcile(stop.signal.aborted ? [] : listTargets());
+	const reportChange = () => {
 		const states = members.map(({host, phase, state}) => `${formatRun(host)}~${phase}~${state}`);
 		const current = [...states, String(isSharing())].join(' ');
 		if (current !== signature) {
@@ -165,122 +165,90 @@
 		}
 	};
 
-	const findMember = (hostId: string) => members.find(({host}) => host.id === hostId);
-
-	const checkSuperseded = ({id, incarnation}: Pick<HostRecord, 'id' | 'incarnation'>) => {
-		if (id === self.id && incarnation > self.incarnation) {
-			options.onSuperseded?.(incarnation);
-		}
+	const refresh = () => {
+		const now = clock.now();
+		excuseOwnSilence(now);
+		const evidence = {
+			hosts: knowledge.hosts, digests: knowledge.digests, zone: self.zone, timing,
+		};
+		members = computeMembers(evidence, now);
+		timing = stretchTiming(baseTiming, members.filter(member => isInZone(member)).length + 1);
+		forgetSilent(now);
+		ownDigest = publishDigest(selfRecord(), listHeard(evidence, now).map(({record}) => record), ownMark());
+		tasks.reconcile(stop.signal.aborted ? [] : listTargets(selfMember(), members));
+		reportChange();
 	};
 
-	/** Takes in a record of another host; true where it brought something new. */
-	const observe = (record: HostRecord): boolean => {
-		if (record.id === self.id) {
-			checkSuperseded(record);
-			return false;
-		}
-
-		return hosts.observe(record, clock.now()).isNews;
+	/** The digests for a receiver: this host's own and, within its zone, those that other zones sent to it. */
+	const listDigests = (receiver: Host) => {
+		const direct = knowledge.digests.all().filter(({isDirect, digest}) => isDirect && digest.zone !== self.zone);
+		return [ownDigest, ...(receiver.zone === self.zone ? direct.map(({digest}) => digest) : [])];
 	};
 
-	const noteConfiguration = (hostId: string, mark: ConfigurationMark | undefined) => {
-		const known = hosts.get(hostId);
-		if (!known || !mark) {
-			return;
-		}
-
-		known.configuration = mark;
-		if (mark.nextOffset > ownNextOffset()) {
-			const member = findMember(hostId);
-			if (member) {
-				options.onNewerConfiguration?.({...member, configuration: mark});
-			}
-		}
+	const write = (receiver: Member, rest: Partial<HeartbeatMessage> = {}): HeartbeatMessage => {
+		const link = knowledge.linkTo(receiver.host);
+		const digests = link.selectDigests(listDigests(receiver.host));
+		return {
+			...writeTo(receiver.host.incarnation, rest),
+			...link.noteSent(digests, clock.now()),
+			digests,
+			payload: options.payload?.(receiver) ?? new Uint8Array(),
+		};
 	};
 
-	/** Notes that a host spoke to this one directly. */
-	const hear = (record: HostRecord, mark: ConfigurationMark | undefined) => {
-		const isNews = observe(record);
-		const known = hosts.get(record.id);
-		if (known?.host.incarnation !== record.incarnation) {
-			return;
-		}
-
-		known.heardAt = clock.now();
-		const member = findMember(record.id);
-		if (isNews || !member || !isLive(member)) {
-			refresh();
-		}
-
-		noteConfiguration(record.id, mark);
-	};
-
-	/** Takes in digests; gives the publishers whose hosts are needed and were left out. */
-	const mergeDigests = (received: readonly Digest[]): string[] => {
-		const now = clock.now();
-		const missing: string[] = [];
-		let isNews = false;
-		for (const digest of received.filter(({publisherId}) => publisherId !== self.id)) {
-			isNews = digest.hosts.map(record => observe(record)).some(Boolean) || isNews;
-			if (!digests.merge(digest, now)) {
-				missing.push(digest.publisherId);
-			}
-		}
-
-		if (isNews) {
-			refresh();
-		}
+	const writeTo = (receiverIncarnation: string, rest: Partial<HeartbeatMessage> = {}): HeartbeatMessage => ({
+		senderId: self.id,
+		senderIncarnation: self.incarnation,
+		receiverIncarnation,
+		sequence: 0,
+		acknowledgedSequence: 0,
+		configuration: ownMark(),
+		digests: [ownDigest],
+		missingPublisherIds: [],
+		newerIncarnation: '',
+		hosts: [],
+		payload: new Uint8Array(),
+		...rest,
+	});
 
-		for (const {publisherId, configuration} of received) {
-			noteConfiguration(publisherId, configuration);
+	const accept = (message: HeartbeatMessage) => {
+		const acceptance = knowledge.accept(message);
+		const member = findMember(message.senderId);
+		const isMeant = message.receiverIncarnation === self.incarnation;
+		if (member?.host.incarnation === message.senderIncarnation && isMeant && message.payload.length > 0) {
+			options.onPayload?.(member, message.payload);
 		}
 
-		return missing;
+		return acceptance;
 	};
 
-	const exchange = async (peer: Peer) => {
-		const {member, acknowledged} = peer;
-		const payload = options.payload?.(member) ?? new Uint8Array();
-		const request = writer.write({host: member.host, acknowledged, payload});
-		const sentAt = clock.now();
-		const result = await send(member.host.peerAddress, request, sentAt + intervalMs(member));
+	/** One heartbeat and its reply; another at once if the reply left out hosts that are not known here. */
+	const exchange = async (member: Member, missingPublisherIds: string[] = []): Promise<void> => {
+		const request = write(member, {missingPublisherIds});
+		const result = await send(member.host.peerAddress, request, clock.now() + intervalMs(member));
 		if (result.isErr()) {
 			return;
 		}
 
-		const reply = result.value;
-		writer.acknowledge(acknowledged, request, reply.missingPublisherIds);
-		if (isInZone(member)) {
-			sharing.acknowledge(member.host.id, sentAt);
+		const acceptance = accept(result.value);
+		if (acceptance.missingPublisherIds.length > 0 && missingPublisherIds.length === 0) {
+			await exchange(member, acceptance.missingPublisherIds);
 		}
-
-		acceptReply(reply);
 	};
 
-	const acceptReply = (reply: HeartbeatReply) => {
-		checkSuperseded({id: self.id, incarnation: reply.newerIncarnation});
-		const isNews = reply.hosts.map(record => observe(record)).some(Boolean);
-		if (reply.receiver && reply.receiver.id !== self.id) {
-			hear(reply.receiver, reply.configuration);
-		}
-
-		if (isNews) {
-			refresh();
-		}
+	const isInTouch = (member: Member): boolean => {
+		const heardAt = knowledge.hosts.get(member.host.id)?.heardAt ?? 0;
+		return isSharing() && clock.now() - heardAt < intervalMs(member) / 2;
 	};
 
-	const intervalMs = (member: Member) => isInZone(member) ? timing.heartbeatIntervalMs : timing.zoneIntervalMs;
-
 	const tasks = createPeerTasks({
-		clock, random, intervalMs, exchange,
+		clock, random, intervalMs, isInTouch, exchange: async member => exchange(member),
 	});
 
 	const ask = async (address: string) => {
-		const host = {...self, incarnation: ''};
-		const request = writer.write({host, acknowledged: new Map(), payload: new Uint8Array()});
-		const result = await send(address, request, clock.now() + timing.heartbeatIntervalMs);
+		const result = await send(address, writeTo(''), clock.now() + timing.heartbeatIntervalMs);
 		if (result.isOk()) {
-			acceptReply(result.value);
+			accept(result.value);
 		}
 	};
 
@@ -291,14 +259,16 @@
 		}
 	};
 
+	const liveMembers = () => members.filter(member => isLive(member));
+
 	const background = [
 		runTicks(),
 		runSeedTask({
 			clock,
 			random,
-			seeds: options.seeds.filter(address => address !== self.peerAddress),
+			seeds: options.seeds,
 			listHosts: options.listHosts,
-			knownAddresses: () => new Set([self, ...members.filter(member => isLive(member)).map(({host}) => host)].map(host => host.peerAddress)),
+			knownAddresses: () => new Set([self, ...liveMembers().map(({host}) => host)].map(host => host.peerAddress)),
 			hasPeers: () => livePeerIds().length > 0,
 			ask,
 			eagerIntervalMs: timing.heartbeatIntervalMs,
@@ -306,70 +276,52 @@
 		}, stop.signal),
 	];
 
-	const listLiveRecords = () => members
-		.filter(member => isLive(member))
-		.map(({host}) => hosts.get(host.id)?.record)
+	const listLiveRecords = () => liveMembers()
+		.map(({host}) => knowledge.hosts.get(host.id)?.record)
 		.filter(record => record !== undefined);
 
-	const deliverPayload = ({sender, receiverIncarnation, payload}: HeartbeatRequest) => {
-		const member = sender && findMember(sender.id);
-		if (member && payload.length > 0 && receiverIncarnation === self.incarnation) {
-			options.onPayload?.(member, payload);
-		}
+	const tell = async (targets: readonly Member[]) => {
+		await Promise.all(targets.map(async member => exchange(member)));
 	};
 
-	const tell = async (peers: readonly Peer[]) => {
-		await Promise.all(peers.map(async peer => exchange(peer)));
-	};
+	const nextOffsetOf = (hostId: string) => knowledge.hosts.get(hostId)?.configuration?.nextOffset ?? 0;
 
 	return {
-		receive(request) {
-			const {sender} = request;
-			if (!sender) {
+		receive(message) {
+			if (message.senderId === '') {
 				throw new Failure(failureCode.protocolError, 'the heartbeat names no sender', {step: 'heartbeat', peer: ''});
 			}
 
-			const latest = sender.id === self.id ? self.incarnation : hosts.latestIncarnation(sender.id) ?? '';
-			const isOutdated = latest > sender.incarnation;
-			let missingPublisherIds: string[] = [];
-			if (isOutdated) {
-				checkSuperseded(sender);
-			} else {
-				hear(sender, request.configuration);
-				missingPublisherIds = mergeDigests(request.digests);
-				deliverPayload(request);
-			}
-
-			return {
-				receiver: selfRecord(),
-				configuration: ownMark(),
-				newerIncarnation: isOutdated ? latest : '',
-				hosts: request.receiverIncarnation === self.incarnation ? [] : listLiveRecords(),
-				missingPublisherIds,
+			const rest = {
+				...accept(message),
+				hosts: message.receiverIncarnation === self.incarnation ? [] : listLiveRecords(),
 			};
+			const sender = findMember(message.senderId);
+			const isKnown = sender?.host.incarnation === message.senderIncarnation;
+			return isKnown ? write(sender, rest) : writeTo(message.senderIncarnation, rest);
 		},
 		members: () => members,
 		zoneMembers() {
-			const sharers = members.filter(member => isInZone(member) && member.state === memberState.alive && member.phase === hostPhase.serving);
-			const all = [...sharers.map(({host}) => host), ...(isSharing() ? [self] : [])];
-			return all.toSorted((left, right) => left.id < right.id ? -1 : 1);
+			const sharers = members.filter(({state, phase}) => state === memberState.alive && phase === hostPhase.serving);
+			const hosts = sharers.filter(member => isInZone(member)).map(({host}) => host);
+			return [...hosts, ...(isSharing() ? [self] : [])].toSorted((left, right) => left.id < right.id ? -1 : 1);
 		},
 		findMember,
-		isClosed: hosts.isClosed,
+		isClosed: knowledge.hosts.isClosed,
 		isSharing,
 		isRepresentative,
 		phase: lifeCycle.phase,
 		async announce(phase) {
 			if (lifeCycle.advance(phase)) {
 				refresh();
-				await tell(tasks.peers());
+				await tell(tasks.targets());
 			}
 		},
 		pushConfiguration() {
 			const nextOffset = ownNextOffset();
-			const isFirst = hosts.all().every(({configuration}) => (configuration?.nextOffset ?? 0) < nextOffset);
+			const isFirst = members.every(({host}) => nextOffsetOf(host.id) < nextOffset);
 			if (isFirst || isRepresentative()) {
-				void tell(tasks.peers().filter(({member}) => (hosts.get(member.host.id)?.configuration?.nextOffset ?? 0) < nextOffset));
+				void tell(tasks.targets().filter(({host}) => nextOffsetOf(host.id) < nextOffset));
 			}
 		},
 		async close() {
--- a/packages/chivestream-peer/src/peer-tasks.ts
+++ b/packages/chivestream-peer/src/peer-tasks.ts
@@ -1,80 +1,78 @@
-/** One task per peer that sends it heartbeats until it is stopped. */
+/** One task per peer that exchanges heartbeats with it until it is stopped. */
 /* eslint-disable no-await-in-loop -- a task takes its steps one after another */
 import {waitUntil, type Clock, type Random} from 'chivestream-core';
-import {type Acknowledged} from './heartbeat-writer.js';
 import {formatRun} from './digest-table.js';
 import {type Member} from './member.js';
 
-/** A host that gets heartbeats. */
-export type Peer = {
-	member: Member;
-	/** What it has acknowledged. */
-	acknowledged: Acknowledged;
-};
-
 /** The tasks of all peers. */
 export type PeerTasks = {
 	/** Starts tasks for new targets and stops those of all others. */
 	reconcile: (targets: readonly Member[]) => void;
-	peers: () => Peer[];
+	/** The members that have a task. */
+	targets: () => Member[];
 	/** Stops all; resolves when every task has ended. */
 	close: () => Promise<void>;
 };
 
-type Task = {peer: Peer; stop: AbortController; done: Promise<void>};
+type Task = {member: Member; stop: AbortController; done: Promise<void>};
 
 /** What the tasks do. */
 export type PeerTaskOptions = {
 	clock: Clock;
 	random: Random;
 	intervalMs: (member: Member) => number;
+	/** Whether the other side has just been in touch by itself. */
+	isInTouch: (member: Member) => boolean;
 	/** Sends one heartbeat and takes in the reply; never rejects. */
-	exchange: (peer: Peer) => Promise<void>;
+	exchange: (member: Member) => Promise<void>;
 };
 
 /** Creates an empty set of tasks. */
 export const createPeerTasks = ({
-	clock, random, intervalMs, exchange,
+	clock, random, intervalMs, isInTouch, exchange,
 }: PeerTaskOptions): PeerTasks => {
 	const tasks = new Map<string, Task>();
 
-	const run = async (peer: Peer, signal: AbortSignal) => {
-		await exchange(peer);
+	const run = async (key: string, first: Member, signal: AbortSignal) => {
+		await exchange(first);
 		// The second heartbeat comes early by chance, so that those of all hosts spread out.
-		await waitUntil(clock, clock.now() + (random() * intervalMs(peer.member)), signal);
+		await waitUntil(clock, clock.now() + (random() * intervalMs(first)), signal);
 		while (!signal.aborted) {
-			const sentAt = clock.now();
-			await exchange(peer);
-			await waitUntil(clock, sentAt + intervalMs(peer.member), signal);
+			const member = tasks.get(key)?.member ?? first;
+			const next = clock.now() + intervalMs(member);
+			if (!isInTouch(member)) {
+				await exchange(member);
+			}
+
+			await waitUntil(clock, next, signal);
 		}
 	};
 
-	const start = (member: Member) => {
-		const peer: Peer = {member, acknowledged: new Map()};
+	const start = (key: string, member: Member) => {
 		const stop = new AbortController();
-		tasks.set(formatRun(member.host), {peer, stop, done: run(peer, stop.signal)});
+		tasks.set(key, {member, stop, done: run(key, member, stop.signal)});
 	};
 
 	return {
 		reconcile(targets) {
 			const wanted = new Map(targets.map(member => [formatRun(member.host), member]));
-			for (const [key, {peer, stop}] of tasks) {
+			for (const [key, task] of tasks) {
 				const member = wanted.get(key);
 				if (member) {
-					peer.member = member;
+					task.member = member;
 				} else {
-					stop.abort();
+					task.stop.abort();
 					tasks.delete(key);
 				}
 			}
 
 			for (const [key, member] of wanted) {
 				if (!tasks.has(key)) {
-					start(member);
+					start(key, member);
 				}
 			}
 		},
-		peers: () => [...tasks.values()].map(({peer}) => peer),
+		targets: () => [...tasks.values()].map(({member}) => member),
 		async close() {
 			const ending = [...tasks.values()];
 			for (const {stop} of ending) {
--- a/packages/chivestream-peer/src/representatives.ts
+++ b/packages/chivestream-peer/src/representatives.ts
@@ -8,11 +8,34 @@
 export const chooseRepresentatives = (zone: string, liveIds: readonly string[]): string[] =>
 	rankByRendezvous(zone, liveIds).slice(0, representativeCount);
 
-/** The representatives of a zone among its live members; among all that may come back where none is live. */
+/** The representatives of a zone in order of rank: among its live members, or among all that may come back where none is live. */
 export const representativesOf = (zone: string, members: readonly Member[]): Member[] => {
 	const inZone = members.filter(member => member.host.zone === zone && member.state !== memberState.left);
 	const live = inZone.filter(member => isLive(member));
-	const candidates = live.length > 0 ? live : inZone;
-	const chosen = new Set(chooseRepresentatives(zone, candidates.map(({host}) => host.id)));
-	return candidates.filter(({host}) => chosen.has(host.id));
+	const candidates = new Map((live.length > 0 ? live : inZone).map(member => [member.host.id, member]));
+	return chooseRepresentatives(zone, [...candidates.keys()])
+		.map(id => candidates.get(id))
+		.filter(member => member !== undefined);
+};
+
+/**
+Whom a host exchanges heartbeats with: every host of its zone and, if it is a representative, the one of the same rank in
+each other zone.
+*/
+export const listTargets = (self: Member, members: readonly Member[]): Member[] => {
+	const {zone} = self.host;
+	const present = members.filter(({state}) => state !== memberState.left);
+	const inZone = present.filter(({host}) => host.zone === zone);
+	const rank = representativesOf(zone, [...inZone, self]).indexOf(self);
+	if (rank === -1) {
+		return inZone;
+	}
+
+	const otherZones = new Set(present.map(({host}) => host.zone));
+	otherZones.delete(zone);
+	const counterparts = [...otherZones].map(otherZone => {
+		const representatives = representativesOf(otherZone, present);
+		return representatives[rank] ?? representatives.at(-1);
+	});
+	return [...inZone, ...counterparts.filter(member => member !== undefined)];
 };
--- a/packages/chivestream-peer/src/service.ts
+++ b/packages/chivestream-peer/src/service.ts
@@ -6,7 +6,7 @@
 import {serverOptions} from './channel-options.js';
 import {toServiceError} from './failure-metadata.js';
 import {
-	PeerService as definition, type HeartbeatReply, type HeartbeatRequest, type PeerServer,
+	PeerService as definition, type HeartbeatMessage, type PeerServer,
 } from './generated/peer.js';
 import {type PeerHandlers} from './handlers.js';
 import {
@@ -17,7 +17,7 @@
 
 /** Answers heartbeats; a membership is one. */
 export type HeartbeatReceiver = {
-	receive: (request: HeartbeatRequest) => HeartbeatReply;
+	receive: (request: HeartbeatMessage) => HeartbeatMessage;
 };
 
 /** What the service listens on and what it calls. */
--- a/packages/chivestream-peer/src/sharing.ts
+++ b/packages/chivestream-peer/src/sharing.ts
@@ -10,32 +10,32 @@
 	/** Notes that a heartbeat sent at a time was acknowledged. */
 	acknowledge: (id: string, sentAt: number) => void;
 	/** Looks at the time and the live hosts of the zone; true while slots may be held. */
-	check: (now: number, livePeerIds: readonly string[]) => boolean;
+	check: (now: number, livePeerIds: readonly string[], timing: Timing) => boolean;
 };
 
 /** Creates the share of a host that has just started. */
-export const createSharing = (timing: Timing, startedAt: number): Sharing => {
+export const createSharing = (startedAt: number): Sharing => {
 	const acknowledgedAt = new Map<string, number>();
 	let lapsedAt = startedAt;
 	let isSharing = false;
 	let isAlone = false;
 
-	const isHeld = (now: number, livePeerIds: readonly string[]): boolean => {
+	const isHeld = (now: number, livePeerIds: readonly string[], {holdMs}: Timing): boolean => {
 		if (livePeerIds.length === 0) {
-			return isAlone || now - Math.max(...acknowledgedAt.values()) < timing.holdMs;
+			return isAlone || now - Math.max(...acknowledgedAt.values()) < holdMs;
 		}
 
-		return livePeerIds.some(id => now - (acknowledgedAt.get(id) ?? 0) < timing.holdMs);
+		return livePeerIds.some(id => now - (acknowledgedAt.get(id) ?? 0) < holdMs);
 	};
 
-	const isRegained = (now: number, livePeerIds: readonly string[]): boolean => {
+	const isRegained = (now: number, livePeerIds: readonly string[], {holdMs, aloneMs}: Timing): boolean => {
 		if (livePeerIds.length === 0) {
-			return now - lapsedAt >= timing.aloneMs;
+			return now - lapsedAt >= aloneMs;
 		}
 
 		return livePeerIds.every(id => {
 			const sentAt = acknowledgedAt.get(id) ?? 0;
-			return sentAt > lapsedAt && now - sentAt < timing.holdMs;
+			return sentAt > lapsedAt && now - sentAt < holdMs;
 		});
 	};
 
@@ -43,13 +43,13 @@
 		acknowledge(id, sentAt) {
 			acknowledgedAt.set(id, Math.max(sentAt, acknowledgedAt.get(id) ?? 0));
 		},
-		check(now, livePeerIds) {
-			if (isSharing && !isHeld(now, livePeerIds)) {
+		check(now, livePeerIds, timing) {
+			if (isSharing && !isHeld(now, livePeerIds, timing)) {
 				isSharing = false;
 				lapsedAt = now;
 			}
 
-			isSharing ||= isRegained(now, livePeerIds);
+			isSharing ||= isRegained(now, livePeerIds, timing);
 
 			isAlone = isSharing && livePeerIds.length === 0;
 			return isSharing;
--- a/packages/chivestream-peer/src/timing.ts
+++ b/packages/chivestream-peer/src/timing.ts
@@ -37,3 +37,18 @@
 	seedIntervalMs: 2000,
 	tickMs: 250,
 };
+
+const unstretchedZoneSize = 16;
+
+/** The lengths for a zone of a size: beyond a limit they grow with it, so that a host's messages a second do not. */
+export const stretchTiming = (timing: Timing, zoneSize: number): Timing => {
+	const factor = Math.max(1, zoneSize / unstretchedZoneSize);
+	return {
+		...timing,
+		heartbeatIntervalMs: timing.heartbeatIntervalMs * factor,
+		suspicionMs: timing.suspicionMs * factor,
+		zoneSuspicionMs: timing.zoneSuspicionMs * factor,
+		holdMs: timing.holdMs * factor,
+		aloneMs: timing.aloneMs * factor,
+	};
+};
