Remember a zone's representatives, index members, and test that views converge

Cause: a profile at 180 hosts showed hashing, linear look-ups and the vouching of digests as the largest parts.

--- /dev/null
+++ b/packages/chivestream-peer/src/__tests__/convergence.test.ts
@@ -0,0 +1,142 @@
+/* eslint-disable no-await-in-loop -- faults follow one another */
+import {
+	describe, expect, test,
+} from '@jest/globals';
+import * as fc from 'fast-check';
+import {createFakeClock, type FakeClock} from '../__fixtures__/fake-clock.js';
+import {createNetwork, type Network} from '../__fixtures__/network.js';
+import {chooseRepresentatives, defaultTiming, memberState} from '../index.js';
+
+const zones = ['a1', 'a2', 'b1'];
+const hostsPerZone = 3;
+const startMs = 4000;
+const settleMs = defaultTiming.deadMs;
+const ids = zones.flatMap(zone => Array.from({length: hostsPerZone}, (_, index) => `${zone}h${index}`));
+const runs = 12;
+const propertySeed = 20_261_204;
+
+const hostId = fc.constantFrom(...ids);
+const fault = fc.oneof(
+	fc.record({kind: fc.constant('kill' as const), id: hostId}),
+	fc.record({kind: fc.constant('restart' as const), id: hostId}),
+	fc.record({kind: fc.constant('pause' as const), id: hostId}),
+	fc.record({kind: fc.constant('cut one way' as const), id: hostId, to: hostId}),
+	fc.record({kind: fc.constant('cut zone' as const), id: hostId}),
+);
+type Fault = {kind: 'kill' | 'restart' | 'pause' | 'cut one way' | 'cut zone'; id: string; to?: string};
+
+const zoneOf = (id: string) => id.slice(0, 2);
+
+const inject = async (network: Network, {kind, id, to}: Fault) => {
+	const node = network.nodes.get(id);
+	switch (kind) {
+		case 'kill': {
+			void network.kill(id);
+			break;
+		}
+
+		case 'restart': {
+			void network.kill(id);
+			network.start(id, zoneOf(id));
+			break;
+		}
+
+		case 'pause': {
+			if (node) {
+				network.pause(node);
+			}
+
+			break;
+		}
+
+		case 'cut one way': {
+			network.cutOneWay(id, to ?? id);
+			break;
+		}
+
+		case 'cut zone': {
+			const inside = ids.filter(each => zoneOf(each) === zoneOf(id));
+			network.cut(inside, ids.filter(each => !inside.includes(each)));
+			break;
+		}
+	}
+};
+
+const repair = (network: Network) => {
+	network.heal();
+	for (const node of network.nodes.values()) {
+		network.resume(node);
+	}
+};
+
+/** Runs a list of faults and their repair; calls the check, then ends every host. */
+const runFaults = async (faults: readonly Fault[], stepMs: number, check: (network: Network, clock: FakeClock) => Promise<void> | void) => {
+	const clock = createFakeClock();
+	const network = createNetwork({clock});
+	for (const id of ids) {
+		network.start(id, zoneOf(id));
+	}
+
+	await clock.advance(startMs);
+	for (const each of faults) {
+		await inject(network, each);
+		await clock.advance(stepMs);
+	}
+
+	repair(network);
+	await clock.advance(settleMs);
+	try {
+		await check(network, clock);
+	} finally {
+		const closing = network.close();
+		await clock.advance(settleMs);
+		await closing;
+	}
+};
+
+const faultList = fc.array(fault, {minLength: 1, maxLength: 4});
+const stepLength = fc.integer({min: 100, max: 4000});
+
+describe('after any faults and their repair', () => {
+	test('every host sees exactly the running hosts alive, in their latest incarnation', async () => {
+		await fc.assert(fc.asyncProperty(faultList, stepLength, async (faults, stepMs) => {
+			await runFaults(faults, stepMs, network => {
+				const running = [...network.nodes.values()];
+				for (const viewer of running) {
+					const seen = viewer.membership.members().filter(({state}) => state === memberState.alive);
+					const expected = running.filter(node => node !== viewer).map(({host}) => host.incarnation);
+					expect(seen.map(({host}) => host.incarnation).toSorted()).toEqual(expected.toSorted());
+				}
+			});
+		}), {numRuns: runs, seed: propertySeed});
+	});
+
+	test('the hosts of a zone agree on its sharers, and each counts itself in', async () => {
+		await fc.assert(fc.asyncProperty(faultList, stepLength, async (faults, stepMs) => {
+			await runFaults(faults, stepMs, network => {
+				for (const {host, membership} of network.nodes.values()) {
+					expect(membership.zoneMembers().map(({id}) => id)).toEqual(network.idsIn(host.zone).toSorted());
+				}
+			});
+		}), {numRuns: runs, seed: propertySeed});
+	});
+});
+
+describe('at any time', () => {
+	test('a slot has one holder at most once the hosts of its zone have stopped changing their views', async () => {
+		await fc.assert(fc.asyncProperty(fc.constantFrom('pause' as const, 'kill' as const), hostId, async (kind, id) => {
+			await runFaults([], 0, async (network, clock) => {
+				await inject(network, {kind, id});
+				const zone = zoneOf(id);
+				const {suspicionMs, heartbeatIntervalMs, tickMs} = defaultTiming;
+				await clock.advance(suspicionMs + heartbeatIntervalMs + tickMs);
+				const claimed = network.idsIn(zone)
+					.map(each => network.nodes.get(each)!)
+					.filter(node => node.membership.zoneMembers().includes(node.host))
+					.map(node => chooseRepresentatives('slot-1', node.membership.zoneMembers().map(host => host.id))[0] === node.host.id);
+				expect(claimed.filter(Boolean)).toHaveLength(1);
+				repair(network);
+			});
+		}), {numRuns: runs, seed: propertySeed});
+	});
+});
--- a/packages/chivestream-peer/src/host-table.ts
+++ b/packages/chivestream-peer/src/host-table.ts
@@ -2,6 +2,7 @@
 import {type Host} from 'chivestream-core';
 import {type ConfigurationMark, type HostRecord} from './generated/peer.js';
 import {hostPhase, type HostPhase} from './handlers.js';
+import {formatRun} from './digest-table.js';
 import {toHost, toPhase} from './member.js';
 
 const maxClosedHosts = 10_000;
@@ -9,6 +10,8 @@
 /** A known host. */
 export type KnownHost = {
 	host: Host;
+	/** Id with incarnation. */
+	run: string;
 	record: HostRecord;
 	phase: HostPhase;
 	/** Time at which it was last heard directly; 0 if never. */
@@ -77,6 +80,7 @@
 			const phase = toPhase(record);
 			const known: KnownHost = {
 				host: toHost(record),
+				run: formatRun(record),
 				record,
 				phase,
 				heardAt: isSameRun ? before.heardAt : 0,
--- a/packages/chivestream-peer/src/membership.ts
+++ b/packages/chivestream-peer/src/membership.ts
@@ -8,7 +8,9 @@
 } from 'chivestream-core';
 import {type PeerResult} from './client.js';
 import {formatRun} from './digest-table.js';
-import {type ConfigurationMark, type HeartbeatMessage, type HostRecord} from './generated/peer.js';
+import {
+	type ConfigurationMark, type Digest, type HeartbeatMessage, type HostRecord,
+} from './generated/peer.js';
 import {hostPhase, type HostPhase} from './handlers.js';
 import {createKnowledge} from './knowledge.js';
 import {createLifeCycle} from './life-cycle.js';
@@ -82,6 +84,9 @@
 	const stop = new AbortController();
 	let timing = baseTiming;
 	let members: Member[] = [];
+	let membersById = new Map<string, Member>();
+	let livePeerIds: string[] = [];
+	let relayedDigests: Digest[] = [];
 	let signature = '';
 	let refreshedAt = clock.now();
 	let isSuperseded = false;
@@ -95,11 +100,10 @@
 	const selfRecord = (): HostRecord => toRecord(self, lifeCycle.phase(), lifeCycle.revision());
 	let ownDigest = publishDigest(selfRecord(), [], ownMark());
 
-	const findMember = (hostId: string) => members.find(({host}) => host.id === hostId);
+	const findMember = (hostId: string) => membersById.get(hostId);
 	const isInZone = ({host}: Member) => host.zone === self.zone;
 	const intervalMs = (member: Member) => isInZone(member) ? timing.heartbeatIntervalMs : timing.zoneIntervalMs;
-	const livePeerIds = () => members.filter(member => isInZone(member) && isLive(member)).map(({host}) => host.id);
-	const mayHoldSlots = () => !isSuperseded && sharing.check(clock.now(), livePeerIds(), timing);
+	const mayHoldSlots = () => !isSuperseded && sharing.check(clock.now(), livePeerIds, timing);
 	const isSharing = () => mayHoldSlots() && lifeCycle.phase() === hostPhase.serving;
 
 	const knowledge = createKnowledge({
@@ -172,6 +176,11 @@
 			hosts: knowledge.hosts, digests: knowledge.digests, zone: self.zone, timing,
 		};
 		members = computeMembers(evidence, now);
+		membersById = new Map(members.map(member => [member.host.id, member]));
+		livePeerIds = members.filter(member => isInZone(member) && isLive(member)).map(({host}) => host.id);
+		relayedDigests = knowledge.digests.all()
+			.filter(({isDirect, digest}) => isDirect && digest.zone !== self.zone)
+			.map(({digest}) => digest);
 		timing = stretchTiming(baseTiming, members.filter(member => isInZone(member)).length + 1);
 		forgetSilent(now);
 		ownDigest = publishDigest(selfRecord(), listHeard(evidence, now).map(({record}) => record), ownMark());
@@ -180,10 +189,7 @@
 	};
 
 	/** The digests for a receiver: this host's own and, within its zone, those that other zones sent to it. */
-	const listDigests = (receiver: Host) => {
-		const direct = knowledge.digests.all().filter(({isDirect, digest}) => isDirect && digest.zone !== self.zone);
-		return [ownDigest, ...(receiver.zone === self.zone ? direct.map(({digest}) => digest) : [])];
-	};
+	const listDigests = (receiver: Host) => receiver.zone === self.zone ? [ownDigest, ...relayedDigests] : [ownDigest];
 
 	const write = (receiver: Member, rest: Partial<HeartbeatMessage> = {}): HeartbeatMessage => {
 		const link = knowledge.linkTo(receiver.host);
@@ -238,7 +244,7 @@
 
 	const isInTouch = (member: Member): boolean => {
 		const heardAt = knowledge.hosts.get(member.host.id)?.heardAt ?? 0;
-		return isSharing() && clock.now() - heardAt < intervalMs(member) / 2;
+		return clock.now() - heardAt < intervalMs(member) / 2 && isSharing();
 	};
 
 	const tasks = createPeerTasks({
@@ -269,7 +275,7 @@
 			seeds: options.seeds,
 			listHosts: options.listHosts,
 			knownAddresses: () => new Set([self, ...liveMembers().map(({host}) => host)].map(host => host.peerAddress)),
-			hasPeers: () => livePeerIds().length > 0,
+			hasPeers: () => livePeerIds.length > 0,
 			ask,
 			eagerIntervalMs: timing.heartbeatIntervalMs,
 			calmIntervalMs: timing.seedIntervalMs,
--- a/packages/chivestream-peer/src/representatives.ts
+++ b/packages/chivestream-peer/src/representatives.ts
@@ -4,9 +4,20 @@
 
 const representativeCount = 2;
 
+const lastChoices = new Map<string, {candidates: string; chosen: string[]}>();
+
 /** The ids that speak for a zone: the first two in rendezvous order, the same for all who see the same live hosts. */
-export const chooseRepresentatives = (zone: string, liveIds: readonly string[]): string[] =>
-	rankByRendezvous(zone, liveIds).slice(0, representativeCount);
+export const chooseRepresentatives = (zone: string, liveIds: readonly string[]): string[] => {
+	const candidates = liveIds.toSorted().join(' ');
+	const last = lastChoices.get(zone);
+	if (last?.candidates === candidates) {
+		return last.chosen;
+	}
+
+	const chosen = rankByRendezvous(zone, liveIds).slice(0, representativeCount);
+	lastChoices.set(zone, {candidates, chosen});
+	return chosen;
+};
 
 /** The representatives of a zone in order of rank: among its live members, or among all that may come back where none is live. */
 export const representativesOf = (zone: string, members: readonly Member[]): Member[] => {
--- a/packages/chivestream-peer/src/view.ts
+++ b/packages/chivestream-peer/src/view.ts
@@ -48,7 +48,7 @@
 	const vouchers = collectVouchers(evidence);
 	return hosts.all().map(known => {
 		const {host, phase, configuration} = known;
-		const latest = Math.max(known.heardAt, known.learnedAt, vouchers.get(formatRun(host)) ?? 0);
+		const latest = Math.max(known.heardAt, known.learnedAt, vouchers.get(known.run) ?? 0);
 		known.evidenceAt = Math.max(known.evidenceAt, latest);
 		const {evidenceAt} = known;
 		const suspicionMs = host.zone === zone ? timing.suspicionMs : timing.zoneSuspicionMs;
