--- a/packages/chivestream-stand-ins/src/cluster/cluster.ts
+++ b/packages/chivestream-stand-ins/src/cluster/cluster.ts
@@ -19,7 +19,10 @@
 	seed: number;
 	/** How long the host list lags. */
 	hostListLagMs: number;
+	/** Options of Node.js for the entry hosts. */
 	nodeOptions?: string[];
+	/** Limits in the settings of the entry hosts. */
+	limits?: Record<string, number>;
 };
 
 /** A running system. */
@@ -102,6 +105,7 @@
 				peers,
 				directory,
 				nodeOptions: options.nodeOptions,
+				limits: options.limits,
 			});
 			processes.push(entry.process);
 			return entry;
