--- a/packages/chivestream-entry/src/claims.ts
+++ b/packages/chivestream-entry/src/claims.ts
@@ -19,6 +19,10 @@
 	incarnation: string;
 };
 
+/** Whether two claimants are the same run of a host. */
+export const isSameRun = (left: Claimant, right: Claimant): boolean =>
+	left.hostId === right.hostId && left.incarnation === right.incarnation;
+
 /** Claims keys through the log. */
 export type Claims = {
 	/** The claimant of a key: this host or the one whose claim came first. */
--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -16,10 +16,10 @@
 	createMembership, hostPhase, isLive, type Membership, type PeerHandlers,
 } from 'chivestream-peer';
 import {createScheduler, type Scheduler} from 'chivestream-placement';
-import {createClaims} from './claims.js';
+import {createClaims, isSameRun} from './claims.js';
 import {createDispatcher, type AttemptRunner} from './dispatcher.js';
 import {createEpochs} from './epochs.js';
-import {type HostOptions} from './host-links.js';
+import {type HostOptions, type HostParts} from './host-links.js';
 import {createJobRegistry} from './job-registry.js';
 import {createJobRouter} from './job-router.js';
 import {
@@ -56,8 +56,13 @@
 const drainQuietMs = 2000;
 const drainPollMs = 50;
 
+const defaultParts: HostParts = {
+	createScheduler, createEpochs, createJobRegistry, createClaims, isSameRun, follower: {},
+};
+
 /** Builds an entry host over its links; `start` sets it going. */
 export const createEntryHost = (options: HostOptions): EntryHost => {
+	const parts = {...defaultParts, ...options.parts};
 	const {
 		self, clock, random, logger, links, limits,
 	} = options;
@@ -67,10 +72,10 @@
 	let configuration: Configuration | undefined;
 	let drainDeadline: number | undefined;
 
-	const scheduler = createScheduler({clock, random});
-	const epochs = createEpochs({now: clock.now, epochMs: limits.keyEpochMs, openEpochs});
-	const registry = createJobRegistry({now: clock.now, maxRecords: limits.maxRememberedJobs, maxAnswerBytes: limits.maxRememberedBytes});
-	const claims = createClaims({
+	const scheduler = parts.createScheduler({clock, random});
+	const epochs = parts.createEpochs({now: clock.now, epochMs: limits.keyEpochMs, openEpochs});
+	const registry = parts.createJobRegistry({now: clock.now, maxRecords: limits.maxRememberedJobs, maxAnswerBytes: limits.maxRememberedBytes});
+	const claims = parts.createClaims({
 		self: claimant, stream: links.claimsStream, clock, logger, retentionMs: claimRetentionMs,
 	});
 
@@ -106,6 +111,7 @@
 		logger,
 		peers: links.peers,
 		membership: () => membership,
+		isSameRun: parts.isSameRun,
 		seedAddresses: options.seeds.map(({address}) => address).filter(address => address !== self.peerAddress),
 		countForward: metrics.countForward,
 	});
@@ -171,6 +177,7 @@
 		fetchFromPeers: calls.fetchStates,
 		confirmHeld: async (state, deadline) => calls.offerState(state, holdersNeeded(zoneSize()), deadline),
 		onChange: putInForce,
+		...parts.follower,
 	});
 
 	const membership = createMembership({
@@ -218,6 +225,7 @@
 		registry,
 		claims,
 		relay: calls,
+		isSameRun: parts.isSameRun,
 		run: dispatcher.run,
 		cancelRun: dispatcher.cancel,
 		limits: () => configuration?.declarations.limits,
--- a/packages/chivestream-entry/src/host-links.ts
+++ b/packages/chivestream-entry/src/host-links.ts
@@ -3,8 +3,12 @@
 	type AttemptResult, type Clock, type Host, type Logger, type Random, type Task,
 } from 'chivestream-core';
 import {type PeerClients} from 'chivestream-peer';
-import {type Assignment} from 'chivestream-placement';
+import {type FollowerOptions} from 'chivestream-configuration';
+import {type Assignment, type createScheduler} from 'chivestream-placement';
 import {type HostList, type Stream} from 'chivestream-platform';
+import {type Claimant, type createClaims} from './claims.js';
+import {type createEpochs} from './epochs.js';
+import {type createJobRegistry} from './job-registry.js';
 
 /** An attempt with what its upstream declares. */
 export type AttemptOrder = {
@@ -33,6 +37,18 @@
 	drainMs: number;
 };
 
+/** Makers of an entry host's parts; a proof run passes weaker ones to show what each of them prevents. */
+export type HostParts = {
+	createScheduler: typeof createScheduler;
+	createEpochs: typeof createEpochs;
+	createJobRegistry: typeof createJobRegistry;
+	createClaims: typeof createClaims;
+	/** Whether two claimants are the same run of a host. */
+	isSameRun: (left: Claimant, right: Claimant) => boolean;
+	/** Rules of the configuration's follower. */
+	follower: Partial<Pick<FollowerOptions, 'confirmHeld' | 'proof' | 'rules'>>;
+};
+
 /** What an entry host is made of. */
 export type HostOptions = {
 	self: Host;
@@ -43,4 +59,5 @@
 	limits: HostLimits;
 	/** Addresses of other entry hosts to ask first, with their zones. */
 	seeds: ReadonlyArray<{id: string; zone: string; address: string}>;
+	parts?: Partial<HostParts>;
 };
--- a/packages/chivestream-entry/src/job-router.ts
+++ b/packages/chivestream-entry/src/job-router.ts
@@ -18,7 +18,7 @@
 	type Limits,
 } from 'chivestream-core';
 import {validate as isUuid, version as uuidVersion} from 'uuid';
-import {type Claimant, type Claims} from './claims.js';
+import {isSameRun, type Claimant, type Claims} from './claims.js';
 import {type Epochs} from './epochs.js';
 import {type JobRecord, type JobRegistry} from './job-registry.js';
 
@@ -39,6 +39,7 @@
 	registry: JobRegistry;
 	claims: Claims;
 	relay: Relay;
+	isSameRun?: (left: Claimant, right: Claimant) => boolean;
 	/** Runs a job to its whole answer. */
 	run: (job: Job) => Promise<JobAnswer>;
 	cancelRun: (key: string, isForced: boolean) => boolean;
@@ -85,7 +86,7 @@
 		self, clock, epochs, registry, claims, relay,
 	} = options;
 
-	const isSelf = (home: Claimant) => home.hostId === self.hostId && home.incarnation === self.incarnation;
+	const isSelf = (home: Claimant) => (options.isSameRun ?? isSameRun)(home, self);
 
 	const fail = (job: Pick<Job, 'key' | 'tasks'>, refusal: Refusal, step: string, notRun: boolean): JobAnswer => {
 		const failure = new Failure(refusal.code, refusal.message, {step, peer: self.hostId});
--- a/packages/chivestream-entry/src/peer-calls.ts
+++ b/packages/chivestream-entry/src/peer-calls.ts
@@ -7,7 +7,7 @@
 	isLive, type Member, type Membership, type PeerClients,
 } from 'chivestream-peer';
 import {type SlotDemand, type SlotGrant} from 'chivestream-placement';
-import {type Claimant} from './claims.js';
+import {isSameRun, type Claimant} from './claims.js';
 import {type Relay} from './job-router.js';
 import {parseGrants} from './lending.js';
 import {
@@ -33,6 +33,7 @@
 	peers: PeerClients;
 	/** The membership, which is made after the calls. */
 	membership: () => Membership;
+	isSameRun?: (left: Claimant, right: Claimant) => boolean;
 	/** Addresses to ask before any member is known. */
 	seedAddresses: readonly string[];
 	/** Counts jobs handed to their home. */
@@ -52,7 +53,8 @@
 
 	const findHome = (home: Claimant): Member | undefined => {
 		const member = membership().findMember(home.hostId);
-		return member?.host.incarnation === home.incarnation ? member : undefined;
+		const run = member && {hostId: member.host.id, incarnation: member.host.incarnation};
+		return run && (options.isSameRun ?? isSameRun)(run, home) ? member : undefined;
 	};
 
 	const askAddress = async <Kind extends PeerRequest['kind']>(address: string, request: Extract<PeerRequest, {kind: Kind}>, deadline: number): Promise<PeerReplies[Kind] | undefined> => {
--- /dev/null
+++ b/packages/chivestream-replay/src/faults/fault-plan.ts
@@ -0,0 +1,51 @@
+/** Draws the faults of a run: what happens, when, and for how long. */
+import {pickRandom, randomInteger, type Random} from 'chivestream-core';
+
+/** Kinds of faults. */
+export const faultKind = {
+	kill: 'kill',
+	pause: 'pause',
+	plannedStop: 'planned-stop',
+	zoneCut: 'zone-cut',
+	oneWayCut: 'one-way-cut',
+	hostCut: 'host-cut',
+	logOutage: 'log-outage',
+	logSlow: 'log-slow',
+	appendAnswerLost: 'append-answer-lost',
+	lostAnswers: 'lost-answers',
+	delays: 'delays',
+	duplicates: 'duplicates',
+	minionFailing: 'minion-failing',
+	minionHanging: 'minion-hanging',
+	minionStraggling: 'minion-straggling',
+	minionCrossing: 'minion-crossing',
+	minionRepeating: 'minion-repeating',
+	minionRefusing: 'minion-refusing',
+	minionDead: 'minion-dead',
+	cancelWave: 'cancel-wave',
+} as const;
+
+/** One of the kinds. */
+export type FaultKind = (typeof faultKind)[keyof typeof faultKind];
+
+/** One fault of a run. */
+export type Fault = {
+	kind: FaultKind;
+	at: number;
+	until: number;
+};
+
+const faultsPerRun = 18;
+const shortestMs = 300;
+const longestMs = 9000;
+
+/** Faults of the given kinds between two times. */
+export const planFaults = (random: Random, kinds: readonly FaultKind[], from: number, until: number): Fault[] => {
+	const faultCount = kinds.length === 0 ? 0 : faultsPerRun + randomInteger(random, faultsPerRun);
+	const faults = Array.from({length: faultCount}, () => {
+		const at = from + (random() * (until - from));
+		const lengthMs = shortestMs + (random() * random() * longestMs);
+		return {kind: pickRandom(random, kinds), at, until: Math.min(until, at + lengthMs)};
+	});
+	return faults.toSorted((left, right) => left.at - right.at);
+};
--- /dev/null
+++ b/packages/chivestream-replay/src/faults/index.ts
@@ -0,0 +1,5 @@
+/** A seeded run over all faults together. */
+export * from './availability.js';
+export * from './fault-plan.js';
+export * from './run-faults.js';
+export {mechanism, type Mechanism} from './switches.js';
--- /dev/null
+++ b/packages/chivestream-replay/src/faults/switches.ts
@@ -0,0 +1,116 @@
+/** Each mechanism with a weaker stand-in for it, so that a run can show what the mechanism prevents. */
+import {
+	attemptOutcome, failureCode, type AttemptResult, type JobAnswer,
+} from 'chivestream-core';
+import {applyRecord, commandSchema, readerRules} from 'chivestream-configuration';
+import {
+	createClaims, createEpochs, createJobRegistry, type HostParts,
+} from 'chivestream-entry';
+import {judgeExchange} from 'chivestream-minion';
+import {createScheduler} from 'chivestream-placement';
+import {Ok} from 'ts-results-es';
+import {type Judge} from './memory-minions.js';
+
+/** Mechanisms that can be switched off. */
+export const mechanism = {
+	rememberedKeys: 'remembered-keys',
+	claims: 'claims',
+	incarnationInKey: 'incarnation-in-key',
+	closedEpochs: 'closed-epochs',
+	retryOnlyNotStarted: 'retry-only-not-started',
+	echoMatch: 'echo-match',
+	notRunOnlyIfKnown: 'not-run-only-if-known',
+	baseVersion: 'base-version',
+	confirmBeforeForce: 'confirm-before-force',
+	proofBeforeForce: 'proof-before-force',
+	drainedTargets: 'drained-targets',
+	drainWait: 'drain-wait',
+} as const;
+
+/** One of the mechanisms. */
+export type Mechanism = (typeof mechanism)[keyof typeof mechanism];
+
+/** What stands in for a mechanism. */
+export type Weakening = {
+	parts?: Partial<HostParts>;
+	judge?: Judge;
+	alterAnswer?: (answer: JobAnswer) => JobAnswer;
+	stopsWait?: boolean;
+};
+
+const forgetfulRegistry: typeof createJobRegistry = options => {
+	const registry = createJobRegistry(options);
+	return {
+		...registry,
+		open(job, closesAt) {
+			registry.forget(job.key);
+			return registry.open(job, closesAt);
+		},
+	};
+};
+
+const unclaimed: typeof createClaims = options => ({
+	...createClaims(options),
+	claim: async () => Ok(options.self),
+});
+
+const openEpochs: typeof createEpochs = options => ({
+	...createEpochs(options),
+	isOpen: () => true,
+});
+
+const retryUnknown: typeof createScheduler = parts => {
+	const scheduler = createScheduler(parts);
+	return {
+		...scheduler,
+		settle(assignment, result: AttemptResult) {
+			const altered = result.outcome === attemptOutcome.unknown ? {outcome: attemptOutcome.notStarted, failure: result.failure} : result;
+			return scheduler.settle(assignment, altered);
+		},
+	};
+};
+
+const ignoreDrains: typeof createScheduler = parts => {
+	const scheduler = createScheduler(parts);
+	return {
+		...scheduler,
+		configure(configuration, sharers) {
+			scheduler.configure({...configuration, declarations: {...configuration.declarations, drains: []}}, sharers);
+		},
+	};
+};
+
+/** Takes every answer for the answer to the attempt that waits. */
+const judgeWithoutEcho: Judge = (end, attempt) => {
+	const {key, taskIndex, attempt: number} = attempt.identity;
+	const echoed = {'chivestream-attempt': `${key}/${taskIndex}/${number}`};
+	return judgeExchange(end.kind === 'answered' ? {...end, headers: {...end.headers, ...echoed}} : end, attempt);
+};
+
+const guessedCodes: ReadonlySet<string> = new Set([failureCode.homeLost, failureCode.homeUnreachable, failureCode.logUnavailable, failureCode.keyClosed]);
+
+const guessNotRun = (answer: JobAnswer): JobAnswer => answer.state === 'failed' && guessedCodes.has(answer.failure.code)
+	? {...answer, failure: {...answer.failure, notRun: true}}
+	: answer;
+
+const ignoreBaseVersion: typeof applyRecord = (state, record) => {
+	const command = commandSchema.safeParse(record.value);
+	const value = command.success ? {...command.data, baseVersion: state.configuration.version} : record.value;
+	return applyRecord(state, {...record, value});
+};
+
+/** The weaker stand-in for each mechanism. */
+export const weakenings: Record<Mechanism, Weakening> = {
+	[mechanism.rememberedKeys]: {parts: {createJobRegistry: forgetfulRegistry}},
+	[mechanism.claims]: {parts: {createClaims: unclaimed}},
+	[mechanism.incarnationInKey]: {parts: {isSameRun: (left, right) => left.hostId === right.hostId}},
+	[mechanism.closedEpochs]: {parts: {createEpochs: openEpochs}},
+	[mechanism.retryOnlyNotStarted]: {parts: {createScheduler: retryUnknown}},
+	[mechanism.echoMatch]: {judge: judgeWithoutEcho},
+	[mechanism.notRunOnlyIfKnown]: {alterAnswer: guessNotRun},
+	[mechanism.baseVersion]: {parts: {follower: {rules: {...readerRules, fold: ignoreBaseVersion}}}},
+	[mechanism.confirmBeforeForce]: {parts: {follower: {confirmHeld: async () => undefined}}},
+	[mechanism.proofBeforeForce]: {parts: {follower: {proof: ({havePeersAnswered}) => havePeersAnswered}}},
+	[mechanism.drainedTargets]: {parts: {createScheduler: ignoreDrains}},
+	[mechanism.drainWait]: {stopsWait: false},
+};
