--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -10,17 +10,18 @@
 } from 'chivestream-core';
 import {type CallerHandlers} from 'chivestream-caller';
 import {
-	Follower, holdersNeeded, runSnapshotWriter, type PeerState, type State,
+	Follower, holdersNeeded, runSnapshotWriter, type PeerState,
 } from 'chivestream-configuration';
 import {
 	createMembership, hostPhase, isLive, type Membership, type PeerHandlers,
 } from 'chivestream-peer';
 import {answerPeerRequest as answerOperatorRequest, type OperatorSource} from 'chivestream-operator';
 import {createScheduler, type Scheduler} from 'chivestream-placement';
-import {createClaims} from './claims.js';
+import {createObjectiveRecorder} from 'chivestream-report';
+import {createClaims, isSameRun} from './claims.js';
 import {createDispatcher, type AttemptRunner} from './dispatcher.js';
 import {createEpochs} from './epochs.js';
-import {type HostOptions} from './host-links.js';
+import {type HostOptions, type HostParts} from './host-links.js';
 import {createJobRegistry} from './job-registry.js';
 import {createJobRouter} from './job-router.js';
 import {
@@ -58,8 +59,13 @@
 const drainQuietMs = 2000;
 const drainPollMs = 50;
 
+const defaultParts: HostParts = {
+	createScheduler, createEpochs, createJobRegistry, createClaims, isSameRun, follower: {},
+};
+
 /** Builds an entry host over its links; `start` sets it going. */
 export const createEntryHost = (options: HostOptions): EntryHost => {
+	const parts = {...defaultParts, ...options.parts};
 	const {
 		self, clock, random, logger, links, limits,
 	} = options;
@@ -69,10 +75,10 @@
 	let configuration: Configuration | undefined;
 	let drainDeadline: number | undefined;
 
-	const scheduler = createScheduler({clock, random});
-	const epochs = createEpochs({now: clock.now, epochMs: limits.keyEpochMs, openEpochs});
-	const registry = createJobRegistry({now: clock.now, maxRecords: limits.maxRememberedJobs, maxAnswerBytes: limits.maxRememberedBytes});
-	const claims = createClaims({
+	const scheduler = parts.createScheduler({clock, random});
+	const epochs = parts.createEpochs({now: clock.now, epochMs: limits.keyEpochMs, openEpochs});
+	const registry = parts.createJobRegistry({now: clock.now, maxRecords: limits.maxRememberedJobs, maxAnswerBytes: limits.maxRememberedBytes});
+	const claims = parts.createClaims({
 		self: claimant, stream: links.claimsStream, clock, logger, retentionMs: claimRetentionMs,
 	});
 
@@ -100,6 +106,7 @@
 		};
 	};
 
+	const recorder = createObjectiveRecorder(clock, {host: self.id, zone: self.zone});
 	const metrics = createHostMetrics(readFigures);
 	const calls = createPeerCalls({
 		selfId: self.id,
@@ -108,6 +115,7 @@
 		logger,
 		peers: links.peers,
 		membership: () => membership,
+		isSameRun: parts.isSameRun,
 		seedAddresses: options.seeds.map(({address}) => address).filter(address => address !== self.peerAddress),
 		countForward: metrics.countForward,
 	});
@@ -123,7 +131,11 @@
 		scheduler,
 		runAttempt,
 		onFinished(run, answer) {
+			const {team, upstream} = run.job;
 			metrics.recordJob(run, answer, clock.now());
+			recorder.record({
+				team, upstream, elapsedMs: clock.now() - run.startedAt, answer,
+			});
 		},
 		onDemand: lending.ask,
 	});
@@ -147,6 +159,8 @@
 	const putInForce = (accepted: Configuration) => {
 		const isFirst = configuration === undefined;
 		configuration = accepted;
+		recorder.configure(accepted.declarations.objectives);
+		links.onDeclarations(accepted.declarations);
 		shareSlots();
 		logger.info('configuration in force', {
 			step: 'configure', peer: 'log', version: accepted.version, offset: accepted.offset,
@@ -172,8 +186,9 @@
 		zone: self.zone,
 		zoneSize,
 		fetchFromPeers: calls.fetchStates,
-		confirmHeld: async (state, deadline) => calls.offerState(state, holdersNeeded(zoneSize()), deadline),
+		confirmHeld: async (state, deadline, records) => calls.offerRecords(state.configuration.offset, records, holdersNeeded(zoneSize()), deadline),
 		onChange: putInForce,
+		...parts.follower,
 	});
 
 	const membership = createMembership({
@@ -221,6 +236,7 @@
 		registry,
 		claims,
 		relay: calls,
+		isSameRun: parts.isSameRun,
 		run: dispatcher.run,
 		cancelRun: dispatcher.cancel,
 		limits: () => configuration?.declarations.limits,
@@ -264,7 +280,7 @@
 			cancel: router.cancelLocal,
 			operator: text => answerOperatorRequest(operatorSource, text),
 			state: peerState,
-			adopt: (state: State) => follower.adopt(state),
+			hold: async (offset, records, deadline) => follower.hold(offset, records, deadline),
 			version: () => configuration?.version ?? -1,
 		}),
 	};
@@ -279,9 +295,7 @@
 		follower,
 		stream: links.configurationStream,
 		seeds: options.seeds,
-		readHistory: () => ({
-			host: self.id, zone: self.zone, since: startedAt, at: clock.now(), from: startedAt, objectives: [],
-		}),
+		readHistory: recorder.read,
 	});
 
 	const homeToken = () => isServing()
--- a/packages/chivestream-entry/src/main.ts
+++ b/packages/chivestream-entry/src/main.ts
@@ -1,6 +1,6 @@
 /** The program `chivestream-entry`: one entry host. */
 import process from 'node:process';
-import {createStructuredLogger} from 'chivestream-core';
+import {createStructuredLogger, Failure, failureCode} from 'chivestream-core';
 import {entrySettings, readSettingsFile} from 'chivestream-settings';
 import meow from 'meow';
 import {startEntryProcess} from './entry-process.js';
@@ -71,5 +71,5 @@
 	}
 } catch (error) {
 	logger.error('could not start', {step: 'start', peer: host.id, reason: error instanceof Error ? error.message : String(error)});
-	process.exit(exitCode.cannotListen);
+	process.exit(error instanceof Failure && error.code === failureCode.settingsInvalid ? exitCode.badSettings : exitCode.cannotListen);
 }
