--- a/packages/chivestream-replay/src/faults/callers.ts
+++ b/packages/chivestream-replay/src/faults/callers.ts
@@ -44,6 +44,8 @@
 	resubmissions: () => number;
 	/** Submits a new job, and perhaps copies of it. */
 	submitNew: () => void;
+	/** Sends no more copies. */
+	stop: () => void;
 	/** Submits a job that is known once more. */
 	resubmit: (known: CallerJob, lengthMs: number) => Promise<Call>;
 	/** Cancels a share of the jobs in progress through hosts at random. */
@@ -76,6 +78,7 @@
 }: CallersOptions): Callers => {
 	const jobs: CallerJob[] = [];
 	let resubmissions = 0;
+	let isStopped = false;
 
 	const balance = (): ClusterHost | undefined => {
 		const hosts = cluster.hosts();
@@ -140,6 +143,10 @@
 
 	const sendLater = (known: CallerJob, delayMs: number) => {
 		clock.at(clock.now() + delayMs, () => {
+			if (isStopped) {
+				return;
+			}
+
 			resubmissions += 1;
 			void send(known, balance(), Math.max(known.job.deadline, clock.now() + shortestDeadlineMs));
 		});
@@ -178,6 +185,9 @@
 				sendLater(known, copySpreadMs + (random() * lateCopyMs));
 			}
 		},
+		stop() {
+			isStopped = true;
+		},
 		async resubmit(known, lengthMs) {
 			resubmissions += 1;
 			return send(known, balance(), clock.now() + lengthMs);
