Wait for a faster slot where that pays, let short jobs pass, lend between zones

Cause: p50 was bound by long tasks put on slow slots at once, p99 at 90% by short jobs that waited as long as wide ones, wide jobs by one zone's slots. Change: a task waits for a busy faster slot when it then ends within 0.6 of the run time on the free one; jobs rank by arrival plus 5 times their longest task; hosts ask other zones for slots after their own; a slot whose task's outcome is unknown is held off.

--- a/packages/chivestream-placement/src/admission.ts
+++ b/packages/chivestream-placement/src/admission.ts
@@ -8,7 +8,7 @@
 import {couldEverFit, createMinionTarget, createWorkerTarget} from './target.js';
 
 const origin = {step: 'admit a job', peer: 'placement'};
-const largestShareOfQuota = 1;
+const longestWaitShare = 0.5;
 
 const refuse = (code: FailureCode, message: string): Result<void, Failure> => new Err(new Failure(code, message, origin));
 
@@ -69,7 +69,7 @@
 		return refuse(failureCode.deadlinePassed, 'the deadline has passed');
 	}
 
-	if (job.tasks.length > team.maxTasksInFlight * largestShareOfQuota) {
+	if (job.tasks.length > team.maxTasksInFlight) {
 		return refuse(failureCode.neverRunnable, `${job.tasks.length} tasks exceed the quota of team ${job.team}`);
 	}
 
@@ -78,7 +78,7 @@
 		return refuse(failureCode.neverRunnable, `task ${tooLarge} is larger than any minion or worker of ${job.upstream}`);
 	}
 
-	if (pool && now + waitMs(pool, job.team, now) >= job.deadline) {
+	if (pool && waitMs(pool, job.team, now) >= (job.deadline - now) * longestWaitShare) {
 		return refuse(failureCode.deadlineUnreachable, 'the waiting work leaves no time before the deadline');
 	}
 
--- a/packages/chivestream-placement/src/create-scheduler.ts
+++ b/packages/chivestream-placement/src/create-scheduler.ts
@@ -9,10 +9,10 @@
 	acceptGrant, bindMarginMs, defaultLendingTerms, demandOf, dropLapsed, grantsToExtend, type LendingTerms, lendSlots, takeIdleGrants,
 } from './lending.js';
 import {
-	chooseBySlack, type JobOrder, orderByProportionalWait, type TargetChoice,
+	chooseFastestSoon, type JobOrder, orderByProportionalWait, type TargetChoice,
 } from './policies.js';
 import {
-	calibrationOf, createPool, expectedMs, freeUnitsOf, needOfTask, type Pool, refreshTarget, retryBudgetOf,
+	calibrationOf, createPool, freeUnitsOf, needOfTask, type Pool, refreshTarget, retryBudgetOf,
 } from './pool.js';
 import {
 	isQuarantined, quarantine, recordFailure, recordSuccess,
@@ -23,13 +23,15 @@
 } from './scheduler.js';
 import {shareOut} from './share-out.js';
 import {estimateOf, learnLogarithm, logarithmOfRatio} from './speed.js';
-import {occupy, type Target, vacate} from './target.js';
+import {
+	needOn, occupy, type Target, vacate,
+} from './target.js';
 
 /** What a scheduler is made of. */
 export type SchedulerParts = {
 	clock: Clock;
 	random: Random;
-	/** Picks the target of a task; by slack unless given. */
+	/** Picks the target of a task; the fastest or a faster one soon unless given. */
 	chooseTarget?: TargetChoice;
 	/** Orders the jobs of a team; by proportional wait unless given. */
 	orderJob?: JobOrder;
@@ -49,8 +51,9 @@
 const drainingBackoffMs = 2000;
 const samplesToTrust = 3;
 const gossipGain = 0.3;
+const meanWorkGain = 0.02;
 const noticeableChange = 0.15;
-const smallestRestMs = 1000;
+const unknownHoldOffMs = 3000;
 
 const groupByLender = (entries: Array<{lenderId: string; grant: SlotGrant}>): Array<{lenderId: string; grants: SlotGrant[]}> => {
 	const byLender = new Map<string, SlotGrant[]>();
@@ -66,7 +69,7 @@
 /** Creates the decisions of one entry host. */
 export const createScheduler = (parts: SchedulerParts): Scheduler => {
 	const {
-		clock, random, chooseTarget = chooseBySlack, orderJob = orderByProportionalWait, lendingTerms = defaultLendingTerms,
+		clock, random, chooseTarget = chooseFastestSoon, orderJob = orderByProportionalWait, lendingTerms = defaultLendingTerms,
 		takeoverHoldOffMs = defaultTakeoverHoldOffMs,
 	} = parts;
 	const pools = new Map<string, Pool>();
@@ -101,6 +104,7 @@
 		for (let wake = wakes.peek(); wake && wake.at <= now; wake = wakes.peek()) {
 			wakes.pop();
 			dropLapsed(wake.target, now);
+			wake.target.takeovers = wake.target.takeovers.filter(({availableAt}) => availableAt > now);
 			refresh(wake.pool, wake.target, now);
 		}
 	};
@@ -140,7 +144,7 @@
 		let group = pool.groups.get(task.key);
 		if (!group) {
 			const unordered = {
-				key: task.key, waiting: new Set<WaitingTask>(), expectedEnd: 0, longestMs, enqueuedAt: task.enqueuedAt,
+				key: task.key, waiting: new Set<WaitingTask>(), longestMs, enqueuedAt: task.enqueuedAt,
 			};
 			group = {...unordered, order: orderJob(unordered)};
 			pool.groups.set(task.key, group);
@@ -169,8 +173,7 @@
 	};
 
 	const bind = (pool: Pool, waiting: WaitingTask, target: Target, now: number): Assignment => {
-		const {task, group, team} = waiting;
-		group.expectedEnd = Math.max(group.expectedEnd, now + expectedMs(pool, task, target));
+		const {task, team} = waiting;
 		unqueue(pool, waiting);
 		pool.queue.start(team);
 		pool.running++;
@@ -200,6 +203,8 @@
 		const teamSample = ratio - target.slowness.value;
 		learnLogarithm(target.slowness, targetSample);
 		learnLogarithm(calibration, teamSample);
+		const workMs = (now - assignment.startedAt) / estimateOf(target.slowness);
+		pool.meanWorkMs += meanWorkGain * (workMs - pool.meanWorkMs);
 	};
 
 	const failTarget = (pool: Pool, target: Target, key: string, now: number) => {
@@ -221,6 +226,12 @@
 			return;
 		}
 
+		if (result.outcome === attemptOutcome.unknown) {
+			// The task may still run: its slot is not free yet.
+			target.takeovers.push({count: needOn(target, needOfTask(assignment.task)).units, availableAt: now + unknownHoldOffMs});
+			wakeTarget(pool, target, now + unknownHoldOffMs);
+		}
+
 		if (result.outcome !== attemptOutcome.notStarted || result.failure.code === failureCode.connectionFailed || result.failure.code === failureCode.timedOut) {
 			failTarget(pool, target, assignment.task.key, now);
 			return;
@@ -367,7 +378,7 @@
 		},
 		releaseIdle() {
 			const now = clock.now();
-			return groupByLender([...pools.values()].flatMap(pool => takeIdleGrants(pool, smallestRestMs, now)));
+			return groupByLender([...pools.values()].flatMap(pool => takeIdleGrants(pool, lendingTerms[pool.declared.preference].smallestRestMs, now)));
 		},
 		reclaim(borrowerId, grants) {
 			const now = clock.now();
--- a/packages/chivestream-placement/src/fair-queue.ts
+++ b/packages/chivestream-placement/src/fair-queue.ts
@@ -8,8 +8,6 @@
 	waiting: Set<WaitingTask>;
 	/** Rank of the job within its team; lower goes first. */
 	order: number;
-	/** When the job's last task is expected to end, from the tasks bound so far. */
-	expectedEnd: number;
 	/** Declared run time of the job's longest task. */
 	longestMs: number;
 	enqueuedAt: number;
--- a/packages/chivestream-placement/src/lender-choice.ts
+++ b/packages/chivestream-placement/src/lender-choice.ts
@@ -1,4 +1,4 @@
-/** Decides which hosts of the zone to ask for slots, from what they last said of their idle ones. */
+/** Decides which hosts to ask for slots, from what they last said of their idle ones: those of the own zone first. */
 
 /** A request for slots to one host. */
 export type SlotRequest = {
@@ -7,10 +7,16 @@
 	count: number;
 };
 
+/** A host that may lend. */
+export type Lender = {
+	id: string;
+	isInZone: boolean;
+};
+
 /** What one host knows of the idle slots of the others, for each upstream. */
 export type LenderChoice = {
 	/** Takes what a host said of its idle slots. */
-	noteIdle: (lenderId: string, upstream: string, count: number) => void;
+	noteIdle: (lender: Lender, upstream: string, count: number) => void;
 	/** Forgets a host that left. */
 	forget: (lenderId: string) => void;
 	/** Whom to ask for how many, the one with most idle slots first; nothing while an answer is outstanding. */
@@ -26,6 +32,7 @@
 export const createLenderChoice = (): LenderChoice => {
 	const idle = new Map<string, Map<string, number>>();
 	const outstanding = new Set<string>();
+	const isInZone = new Map<string, boolean>();
 
 	const idleOf = (upstream: string): Map<string, number> => {
 		let counts = idle.get(upstream);
@@ -38,8 +45,9 @@
 	};
 
 	return {
-		noteIdle(lenderId, upstream, count) {
-			idleOf(upstream).set(lenderId, count);
+		noteIdle(lender, upstream, count) {
+			isInZone.set(lender.id, lender.isInZone);
+			idleOf(upstream).set(lender.id, count);
 		},
 		forget(lenderId) {
 			for (const counts of idle.values()) {
@@ -53,7 +61,9 @@
 
 			let left = count;
 			const requests: SlotRequest[] = [];
-			const lenders = [...idleOf(upstream)].toSorted(([, leftIdle], [, rightIdle]) => rightIdle - leftIdle);
+			const farness = (lenderId: string) => isInZone.get(lenderId) ? 0 : 1;
+			const lenders = [...idleOf(upstream)].toSorted(([left, leftIdle], [right, rightIdle]) =>
+				(farness(left) - farness(right)) || (rightIdle - leftIdle));
 			for (const [lenderId, lenderIdle] of lenders) {
 				const asked = Math.min(left, Math.floor(lenderIdle * expectedLentShare));
 				if (asked > 0) {
--- a/packages/chivestream-placement/src/lending.ts
+++ b/packages/chivestream-placement/src/lending.ts
@@ -1,6 +1,6 @@
 /** Lends free slots to other hosts of the zone and uses those they lend. */
 import {type Preference, preference} from 'chivestream-core';
-import {freeUnitsOf, type Pool, refreshTarget} from './pool.js';
+import {type Pool, refreshTarget} from './pool.js';
 import {type SlotDemand, type SlotGrant} from './scheduler.js';
 import {createDeclaredTarget} from './share-out.js';
 import {freeUnits, ownUnits, type Target} from './target.js';
@@ -15,6 +15,8 @@
 	smallestBatch: number;
 	/** Share of its free slots that a host lends at once. */
 	lentShare: number;
+	/** Idle grants are returned when more than this is left of them, in milliseconds; else they lapse. */
+	smallestRestMs: number;
 };
 
 /** Time before a grant's deadline from which the borrower binds no more tasks, in milliseconds. */
@@ -23,16 +25,16 @@
 /** Terms for each preference. */
 export const defaultLendingTerms: Record<Preference, LendingTerms> = {
 	[preference.responseTime]: {
-		grantMs: 4000, patienceMs: 0, smallestBatch: 1, lentShare: 0.5,
+		grantMs: 4000, patienceMs: 0, smallestBatch: 1, lentShare: 0.5, smallestRestMs: 500,
 	},
 	[preference.fewMessages]: {
-		grantMs: 10_000, patienceMs: 20, smallestBatch: 4, lentShare: 0.5,
+		grantMs: 10_000, patienceMs: 20, smallestBatch: 4, lentShare: 0.5, smallestRestMs: 500,
 	},
 };
 
 /** Slots worth asking for now; none while the shortage is younger than the patience. */
 export const demandOf = (pool: Pool, terms: LendingTerms, now: number): SlotDemand | undefined => {
-	const count = pool.queue.size() - freeUnitsOf(pool, now);
+	const count = pool.queue.size();
 	if (count <= 0) {
 		pool.shortSince = undefined;
 		return undefined;
@@ -52,7 +54,9 @@
 		return [];
 	}
 
-	const targets = [...pool.targets.values()].filter(target => !target.isWorker && lendableUnits(target, now) > 0);
+	const targets = [...pool.targets.values()]
+		.filter(target => !target.isWorker && lendableUnits(target, now) > 0)
+		.toSorted((left, right) => left.slowness.value - right.slowness.value);
 	let total = 0;
 	for (const target of targets) {
 		total += lendableUnits(target, now);
--- a/packages/chivestream-placement/src/policies.ts
+++ b/packages/chivestream-placement/src/policies.ts
@@ -1,15 +1,21 @@
 /** The choices of a scheduler that are passed as functions. */
 import {type JobGroup, type WaitingTask} from './fair-queue.js';
-import {expectedMs, needOfTask, type Pool} from './pool.js';
+import {
+	expectedWorkMs, needOfTask, type Pool,
+} from './pool.js';
+import {endAfterWaitMs, refreshSpeedTable} from './speed-table.js';
 import {estimateOf} from './speed.js';
 import {fits, type Target} from './target.js';
 
-/** Picks a target with room for the task; undefined when there is none. */
+/** Picks a target with room for the task; undefined when there is none, or when it is better to wait. */
 export type TargetChoice = (pool: Pool, waiting: WaitingTask, now: number) => Target | undefined;
 
 /** Ranks a job among those of its team; lower goes first. */
 export type JobOrder = (group: Omit<JobGroup, 'order'>) => number;
 
+/** Share of the run time on the free slot below which waiting is worthwhile. */
+const worthwhileWait = 0.6;
+
 /** The fastest target with a free slot. */
 export const chooseFastest: TargetChoice = (pool, {task}, now) => {
 	const need = needOfTask(task);
@@ -17,32 +23,27 @@
 };
 
 /**
-The slowest target on which the task still ends before its job's last one, so that fast slots stay free for the tasks
-that a job waits for; the fastest when there is none.
+The fastest target with a free slot, unless the task is expected to end much sooner on a faster slot that is busy now,
+behind all that waits already.
 */
-export const chooseBySlack: TargetChoice = (pool, waiting, now) => {
-	const need = needOfTask(waiting.task);
-	const isAccepted = (target: Target) => fits(target, need, now);
-	const fastest = pool.free.fastest(isAccepted);
+export const chooseFastestSoon: TargetChoice = (pool, waiting, now) => {
+	const fastest = chooseFastest(pool, waiting, now);
 	if (!fastest) {
 		return undefined;
 	}
 
-	const slackMs = waiting.group.expectedEnd - now;
-	const fastestMs = expectedMs(pool, waiting.task, fastest);
-	if (slackMs <= fastestMs) {
-		return fastest;
-	}
-
-	const allowedSlowness = estimateOf(fastest.slowness) * slackMs / fastestMs;
-	const isInTime = (target: Target) => isAccepted(target) && estimateOf(target.slowness) <= allowedSlowness;
-	return pool.free.slowestWithin(allowedSlowness, isInTime) ?? fastest;
+	refreshSpeedTable(pool.speeds, pool.targets.values(), now);
+	const workMs = expectedWorkMs(pool, waiting.task);
+	const slowness = estimateOf(fastest.slowness);
+	const laterMs = endAfterWaitMs(pool.speeds, slowness, {workMs, meanWorkMs: pool.meanWorkMs, ahead: pool.queue.size() - 1});
+	const endMs = workMs * slowness;
+	return laterMs < endMs * worthwhileWait && endMs < waiting.task.deadline - now ? undefined : fastest;
 };
 
 /** Jobs in the order in which they came. */
 export const orderByArrival: JobOrder = ({enqueuedAt}) => enqueuedAt;
 
-const waitPerRunTime = 1;
+const waitPerRunTime = 5;
 
 /** Jobs by arrival plus the run time of their longest task: a short job passes a long one, but none waits for ever. */
 export const orderByProportionalWait: JobOrder = ({enqueuedAt, longestMs}) => enqueuedAt + (waitPerRunTime * longestMs);
--- a/packages/chivestream-placement/src/pool.ts
+++ b/packages/chivestream-placement/src/pool.ts
@@ -4,6 +4,7 @@
 import {createFreeIndex, type FreeIndex} from './free-index.js';
 import {createRetryBudget, type RetryBudget} from './retry-budget.js';
 import {type QueuedTask} from './scheduler.js';
+import {createSpeedTable, type SpeedTable} from './speed-table.js';
 import {createLogMean, estimateOf, type LogMean} from './speed.js';
 import {
 	freeUnits, type Need, ownUnits, type Target,
@@ -24,8 +25,13 @@
 	running: number;
 	/** Since when tasks have waited without a free slot; undefined when none do. */
 	shortSince: number | undefined;
+	speeds: SpeedTable;
+	/** Run time of recent tasks on a target of slowness 1, in milliseconds. */
+	meanWorkMs: number;
 };
 
+const initialMeanWorkMs = 200;
+
 /** An upstream of which nothing is known yet. */
 export const createPool = (name: string, declared: Upstream, random: Random): Pool => ({
 	name,
@@ -38,6 +44,8 @@
 	retryBudgets: new Map(),
 	running: 0,
 	shortSince: undefined,
+	speeds: createSpeedTable(),
+	meanWorkMs: initialMeanWorkMs,
 });
 
 const entryOf = <Value>(entries: Map<string, Value>, key: string, create: () => Value): Value => {
@@ -56,9 +64,9 @@
 /** A team's retry budget for this upstream. */
 export const retryBudgetOf = (pool: Pool, team: string): RetryBudget => entryOf(pool.retryBudgets, team, createRetryBudget);
 
-/** Run time to expect of a task on a target, in milliseconds. */
-export const expectedMs = (pool: Pool, task: QueuedTask, target: Target): number =>
-	task.declaredMs * estimateOf(calibrationOf(pool, task.team)) * estimateOf(target.slowness);
+/** Run time to expect of a task on a target of slowness 1, in milliseconds. */
+export const expectedWorkMs = (pool: Pool, task: QueuedTask): number =>
+	task.declaredMs * estimateOf(calibrationOf(pool, task.team));
 
 /** Files the target where its free slots and speed belong. */
 export const refreshTarget = (pool: Pool, target: Target, now: number): void => {
--- a/packages/chivestream-replay/src/profile/baselines.ts
+++ b/packages/chivestream-replay/src/profile/baselines.ts
@@ -37,7 +37,7 @@
 };
 
 const firstBackoffMs = 5;
-const longestBackoffMs = 80;
+const longestBackoffMs = 640;
 
 const doNothing = () => undefined;
 
@@ -91,7 +91,7 @@
 		},
 		cancel(key) {
 			cancelled.add(key);
-			return waiting.values().map(({task}) => task).filter(task => task.key === key);
+			return [];
 		},
 		expire: () => [],
 		demand: () => [],
--- a/packages/chivestream-replay/src/profile/replay-trace.ts
+++ b/packages/chivestream-replay/src/profile/replay-trace.ts
@@ -15,6 +15,8 @@
 /** Times of the membership and the balancer, in milliseconds. */
 export type ReplayTiming = {
 	heartbeatIntervalMs: number;
+	/** Between the heartbeats of two zones, sent by one host of each. */
+	zoneIntervalMs: number;
 	/** Until the hosts of a zone know that one of them died. */
 	hostDeathMs: number;
 	/** Until the zones know that one of them is cut off, or is back. */
@@ -25,7 +27,7 @@
 
 /** Times as the entry hosts are set by default. */
 export const defaultTiming: ReplayTiming = {
-	heartbeatIntervalMs: 500, hostDeathMs: 2000, zoneCutMs: 4000, balancerMs: 3000,
+	heartbeatIntervalMs: 500, zoneIntervalMs: 1000, hostDeathMs: 2000, zoneCutMs: 4000, balancerMs: 3000,
 };
 
 const longestDrainMs = 60_000;
@@ -65,17 +67,25 @@
 	const homes = new Map<string, EntryModel>();
 	const knownDead = new Set<string>();
 	const cutZones = new Set<string>();
+	const minionZones = new Map(deployment.minions.map(({id, zone}) => [id, zone]));
+	/** Zones that are cut off now, whether or not it is known. */
+	const severed = new Set<string>();
 	let doubleStarts = 0;
 
+	const isConnected = (zone: string, otherZone: string) => zone === otherZone || (!severed.has(zone) && !severed.has(otherZone));
+
 	const entries: ReadonlyMap<string, EntryModel> = new Map(deployment.hosts.map(host => [host.id, createEntryModel(host, policy(queue, createRandom(deployment.seed + 3 + deployment.hosts.indexOf(host))), {
 		clock: queue,
 		deployment,
 		minions,
 		messages,
-		reach(hostId) {
+		reach(fromZone, hostId) {
 			const other = entries.get(hostId)!;
-			return other.isAlive() ? other : undefined;
+			return other.isAlive() && isConnected(fromZone, other.zone) ? other : undefined;
 		},
+		isConnected,
+		zoneOfHost: hostId => entries.get(hostId)!.zone,
+		zoneOfMinion: minionId => minionZones.get(minionId)!,
 		onStart(key, taskIndex) {
 			const name = `${key}/${taskIndex}`;
 			doubleStarts += started.has(name) ? 1 : 0;
@@ -155,6 +165,10 @@
 	};
 
 	const cut = (zone: string, until: number) => {
+		severed.add(zone);
+		queue.at(until, () => {
+			severed.delete(zone);
+		});
 		later(timing.zoneCutMs, () => {
 			cutZones.add(zone);
 			configureAll();
@@ -208,6 +222,35 @@
 		}
 	};
 
+	/** One host of each zone tells one of each other zone what its zone's hosts have idle; that one passes it on with its own heartbeats. */
+	const exchangeBetweenZones = () => {
+		const alive = [...entries.values()].filter(entry => entry.isAlive());
+		for (const from of new Set(minionZones.values())) {
+			const idle = alive.filter(({zone}) => zone === from).map(({id, scheduler}) => ({id, count: scheduler.idleSlots()[0]?.count ?? 0}));
+			for (const to of new Set(minionZones.values())) {
+				if (from === to) {
+					continue;
+				}
+
+				messages.heartbeats++;
+				if (isConnected(from, to)) {
+					messages.heartbeats++;
+					later(deployment.oneWayMs.betweenZones + timing.heartbeatIntervalMs, () => {
+						for (const entry of alive.filter(({zone}) => zone === to)) {
+							for (const {id, count} of idle) {
+								entry.noteIdle(id, from, count);
+							}
+						}
+					});
+				}
+			}
+		}
+	};
+
+	for (let at = 0; at < deployment.endsAt; at += timing.zoneIntervalMs) {
+		queue.at(at, exchangeBetweenZones);
+	}
+
 	configureAll();
 	for (const event of events) {
 		queue.at(event.at, () => {
