--- a/packages/chivestream-caller/src/__tests__/service.test.ts
+++ b/packages/chivestream-caller/src/__tests__/service.test.ts
@@ -1,4 +1,5 @@
 import {connect} from 'node:net';
+import {Readable} from 'node:stream';
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
@@ -101,7 +102,7 @@
 		}
 	};
 
-	const response = await request(`http://${service.address}/v1/jobs`, {method: 'POST', body: endless()}).catch(() => undefined);
+	const response = await request(`http://${service.address}/v1/jobs`, {method: 'POST', body: Readable.from(endless())}).catch(() => undefined);
 	expect(response?.statusCode ?? 413).toBe(413);
 	await response?.body.dump().catch(() => undefined);
 	expect(submitted).toEqual([]);
