--- a/packages/chivestream-replay/src/faults/cluster.ts
+++ b/packages/chivestream-replay/src/faults/cluster.ts
@@ -133,8 +133,8 @@
 				}),
 				onDeclarations() {
 				// The minions of the run hold no connections.
-			},
-			runAttempt: async order => minions.runAttempt(run, place, order),
+				},
+				runAttempt: async order => minions.runAttempt(run, place, order),
 			},
 			limits: {
 				maxRememberedJobs, maxRememberedBytes, keyEpochMs: options.keyEpochMs, drainMs,
