Run at most four test files at once; a test has three minutes

Cause: with every core taken by test files, the property test of convergence hit jest's 30 s limit (51.6 s for its file at load average 36), a verdict on the machine and not on the code.

--- a/jest.config.js
+++ b/jest.config.js
@@ -16,7 +16,9 @@
 		'^(\\.{1,2}/.*)\\.js$': '$1',
 		'^chivestream-([a-z-]+)$': '<rootDir>/packages/chivestream-$1/src/index.ts',
 	},
-	testTimeout: 30_000,
+	// Some tests start processes of their own.
+	maxWorkers: 4,
+	testTimeout: 180_000,
 };
 
 export default config;
