--- a/packages/chivestream-stand-ins/src/bench/senders.ts
+++ b/packages/chivestream-stand-ins/src/bench/senders.ts
@@ -16,6 +16,8 @@
 const callerConnections = 64;
 const jobTimeoutMs = 10_000;
 const declaredMs = 1;
+/** How long a home token is used. */
+const tokenAgeMs = 1000;
 const team = 'bench';
 
 /** A task that takes no time, so that only the cost of the way is seen. */
@@ -50,11 +52,21 @@
 };
 
 /** Sends jobs to the entry host, each under a fresh key of the token that its last answer brought. */
-const createThroughSender = (entry: Pool, upstream: string, firstToken: string): Sender => {
-	let token = firstToken;
+const createThroughSender = (entry: Pool, upstream: string): Sender => {
+	let token = '';
+	let tokenDeadline = 0;
 	let sent = 0;
 
+	const keepToken = (value: string) => {
+		token = value;
+		tokenDeadline = Date.now() + tokenAgeMs;
+	};
+
 	return async taskCount => {
+		if (Date.now() >= tokenDeadline) {
+			keepToken(await readToken(entry));
+		}
+
 		sent++;
 		const job = {
 			key: createHomeKey(token, `bench-${sent}`),
@@ -72,18 +84,18 @@
 			throw new Error(`the entry host answered ${statusCode}: ${JSON.stringify(answer)}`);
 		}
 
-		token = String(headers['chivestream-home']);
+		keepToken(String(headers['chivestream-home']));
 	};
 };
 
 /** Opens both ways to the minions of a cluster's first upstream. */
-export const openSenders = async (cluster: Cluster): Promise<Senders> => {
+export const openSenders = (cluster: Cluster): Senders => {
 	const {upstream, minions} = cluster.fleets[0]!;
 	const minionPools = minions.map(({address, slots}) => new Pool(`http://${address}`, {connections: slots, pipelining: 1}));
 	const entryPool = new Pool(`http://${cluster.entries[0]!.callerAddress}`, {connections: callerConnections, pipelining: 1});
 	return {
 		direct: createDirectSender(minionPools),
-		through: createThroughSender(entryPool, upstream, await readToken(entryPool)),
+		through: createThroughSender(entryPool, upstream),
 		async close() {
 			await Promise.all([...minionPools, entryPool].map(async pool => pool.destroy()));
 		},
