Ask again by key when a caller's wait ended at the deadline

The caller gives up at the very deadline at which a home gives its failed answer, so the count could not tell a late answer from none. The demo now asks by key as the protocol offers, counts a job as unanswered only when that brings nothing either, and prints why callers gave up.

--- a/packages/chivestream-stand-ins/src/demo/load.ts
+++ b/packages/chivestream-stand-ins/src/demo/load.ts
@@ -3,7 +3,8 @@
 	createRandom, failureCode, systemClock, waitUntil, type JobAnswer,
 } from 'chivestream-core';
 import {createCallerClient, type CallerClient} from 'chivestream-caller';
-import {Agent} from 'undici';
+import {Agent, request} from 'undici';
+import {z} from 'zod';
 import {type PlannedJob} from './plan.js';
 
 /** What became of one planned job. */
@@ -13,6 +14,8 @@
 	keys: string[];
 	/** The answer to each key; undefined where none came before the deadline. */
 	answers: Array<JobAnswer | undefined>;
+	/** Why a caller gave up on a key without an answer. */
+	giveUps: string[];
 	/** When it was sent first, in milliseconds since the Unix epoch. */
 	sentAt: number;
 	/** When its last answer came or was given up. */
@@ -40,6 +43,31 @@
 const connectionsPerCaller = 16;
 const maxKeysPerJob = 5;
 const callerPauseMs = 100;
+const lastWaitMs = 2000;
+const notThereYet = 202;
+
+type Caller = {
+	client: CallerClient;
+	balancerAddress: string;
+};
+
+const answerSchema = z.discriminatedUnion('state', [
+	z.object({key: z.string(), state: z.literal('complete'), results: z.array(z.unknown())}),
+	z.object({
+		key: z.string(),
+		state: z.literal('failed'),
+		failure: z.object({
+			code: z.enum(failureCode),
+			message: z.string(),
+			step: z.string(),
+			peer: z.string(),
+			notRun: z.boolean(),
+			tasks: z.object({
+				notRun: z.number(), completed: z.number(), failed: z.number(), unknown: z.number(),
+			}),
+		}),
+	}),
+]);
 
 /** A refusal after which the same work may be sent under another key. */
 const isWorthAnotherKey = (answer: JobAnswer | undefined): boolean =>
@@ -51,10 +79,25 @@
 	tag: `${job.id}/${taskIndex}`, runMs: job.tasks[taskIndex]!.runMs,
 });
 
-const sendUnderNewKey = async (client: CallerClient, outcome: JobOutcome, deadline: number): Promise<JobAnswer | undefined> => {
+/** Asks for the answer to a key, as a caller does whose connection ended at the deadline just before the answer. */
+const askAgain = async (balancerAddress: string, key: string): Promise<JobAnswer | undefined> => {
+	try {
+		const {statusCode, body} = await request(`http://${balancerAddress}/v1/jobs/${encodeURIComponent(key)}?waitMs=${lastWaitMs}`, {
+			headersTimeout: lastWaitMs * 2,
+		});
+		const answer = answerSchema.safeParse(await body.json());
+		return statusCode !== notThereYet && answer.success && answer.data.key === key ? answer.data : undefined;
+	} catch {
+		return undefined;
+	}
+};
+
+const sendUnderNewKey = async (caller: Caller, outcome: JobOutcome, deadline: number): Promise<JobAnswer | undefined> => {
+	const {client, balancerAddress} = caller;
 	const {job} = outcome;
 	const key = await client.createKey(`${job.id}-${outcome.keys.length}`, deadline);
 	if (key.isErr()) {
+		outcome.giveUps.push(key.error.message);
 		return undefined;
 	}
 
@@ -67,18 +110,23 @@
 		deadline,
 		tasks: job.tasks.map(({declaredMs}, index) => ({payload: createPayload(job, index), declaredMs})),
 	});
-	return answer.isOk() ? answer.value : undefined;
+	if (answer.isOk()) {
+		return answer.value;
+	}
+
+	outcome.giveUps.push(answer.error.message);
+	return askAgain(balancerAddress, key.value);
 };
 
-const sendJob = async (client: CallerClient, job: PlannedJob, jobTimeoutMs: number): Promise<JobOutcome> => {
+const sendJob = async (caller: Caller, job: PlannedJob, jobTimeoutMs: number): Promise<JobOutcome> => {
 	const sentAt = Date.now();
 	const deadline = sentAt + jobTimeoutMs;
 	const outcome: JobOutcome = {
-		job, keys: [], answers: [], sentAt, endedAt: sentAt,
+		job, keys: [], answers: [], giveUps: [], sentAt, endedAt: sentAt,
 	};
 	/* eslint-disable no-await-in-loop -- a further key is used only after the answer to the one before */
 	while (outcome.keys.length < maxKeysPerJob && Date.now() < deadline) {
-		const answer = await sendUnderNewKey(client, outcome, deadline);
+		const answer = await sendUnderNewKey(caller, outcome, deadline);
 		outcome.answers.push(answer);
 		if (!isWorthAnotherKey(answer)) {
 			break;
@@ -109,7 +157,8 @@
 		await new Promise(resolve => {
 			setTimeout(resolve, Math.max(0, startedAt + job.sendAt - Date.now()));
 		});
-		return sendJob(clients[index % clients.length]!, job, options.jobTimeoutMs);
+		const client = clients[index % clients.length]!;
+		return sendJob({client, balancerAddress: options.balancerAddress}, job, options.jobTimeoutMs);
 	};
 
 	const outcomes = await Promise.all(jobs.map(async (job, index) => sendAtItsTime(job, index)));
--- a/packages/chivestream-stand-ins/src/demo/table.ts
+++ b/packages/chivestream-stand-ins/src/demo/table.ts
@@ -43,6 +43,7 @@
 		['jobs', verdict.jobs],
 		['  complete', verdict.complete],
 		['  failed', formatFailures(verdict.failed)],
+		['  gave up waiting, asked again', formatFailures(verdict.giveUps)],
 		['  resubmissions', wasted.resubmissions],
 		['tasks', verdict.tasks],
 		['  starts counted by the minions', verdict.starts],
--- a/packages/chivestream-stand-ins/src/demo/verdict.ts
+++ b/packages/chivestream-stand-ins/src/demo/verdict.ts
@@ -36,6 +36,8 @@
 	complete: number;
 	/** Failed jobs by failure code. */
 	failed: Record<string, number>;
+	/** Why callers gave up on a key before they had its answer. */
+	giveUps: Record<string, number>;
 	violations: Violations;
 	/** Response time over ideal, of the complete jobs. */
 	ratio: Ratio;
@@ -142,6 +144,7 @@
 		startedTwice: 0, partial: 0, crossed: 0, unanswered: 0, notRunButRan: 0, cutByStop: 0,
 	};
 	const failed: Record<string, number> = {};
+	const giveUps: Record<string, number> = {};
 	let tasks = 0;
 	let complete = 0;
 	for (const outcome of outcomes) {
@@ -153,6 +156,10 @@
 		if (failure !== undefined) {
 			failed[failure] = (failed[failure] ?? 0) + 1;
 		}
+
+		for (const reason of outcome.giveUps) {
+			giveUps[reason] = (giveUps[reason] ?? 0) + 1;
+		}
 	}
 
 	return {
@@ -161,6 +168,7 @@
 		starts: [...starts.values()].reduce((sum, count) => sum + count, 0),
 		complete,
 		failed,
+		giveUps,
 		violations,
 		ratio: measureRatio(outcomes, slotSpeeds),
 		ratioByUpstream: Object.fromEntries(Object.keys(slotSpeeds).map(upstream =>
