--- a/packages/chivestream-replay/src/main.ts
+++ b/packages/chivestream-replay/src/main.ts
@@ -21,7 +21,9 @@
 	  --policy NAME      policy to replay in place of the product's
 	  --trace FILE       replay this trace
 	  --save-trace FILE  write the replayed trace
-	  --faults NAME      run the fault cases on real processes
+	  --faults NAMES     run nine entry hosts on a fake clock with these faults: all, or kinds with commas between
+	  --count N          with --faults: number of seeds to run, from --seed on (default 1)
+	  --switch-off NAME  with --faults: switch this mechanism off, to see what it prevents
 	  --json             print the result as one JSON object on the last line
 `, {
 	importMeta: import.meta,
@@ -34,6 +36,8 @@
 		trace: {type: 'string'},
 		saveTrace: {type: 'string'},
 		faults: {type: 'string'},
+		count: {type: 'number', default: 1},
+		switchOff: {type: 'string'},
 		json: {type: 'boolean', default: false},
 	},
 });
