--- a/packages/chivestream-configuration/bench/cluster.js
+++ b/packages/chivestream-configuration/bench/cluster.js
@@ -19,6 +19,7 @@
 const healMs = [];
 
 for (let seed = Number(first); seed <= Number(last); seed += 1) {
+	// eslint-disable-next-line no-await-in-loop
 	const report = await playCluster(seed, switchesByName[name]);
 	for (const field of Object.keys(total)) {
 		total[field] += report[field];
