--- a/packages/chivestream-entry/src/attempts.ts
+++ b/packages/chivestream-entry/src/attempts.ts
@@ -1,34 +1,35 @@
 /** Runs attempts on whatever they were bound to: minions over HTTP, workers under leases. */
-import {
-	attemptOutcome, Failure, failureCode, type AttemptResult,
-} from 'chivestream-core';
+import {type AttemptResult, type Declarations} from 'chivestream-core';
 import {type MinionClient} from 'chivestream-minion';
+import {type WorkerClient} from 'chivestream-worker';
 import {type AttemptOrder} from './host-links.js';
 
-/** Runs attempts on workers. */
-export type WorkerAttempts = (order: AttemptOrder) => Promise<AttemptResult>;
-
-/** Refuses every attempt, for a host without workers. */
-export const refuseWorkerAttempts: WorkerAttempts = async ({assignment}) => ({
-	outcome: attemptOutcome.notStarted,
-	failure: new Failure(failureCode.neverRunnable, 'this host runs no tasks on workers', {step: 'run-task', peer: assignment.targetId}),
-});
-
 /** Runs an attempt on its minion or worker. */
-export const createAttempts = (minions: MinionClient, runOnWorker: WorkerAttempts) => async (order: AttemptOrder): Promise<AttemptResult> => {
-	const {assignment, task, notStartedStatuses, signal} = order;
-	if (assignment.isWorker) {
-		return runOnWorker(order);
-	}
-
-	const {key, taskIndex, attempt, declaredMs} = assignment.task;
-	return minions.run({
+export const createAttempts = (minions: MinionClient, workers: WorkerClient) => async (order: AttemptOrder): Promise<AttemptResult> => {
+	const {
+		assignment, task, notStartedStatuses, signal,
+	} = order;
+	const {
+		key, taskIndex, attempt, declaredMs, cores, memoryMb, accelerators,
+	} = assignment.task;
+	const common = {
 		identity: {key, taskIndex, attempt},
 		address: assignment.address,
-		minionId: assignment.targetId,
 		payload: task.payload,
 		declaredMs,
 		notStartedStatuses,
 		signal,
-	});
+	};
+	return assignment.isWorker
+		? workers.runOnWorker({...common, workerId: assignment.targetId, size: {cores, memoryMb, accelerators}})
+		: minions.run({...common, minionId: assignment.targetId});
+};
+
+/** Closes the links to minions and workers that are no longer declared. */
+export const closeUndeclared = async (declarations: Declarations, minions: MinionClient, workers: WorkerClient): Promise<void> => {
+	const upstreams = Object.values(declarations.upstreams);
+	await Promise.all([
+		minions.keepOnly(new Set(upstreams.flatMap(upstream => upstream.minions.map(({address}) => address)))),
+		workers.keepOnly(new Set(upstreams.flatMap(upstream => upstream.workers.map(({address}) => address)))),
+	]);
 };
--- a/packages/chivestream-operator/src/__fixtures__/command-line.ts
+++ b/packages/chivestream-operator/src/__fixtures__/command-line.ts
@@ -1,10 +1,10 @@
 /** Runs the command line against a service on a port of the system's choice. */
+import {readDeclarations} from 'chivestream-configuration';
 import {type Declarations} from 'chivestream-core';
-import {Err, Ok, type Result} from 'ts-results-es';
+import {type Result} from 'ts-results-es';
 import {runCommandLine} from '../command-line/run.js';
 import {createOperatorService, type OperatorServiceOptions} from '../service/service.js';
 import {type OperatorSource} from '../source.js';
-import {testDeclarations} from './fake-source.js';
 
 /** Token of services in tests. */
 export const testToken = 'a-token-for-tests';
@@ -22,15 +22,8 @@
 	close: () => Promise<void>;
 };
 
-/** Checks declarations by one rule: the text must be JSON, laid over the declarations for tests. */
-export const checkDeclarations = (text: string): Result<Declarations, string[]> => {
-	try {
-		const fields: unknown = JSON.parse(text);
-		return new Ok({...testDeclarations, ...fields as object});
-	} catch {
-		return new Err(['line 1, column 1: not JSON']);
-	}
-};
+const checkDeclarations = (text: string): Result<Declarations, string[]> =>
+	readDeclarations(text).mapErr(failure => failure.message.split('\n'));
 
 /** Starts the operators' service. */
 export const startService = async (source: OperatorSource, options: Partial<OperatorServiceOptions> = {}): Promise<ListeningService> => {
--- a/packages/chivestream-operator/src/execute/declarations.ts
+++ b/packages/chivestream-operator/src/execute/declarations.ts
@@ -1,4 +1,5 @@
 /** Carries out `plan` and `apply`. */
+import {findDifferences} from 'chivestream-configuration';
 import {
 	type Declarations, Failure, failureCode,
 } from 'chivestream-core';
@@ -7,7 +8,6 @@
 import {commandKind, submissionOutcome} from '../source.js';
 import {executeChange} from './change.js';
 import {type ExecutionContext, requireConfiguration} from './context.js';
-import {findDifferences} from './differences.js';
 
 const readDeclarations = (context: ExecutionContext): Result<Declarations, string[]> => {
 	const {declarations: text} = context.request;
