Ask for fewer slots where messages weigh more, and use grants for longer

Cause: hosts of few-messages upstreams asked up to eight hosts at once, also in other zones, and every grant was useless for its last 1.5 s.

--- a/packages/chivestream-placement/src/index.ts
+++ b/packages/chivestream-placement/src/index.ts
@@ -2,6 +2,7 @@
 export * from './create-scheduler.js';
 export * from './heap.js';
 export * from './lender-choice.js';
+export {defaultLendingTerms, type LendingTerms} from './lending.js';
 export * from './policies.js';
 export type * from './scheduler.js';
 export * from './slot-share.js';
--- a/packages/chivestream-placement/src/lender-choice.ts
+++ b/packages/chivestream-placement/src/lender-choice.ts
@@ -1,5 +1,7 @@
 /** Decides which hosts to ask for slots, from what they last said of their idle ones: those of the own zone first. */
 
+import {type LendingTerms} from './lending.js';
+
 /** A request for slots to one host. */
 export type SlotRequest = {
 	lenderId: string;
@@ -20,7 +22,7 @@
 	/** Forgets a host that left. */
 	forget: (lenderId: string) => void;
 	/** Whom to ask for how many, the one with most idle slots first; nothing while an answer is outstanding. */
-	plan: (upstream: string, count: number) => SlotRequest[];
+	plan: (upstream: string, count: number, terms: Pick<LendingTerms, 'lendersPerRequest' | 'isAcrossZones'>) => SlotRequest[];
 	/** Takes the answer to a request; 0 when the host lent nothing or did not answer. */
 	noteAnswer: (request: SlotRequest, granted: number) => void;
 };
@@ -54,7 +56,7 @@
 				counts.delete(lenderId);
 			}
 		},
-		plan(upstream, count) {
+		plan(upstream, count, {lendersPerRequest, isAcrossZones}) {
 			if (outstanding.has(upstream)) {
 				return [];
 			}
@@ -62,11 +64,11 @@
 			let left = count;
 			const requests: SlotRequest[] = [];
 			const farness = (lenderId: string) => isInZone.get(lenderId) ? 0 : 1;
-			const lenders = [...idleOf(upstream)].toSorted(([left, leftIdle], [right, rightIdle]) =>
+			const lenders = [...idleOf(upstream)].filter(([id]) => isAcrossZones || isInZone.get(id)).toSorted(([left, leftIdle], [right, rightIdle]) =>
 				(farness(left) - farness(right)) || (rightIdle - leftIdle));
 			for (const [lenderId, lenderIdle] of lenders) {
 				const asked = Math.min(left, Math.floor(lenderIdle * expectedLentShare));
-				if (asked > 0) {
+				if (asked > 0 && requests.length < lendersPerRequest) {
 					requests.push({lenderId, upstream, count: asked});
 					left -= asked;
 				}
--- a/packages/chivestream-placement/src/lending.ts
+++ b/packages/chivestream-placement/src/lending.ts
@@ -17,18 +17,38 @@
 	lentShare: number;
 	/** Idle grants are returned when more than this is left of them, in milliseconds; else they lapse. */
 	smallestRestMs: number;
+	/** Most hosts asked at a time. */
+	lendersPerRequest: number;
+	/** Whether hosts of other zones are asked after those of the own. */
+	isAcrossZones: boolean;
+	/** How often grants are looked through for those to return or extend, in milliseconds. */
+	grantCheckIntervalMs: number;
 };
 
 /** Time before a grant's deadline from which the borrower binds no more tasks, in milliseconds. */
-export const bindMarginMs = 1500;
+export const bindMarginMs = 800;
 
 /** Terms for each preference. */
 export const defaultLendingTerms: Record<Preference, LendingTerms> = {
 	[preference.responseTime]: {
-		grantMs: 4000, patienceMs: 0, smallestBatch: 1, lentShare: 0.5, smallestRestMs: 500,
+		grantMs: 4000,
+		patienceMs: 0,
+		smallestBatch: 1,
+		lentShare: 0.5,
+		smallestRestMs: 500,
+		lendersPerRequest: 8,
+		isAcrossZones: true,
+		grantCheckIntervalMs: 50,
 	},
 	[preference.fewMessages]: {
-		grantMs: 10_000, patienceMs: 20, smallestBatch: 4, lentShare: 0.5, smallestRestMs: 500,
+		grantMs: 4000,
+		patienceMs: 20,
+		smallestBatch: 4,
+		lentShare: 0.5,
+		smallestRestMs: 500,
+		lendersPerRequest: 2,
+		isAcrossZones: false,
+		grantCheckIntervalMs: 250,
 	},
 };
 
--- a/packages/chivestream-replay/src/profile/entry-model.ts
+++ b/packages/chivestream-replay/src/profile/entry-model.ts
@@ -3,7 +3,7 @@
 	attemptOutcome, type AttemptResult, type Clock, type Configuration, Failure, failureCode, type Timer,
 } from 'chivestream-core';
 import {
-	type Assignment, createLenderChoice, type Scheduler, type Sharers, type SlotGrant, type SlotRequest,
+	type Assignment, createLenderChoice, defaultLendingTerms, type Scheduler, type Sharers, type SlotGrant, type SlotRequest,
 } from 'chivestream-placement';
 import {type MessageCounts} from './messages.js';
 import {minionAnswer, type MinionAnswer, type MinionModel} from './minion-model.js';
@@ -86,6 +86,7 @@
 	const oneWayTo = (zone: string) => zone === host.zone ? withinZone : betweenZones;
 	const jobs = new Map<string, RunningJob>();
 	const lenders = createLenderChoice();
+	const terms = defaultLendingTerms[deployment.preference];
 	let sharers: Sharers | undefined;
 	let wakeTimer: Timer | undefined;
 	let wakeAt = Number.POSITIVE_INFINITY;
@@ -201,7 +202,7 @@
 		}
 
 		for (const {upstream, count} of scheduler.demand()) {
-			for (const request of lenders.plan(upstream, count)) {
+			for (const request of lenders.plan(upstream, count, terms)) {
 				ask(request);
 			}
 		}
@@ -243,6 +244,17 @@
 			}
 		}
 
+		pump();
+		if (clock.now() < deployment.endsAt || jobs.size > 0) {
+			later(expiryCheckMs, check);
+		}
+	};
+
+	const checkGrants = () => {
+		if (!isAlive) {
+			return;
+		}
+
 		for (const {lenderId, grants} of scheduler.renewals()) {
 			exchangeGrants(lenderId, grants, true);
 		}
@@ -253,11 +265,12 @@
 
 		pump();
 		if (clock.now() < deployment.endsAt || jobs.size > 0) {
-			later(expiryCheckMs, check);
+			later(terms.grantCheckIntervalMs, checkGrants);
 		}
 	};
 
 	later(expiryCheckMs, check);
+	later(terms.grantCheckIntervalMs, checkGrants);
 
 	const timeOut = (job: RunningJob) => {
 		if (!jobs.has(job.event.key) || !isAlive) {
