--- a/packages/chivestream-peer/src/capacity/in-memory.ts
+++ b/packages/chivestream-peer/src/capacity/in-memory.ts
@@ -18,9 +18,9 @@
 	/** Messages (requests and replies) sent by a host. */
 	messagesPerSecond: number;
 	largestMessagesPerSecond: number;
-	/** Bytes sent by a host. */
-	bytesPerSecond: number;
-	largestBytesPerSecond: number;
+	/** Bytes of messages sent by a host. */
+	messageBytesPerSecond: number;
+	largestMessageBytesPerSecond: number;
 	/** CPU time of a host without gRPC, in milliseconds per second. */
 	cpuMsPerSecond: number;
 	heapMb: number;
@@ -72,8 +72,8 @@
 		zones: layout.zones,
 		messagesPerSecond: sum(messages) / hosts,
 		largestMessagesPerSecond: Math.max(...messages),
-		bytesPerSecond: sum(bytes) / hosts,
-		largestBytesPerSecond: Math.max(...bytes),
+		messageBytesPerSecond: sum(bytes) / hosts,
+		largestMessageBytesPerSecond: Math.max(...bytes),
 		cpuMsPerSecond: (user + system) / microsecondsPerMillisecond / seconds / hosts,
 		heapMb: (heapBytes() - heapBefore) / hosts / (2 ** 20),
 		wrongViews: countWrongViews(network),
--- a/packages/chivestream-peer/src/capacity/project.ts
+++ b/packages/chivestream-peer/src/capacity/project.ts
@@ -28,7 +28,7 @@
 	const grpcMsPerSecond = messages * call.cpuMs / messagesPerCall;
 	return {
 		cpuShare: (cost.cpuMsPerSecond + grpcMsPerSecond) / millisecondsPerSecond,
-		bytesPerSecond: cost.largestBytesPerSecond + (messages * call.bytes / messagesPerCall),
+		bytesPerSecond: cost.largestMessageBytesPerSecond + (messages * call.bytes / messagesPerCall),
 		memoryMb: residentMb + cost.heapMb,
 	};
 };
--- a/packages/chivestream-peer/src/digest-table.ts
+++ b/packages/chivestream-peer/src/digest-table.ts
@@ -4,8 +4,6 @@
 /** A publisher's latest digest. */
 export type HeldDigest = {
 	digest: Digest;
-	/** Ids with incarnations of the hosts that the publisher hears. */
-	heard: Set<string>;
 	/** Time at which its sequence last grew. */
 	advancedAt: number;
 	/** Came from the publisher itself. */
@@ -46,9 +44,8 @@
 			const isSameVersion = held?.digest.version === digest.version
 				&& held.digest.publisherIncarnation === digest.publisherIncarnation;
 			if (digest.hasHosts) {
-				const heard = new Set(digest.hosts.map(host => formatRun(host)));
 				digests.set(digest.publisherId, {
-					digest, heard, advancedAt: now, isDirect,
+					digest, advancedAt: now, isDirect,
 				});
 				return true;
 			}
@@ -59,7 +56,7 @@
 
 			const whole = {...held.digest, sequence: digest.sequence, configuration: digest.configuration};
 			digests.set(digest.publisherId, {
-				digest: whole, heard: held.heard, advancedAt: now, isDirect,
+				digest: whole, advancedAt: now, isDirect,
 			});
 			return true;
 		},
--- a/packages/chivestream-peer/src/host-table.ts
+++ b/packages/chivestream-peer/src/host-table.ts
@@ -2,7 +2,6 @@
 import {type Host} from 'chivestream-core';
 import {type ConfigurationMark, type HostRecord} from './generated/peer.js';
 import {hostPhase, type HostPhase} from './handlers.js';
-import {formatRun} from './digest-table.js';
 import {toHost, toPhase} from './member.js';
 
 const maxClosedHosts = 10_000;
@@ -10,14 +9,14 @@
 /** A known host. */
 export type KnownHost = {
 	host: Host;
-	/** Id with incarnation. */
-	run: string;
 	record: HostRecord;
 	phase: HostPhase;
 	/** Time at which it was last heard directly; 0 if never. */
 	heardAt: number;
 	/** Time at which this incarnation was first heard of. */
 	learnedAt: number;
+	/** Time at which a digest that lists it last advanced; 0 if none does. */
+	vouchedAt: number;
 	/** Time of the latest evidence of life, direct or not. */
 	evidenceAt: number;
 	configuration: ConfigurationMark | undefined;
@@ -80,10 +79,10 @@
 			const phase = toPhase(record);
 			const known: KnownHost = {
 				host: toHost(record),
-				run: formatRun(record),
 				record,
 				phase,
 				heardAt: isSameRun ? before.heardAt : 0,
+				vouchedAt: 0,
 				learnedAt: isSameRun ? before.learnedAt : now,
 				evidenceAt: isSameRun ? before.evidenceAt : now,
 				configuration: isSameRun ? before.configuration : undefined,
--- a/packages/chivestream-peer/src/member.ts
+++ b/packages/chivestream-peer/src/member.ts
@@ -22,8 +22,6 @@
 	host: Host;
 	phase: HostPhase;
 	state: MemberState;
-	/** Time of the latest evidence of life. */
-	evidenceAt: number;
 	/** The configuration that it last said it has; undefined while none is known. */
 	configuration: ConfigurationMark | undefined;
 };
--- a/packages/chivestream-peer/src/membership.ts
+++ b/packages/chivestream-peer/src/membership.ts
@@ -7,7 +7,6 @@
 	Failure, failureCode, waitUntil, type Clock, type Host, type Random,
 } from 'chivestream-core';
 import {type PeerResult} from './client.js';
-import {formatRun} from './digest-table.js';
 import {
 	type ConfigurationMark, type Digest, type HeartbeatMessage, type HostRecord,
 } from './generated/peer.js';
@@ -87,7 +86,7 @@
 	let membersById = new Map<string, Member>();
 	let livePeerIds: string[] = [];
 	let relayedDigests: Digest[] = [];
-	let signature = '';
+	let wasSharing = false;
 	let refreshedAt = clock.now();
 	let isSuperseded = false;
 
@@ -137,7 +136,6 @@
 		host: self,
 		phase: lifeCycle.phase(),
 		state: lifeCycle.phase() === hostPhase.left ? memberState.left : memberState.alive,
-		evidenceAt: clock.now(),
 		configuration: ownMark(),
 	});
 
@@ -153,18 +151,20 @@
 	};
 
 	const forgetSilent = (now: number) => {
-		for (const {host, evidenceAt} of members) {
+		for (const {host, evidenceAt} of knowledge.hosts.all()) {
 			if (now - evidenceAt >= timing.forgetMs) {
 				knowledge.forget(host.id);
 			}
 		}
 	};
 
-	const reportChange = () => {
-		const states = members.map(({host, phase, state}) => `${formatRun(host)}~${phase}~${state}`);
-		const current = [...states, String(isSharing())].join(' ');
-		if (current !== signature) {
-			signature = current;
+	const reportChange = (before: readonly Member[]) => {
+		const isSharingNow = isSharing();
+		const isChanged = before.length !== members.length
+			|| members.some((member, index) => member !== before[index])
+			|| isSharingNow !== wasSharing;
+		wasSharing = isSharingNow;
+		if (isChanged) {
 			options.onChange?.(members);
 		}
 	};
@@ -175,7 +175,8 @@
 		const evidence = {
 			hosts: knowledge.hosts, digests: knowledge.digests, zone: self.zone, timing,
 		};
-		members = computeMembers(evidence, now);
+		const before = members;
+		members = computeMembers(evidence, now, membersById);
 		membersById = new Map(members.map(member => [member.host.id, member]));
 		livePeerIds = members.filter(member => isInZone(member) && isLive(member)).map(({host}) => host.id);
 		relayedDigests = knowledge.digests.all()
@@ -185,7 +186,7 @@
 		forgetSilent(now);
 		ownDigest = publishDigest(selfRecord(), listHeard(evidence, now).map(({record}) => record), ownMark());
 		tasks.reconcile(stop.signal.aborted ? [] : listTargets(selfMember(), members));
-		reportChange();
+		reportChange(before);
 	};
 
 	/** The digests for a receiver: this host's own and, within its zone, those that other zones sent to it. */
--- a/packages/chivestream-peer/src/view.ts
+++ b/packages/chivestream-peer/src/view.ts
@@ -1,5 +1,5 @@
 /** What this host believes of all others, computed from the evidence it has. */
-import {type DigestTable, formatRun} from './digest-table.js';
+import {type DigestTable} from './digest-table.js';
 import {hostPhase} from './handlers.js';
 import {type HostTable, type KnownHost} from './host-table.js';
 import {memberState, type Member, type MemberState} from './member.js';
@@ -25,41 +25,50 @@
 	return isSilentForLong ? memberState.dead : memberState.suspected;
 };
 
-const note = (times: Map<string, number>, run: string, time: number) => {
-	times.set(run, Math.max(times.get(run) ?? 0, time));
-};
+/** Notes for each host the latest time at which a digest that still lists it advanced. */
+const noteVouchers = ({hosts, digests}: Evidence) => {
+	for (const known of hosts.all()) {
+		known.vouchedAt = 0;
+	}
 
-/** For each run of a host, the latest time at which another host's digest vouched for it. */
-const collectVouchers = ({digests}: Evidence): Map<string, number> => {
-	const times = new Map<string, number>();
-	for (const {digest, heard, advancedAt} of digests.all()) {
-		note(times, formatRun({id: digest.publisherId, incarnation: digest.publisherIncarnation}), advancedAt);
-		for (const run of heard) {
-			note(times, run, advancedAt);
+	for (const {digest, advancedAt} of digests.all()) {
+		for (const {id, incarnation} of digest.hosts) {
+			const known = hosts.get(id);
+			if (known?.host.incarnation === incarnation) {
+				known.vouchedAt = Math.max(known.vouchedAt, advancedAt);
+			}
 		}
 	}
-
-	return times;
 };
 
-/** All known hosts with their states at a time. A host that no digest lists any more is suspected at once. */
-export const computeMembers = (evidence: Evidence, now: number): Member[] => {
+const isSame = (member: Member, known: KnownHost, state: MemberState): boolean =>
+	member.host === known.host
+	&& member.state === state
+	&& member.configuration?.nextOffset === known.configuration?.nextOffset;
+
+/**
+All known hosts with their states at a time. A host that no digest lists any more is suspected at once. A member that has not
+changed is the same object as before.
+*/
+export const computeMembers = (evidence: Evidence, now: number, before: ReadonlyMap<string, Member>): Member[] => {
 	const {hosts, zone, timing} = evidence;
-	const vouchers = collectVouchers(evidence);
+	noteVouchers(evidence);
 	return hosts.all().map(known => {
 		const {host, phase, configuration} = known;
-		const latest = Math.max(known.heardAt, known.learnedAt, vouchers.get(known.run) ?? 0);
+		const latest = Math.max(known.heardAt, known.learnedAt, known.vouchedAt);
 		known.evidenceAt = Math.max(known.evidenceAt, latest);
-		const {evidenceAt} = known;
 		const suspicionMs = host.zone === zone ? timing.suspicionMs : timing.zoneSuspicionMs;
-		const state = stateOf(known, now - latest < suspicionMs, now - evidenceAt >= timing.deadMs);
-		return {
-			host, phase, configuration, evidenceAt, state,
-		};
+		const state = stateOf(known, now - latest < suspicionMs, now - known.evidenceAt >= timing.deadMs);
+		const previous = before.get(host.id);
+		return previous && isSame(previous, known, state)
+			? previous
+			: {
+				host, phase, configuration, state,
+			};
 	});
 };
 
-/** Ids of the hosts of this host's own zone that it hears itself. */
+/** The hosts of this host's own zone that it hears itself. */
 export const listHeard = ({hosts, zone, timing}: Evidence, now: number): KnownHost[] => hosts.all()
 	.filter(({host}) => host.zone === zone)
 	.filter(({phase, heardAt}) => phase !== hostPhase.left && now - heardAt < timing.suspicionMs);
