--- /dev/null
+++ b/packages/chivestream-capacity/src/__tests__/measurements.test.ts
@@ -0,0 +1,15 @@
+import {describe, expect, test} from '@jest/globals';
+import {measurements} from '../measurements/index.js';
+
+describe('measurements', () => {
+	test.each(Object.entries(measurements))('%s gives a line for each figure at tiny sizes', async (name, {sizes, tinySizes, run}) => {
+		expect(new Set(sizes).size).toBeGreaterThanOrEqual(4);
+		const slopes = await run({sizes: tinySizes, rounds: 1, windowMs: 50});
+		expect(slopes.length).toBeGreaterThan(0);
+		for (const slope of slopes) {
+			expect(slope.name.startsWith(`${name}.`)).toBe(true);
+			expect(slope.points.map(({size}) => size)).toEqual(tinySizes);
+			expect(slope.points.every(({median}) => Number.isFinite(median))).toBe(true);
+		}
+	});
+});
--- /dev/null
+++ b/packages/chivestream-capacity/src/measurements/lending.ts
@@ -0,0 +1,78 @@
+/** What lending adds to a heartbeat between two hosts of a zone. */
+import {
+	attemptOutcome, Failure, failureCode, type AttemptResult,
+} from 'chivestream-core';
+import {createLending} from 'chivestream-entry';
+import {type Scheduler} from 'chivestream-placement';
+import {measureSlopes, type Sampling, type Slope} from '../slope.js';
+import {measureCpuMs} from '../usage.js';
+import {sampleUpstream} from './sample-declarations.js';
+import {bindAll, createSizedScheduler, createTasks} from './scheduler.js';
+
+const coresPerTask = 8;
+const tasksPerTarget = 4;
+const runMs = 130;
+const grantMs = 4000;
+const holdOffMs = 60_000;
+const receiver = 'entry-1';
+const lender = 'entry-2';
+const answered: AttemptResult = {outcome: attemptOutcome.answered, isSuccess: true, result: 1};
+const lost: AttemptResult = {
+	outcome: attemptOutcome.unknown,
+	failure: new Failure(failureCode.taskUnknown, 'lost', {step: 'run-task', peer: 'worker'}),
+};
+
+type Sized = ReturnType<typeof createSizedScheduler>;
+
+/** Runs four tasks on each target, of which all but the first are lost, so that each is quarantined. */
+const loseTargets = async ({clock, scheduler}: Sized, targets: number) => {
+	scheduler.enqueue(createTasks(targets * tasksPerTarget, clock.now(), {size: 1, cores: coresPerTask}));
+	const bound = bindAll(scheduler);
+	await clock.advance(runMs);
+	const seen = new Set<string>();
+	for (const assignment of bound) {
+		scheduler.settle(assignment, seen.has(assignment.targetId) ? lost : answered);
+		seen.add(assignment.targetId);
+	}
+};
+
+const borrowFromEach = (scheduler: Scheduler, targets: number, now: number) => {
+	scheduler.borrow(lender, Array.from({length: targets}, (_, index) => ({
+		grantId: `${lender}/${index}`, upstream: sampleUpstream, targetId: `worker-${index}`, count: 1, deadline: now + grantMs,
+	})));
+};
+
+const measurePayload = async (targets: number) => {
+	const sized = createSizedScheduler(targets);
+	const {clock, scheduler, configure} = sized;
+	configure(1);
+	await clock.advance(holdOffMs);
+	const lending = createLending({scheduler, requestLoan: async () => [], onSlots: () => undefined});
+	const bytesFor = (hostId: string) => JSON.stringify(lending.payloadFor(hostId)).length;
+	bytesFor(receiver);
+	let steadyBytes = 0;
+	const steady = await measureCpuMs(() => {
+		steadyBytes = bytesFor(receiver);
+	});
+	await loseTargets(sized, targets);
+	const payload = lending.payloadFor(receiver);
+	if (payload.observations.length !== targets) {
+		throw new Error(`${payload.observations.length} of ${targets} targets were observed`);
+	}
+
+	borrowFromEach(scheduler, targets, clock.now());
+	bytesFor(receiver);
+	return {
+		steady, steadyBytes, observedBytes: JSON.stringify(payload).length, returnedBytes: bytesFor(lender),
+	};
+};
+
+/** Figures by number of targets, when none has changed, when each has, and when a slot of each is given back. */
+export const measureLendingPayload = async (sampling: Sampling): Promise<Slope[]> => measureSlopes({
+	name: 'lending',
+	size: 'targets in the zone',
+	units: {
+		steady: 'ms of CPU per payload', steadyBytes: 'bytes', observedBytes: 'bytes', returnedBytes: 'bytes',
+	},
+	measure: measurePayload,
+}, sampling);
--- /dev/null
+++ b/packages/chivestream-capacity/src/measurements/sample-declarations.ts
@@ -0,0 +1,34 @@
+/** Declarations of a given size. */
+import {type Configuration, type Declarations, type Worker} from 'chivestream-core';
+import {declarationsSchema} from 'chivestream-configuration';
+
+const zoneCount = 9;
+const workersPerRack = 40;
+const cores = 32;
+const memoryMb = 131_072;
+const maxTasksInFlight = 20_000;
+
+/** Name of the only upstream. */
+export const sampleUpstream = 'lens';
+
+/** The worker of a number; the zones take turns unless one is given. */
+export const createWorker = (index: number, zone = `zone-${index % zoneCount}`): Worker => ({
+	id: `worker-${index}`,
+	zone,
+	rack: `${zone}-rack-${Math.floor(index / workersPerRack)}`,
+	address: `10.${Math.floor(index / 65_536)}.${Math.floor(index / 256) % 256}.${index % 256}:5000`,
+	cores,
+	memoryMb,
+	accelerators: 0,
+});
+
+/** Declarations with numbers of workers and teams, the workers over nine zones or in the one named. */
+export const createDeclarations = (workers: number, teams: number, zone?: string): Declarations => declarationsSchema.parse({
+	upstreams: {
+		[sampleUpstream]: {minions: [], workers: Array.from({length: workers}, (_, index) => createWorker(index, zone))},
+	},
+	teams: Object.fromEntries(Array.from({length: teams}, (_, index) => [`team-${index}`, {weight: 1, maxTasksInFlight}])),
+});
+
+/** The first version in force. */
+export const createConfiguration = (declarations: Declarations): Configuration => ({version: 1, offset: 0, declarations});
--- a/packages/chivestream-entry/src/index.ts
+++ b/packages/chivestream-entry/src/index.ts
@@ -9,3 +9,4 @@
 export * from './job-registry.js';
 export * from './job-router.js';
 export * from './job-run.js';
+export * from './lending.js';
