--- a/packages/chivestream-configuration/src/follower.ts
+++ b/packages/chivestream-configuration/src/follower.ts
@@ -4,11 +4,12 @@
 } from 'chivestream-core';
 import {type Stream, type StreamPage, type StreamRecord} from 'chivestream-platform';
 import {retryDeadline} from './backoff.js';
+import {initialLogView, type LogView, viewPage} from './log-view.js';
 import {isProven, type PeerState, type Proof} from './proof.js';
+import {addRecentRecords} from './recent-records.js';
 import {
 	applyOffer, applyPage, applyState, heldOffset, initialReader, nextOffset, type Reader, type ReaderRules,
 } from './reader.js';
-import {parseSnapshotPart} from './snapshot.js';
 import {findVerdict, type State, type Verdict} from './state.js';
 import {createWaiters} from './waiters.js';
 
@@ -22,10 +23,13 @@
 	zone: string;
 	/** Entry hosts known in the zone, this one included. */
 	zoneSize: () => number;
-	/** What the other entry hosts hold, from those that answer. */
+	/** What the other entry hosts hold, from those that answer before a deadline of its own. */
 	fetchFromPeers: () => Promise<PeerState[]>;
-	/** Offers a version to the zone before it comes into force; resolves once enough hosts hold it or at the deadline. */
-	confirmHeld?: (state: State, deadline: number) => Promise<void>;
+	/**
+	Offers a version to the zone before it comes into force; resolves once enough hosts hold it or at the deadline. The records
+	lead to it from the version before; other hosts pass them to `hold`.
+	*/
+	confirmHeld?: (state: State, deadline: number, records: readonly StreamRecord[]) => Promise<void>;
 	/** Called with each version that comes into force here, in order. */
 	onChange: (configuration: Configuration) => void;
 	/** How long one read waits for news, in milliseconds. */
@@ -35,14 +39,6 @@
 	rules?: ReaderRules;
 };
 
-/** The log's bounds and newest snapshot, as far as this host has read. */
-export type LogView = {
-	first: number;
-	next: number;
-	/** Offset that the newest snapshot covers, and when this host saw it. */
-	snapshot: {covers: number; seenAt: number} | undefined;
-};
-
 const pageLimit = 500;
 const defaultPollMs = 10_000;
 const confirmMs = 300;
@@ -50,12 +46,6 @@
 const quietPauseMs = 50;
 const step = 'follow-configuration';
 
-/** Offset that the newest complete snapshot among the records covers, or -1. */
-const newestSnapshot = (records: readonly StreamRecord[]): number => {
-	const lastParts = records.map(record => parseSnapshotPart(record)).filter(part => part?.part === (part?.parts ?? 0) - 1);
-	return Math.max(-1, ...lastParts.map(part => part?.covers ?? -1));
-};
-
 /** The task that follows the configuration stream. */
 export class Follower {
 	readonly #options: FollowerOptions;
@@ -65,6 +55,7 @@
 	#wake = new AbortController();
 	#reader: Reader = initialReader;
 	#inForce: Configuration | undefined;
+	#recent: readonly StreamRecord[] = [];
 	#hasReachedLogEnd = false;
 	#havePeersAnswered = false;
 	#isProven = false;
@@ -72,7 +63,7 @@
 	#isPublishing = false;
 	#failures = 0;
 	#lastFailure: Failure | undefined;
-	#logView: LogView = {first: 0, next: 0, snapshot: undefined};
+	#logView: LogView = initialLogView;
 
 	constructor(options: FollowerOptions) {
 		this.#options = options;
@@ -132,11 +123,19 @@
 
 	/** Takes records that another host read, or that this one appended; gives the offset that it now holds. */
 	offer(records: readonly StreamRecord[]): number {
-		this.#take(applyOffer(this.#reader, records, this.#options.rules));
+		this.#take(applyOffer(this.#reader, records, this.#options.rules), records);
 		this.notice(records.at(-1)?.offset ?? -1);
 		return heldOffset(this.#reader);
 	}
 
+	/** Takes records that another host offers and waits until this one holds the offset; gives the offset it holds at the deadline. */
+	async hold(offset: number, records: readonly StreamRecord[], deadline: number): Promise<number> {
+		this.offer(records);
+		this.notice(offset);
+		await this.waitForOffset(offset, deadline);
+		return heldOffset(this.#reader);
+	}
+
 	/** Takes the state of another host if it holds more; gives the offset that this host now holds. */
 	adopt(state: State): number {
 		this.#take(applyState(this.#reader, state));
@@ -205,7 +204,7 @@
 	}
 
 	#takePage(page: StreamPage): void {
-		this.#viewLog(page);
+		this.#logView = viewPage(this.#logView, page, this.#options.clock.now());
 		const reader = applyPage(this.#reader, page, this.#options.rules);
 		const isAtEnd = nextOffset(reader) >= page.next;
 		if (reader.search && isAtEnd) {
@@ -213,14 +212,7 @@
 		}
 
 		this.#hasReachedLogEnd ||= isAtEnd && !reader.search;
-		this.#take(reader);
-	}
-
-	#viewLog({first, next, records}: StreamPage): void {
-		const covers = newestSnapshot(records);
-		const known = this.#logView.snapshot;
-		const snapshot = covers > (known?.covers ?? -1) ? {covers, seenAt: this.#options.clock.now()} : known;
-		this.#logView = {first, next, snapshot};
+		this.#take(reader, page.records);
 	}
 
 	/** Asks the peers what they hold, one round at a time. */
@@ -252,7 +244,8 @@
 	}
 
 	/** Goes on with a reader that holds at least as much as the one before. */
-	#take(reader: Reader): void {
+	#take(reader: Reader, records: readonly StreamRecord[] = []): void {
+		this.#recent = addRecentRecords(this.#recent, records, {before: heldOffset(this.#reader), after: heldOffset(reader)});
 		this.#reader = reader;
 		this.#isProven ||= (this.#options.proof ?? isProven)({
 			hasReachedLogEnd: this.#hasReachedLogEnd,
@@ -275,8 +268,10 @@
 		this.#isPublishing = true;
 		while (this.held.configuration.version > (this.#inForce?.version ?? -1) && !this.#stopping.signal.aborted) {
 			const state = this.held;
+			const {offset} = state.configuration;
 			// eslint-disable-next-line no-await-in-loop
 			await this.#confirmHeld(state);
+			this.#recent = this.#recent.filter(record => record.offset > offset);
 			this.#putInForce(state.configuration);
 		}
 
@@ -285,7 +280,7 @@
 
 	async #confirmHeld(state: State): Promise<void> {
 		try {
-			await this.#options.confirmHeld?.(state, this.#options.clock.now() + confirmMs);
+			await this.#options.confirmHeld?.(state, this.#options.clock.now() + confirmMs, this.#recent);
 		} catch (error) {
 			this.#warn('the zone could not be offered a version', error);
 		}
--- a/packages/chivestream-entry/src/peer-calls.ts
+++ b/packages/chivestream-entry/src/peer-calls.ts
@@ -2,12 +2,13 @@
 import {
 	type Clock, type Job, type JobAnswer, type KeyStatus, type Logger,
 } from 'chivestream-core';
-import {type PeerState, type State} from 'chivestream-configuration';
+import {type PeerState} from 'chivestream-configuration';
 import {
 	isLive, type Member, type Membership, type PeerClients,
 } from 'chivestream-peer';
 import {type SlotDemand, type SlotGrant} from 'chivestream-placement';
-import {type Claimant} from './claims.js';
+import {type StreamRecord} from 'chivestream-platform';
+import {isSameRun, type Claimant} from './claims.js';
 import {type Relay} from './job-router.js';
 import {parseGrants} from './lending.js';
 import {
@@ -20,8 +21,8 @@
 	ask: <Kind extends PeerRequest['kind']>(member: Member, request: Extract<PeerRequest, {kind: Kind}>, deadline: number) => Promise<PeerReplies[Kind] | undefined>;
 	requestLoan: (lenderId: string, demand: SlotDemand) => Promise<SlotGrant[]>;
 	fetchStates: () => Promise<PeerState[]>;
-	/** Offers a state to the hosts of the zone; resolves once enough hold it or all have answered. */
-	offerState: (state: State, holders: number, deadline: number) => Promise<void>;
+	/** Offers the records up to an offset to the hosts of the zone; resolves once enough hold it or all have answered. */
+	offerRecords: (offset: number, records: readonly StreamRecord[], holders: number, deadline: number) => Promise<void>;
 };
 
 /** What the calls need. */
@@ -33,6 +34,7 @@
 	peers: PeerClients;
 	/** The membership, which is made after the calls. */
 	membership: () => Membership;
+	isSameRun?: (left: Claimant, right: Claimant) => boolean;
 	/** Addresses to ask before any member is known. */
 	seedAddresses: readonly string[];
 	/** Counts jobs handed to their home. */
@@ -52,7 +54,8 @@
 
 	const findHome = (home: Claimant): Member | undefined => {
 		const member = membership().findMember(home.hostId);
-		return member?.host.incarnation === home.incarnation ? member : undefined;
+		const run = member && {hostId: member.host.id, incarnation: member.host.incarnation};
+		return run && (options.isSameRun ?? isSameRun)(run, home) ? member : undefined;
 	};
 
 	const askAddress = async <Kind extends PeerRequest['kind']>(address: string, request: Extract<PeerRequest, {kind: Kind}>, deadline: number): Promise<PeerReplies[Kind] | undefined> => {
@@ -116,7 +119,7 @@
 			const replies = await Promise.all([...stateAddresses()].map(async address => askAddress(address, {kind: 'state'}, deadline)));
 			return replies.filter(state => state !== undefined);
 		},
-		async offerState(state, holders, deadline) {
+		async offerRecords(offset, records, holders, deadline) {
 			const others = zoneMembers();
 			let missing = Math.min(holders - 1, others.length);
 			if (missing === 0) {
@@ -124,15 +127,17 @@
 			}
 
 			await new Promise<void>(resolve => {
-				const noteHolder = (offset: number | undefined) => {
-					missing -= offset !== undefined && offset >= state.configuration.offset ? 1 : 0;
+				const noteHolder = (heldOffset: number | undefined) => {
+					missing -= heldOffset !== undefined && heldOffset >= offset ? 1 : 0;
 					if (missing === 0) {
 						resolve();
 					}
 				};
 
 				const asked = others.map(async member => {
-					noteHolder(await ask(member, {kind: 'adopt', state}, deadline));
+					noteHolder(await ask<'hold'>(member, {
+						kind: 'hold', offset, records: [...records], deadline,
+					}, deadline));
 				});
 				void Promise.allSettled(asked).then(() => {
 					resolve();
