--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -17,6 +17,7 @@
 } from 'chivestream-peer';
 import {answerPeerRequest as answerOperatorRequest, type OperatorSource} from 'chivestream-operator';
 import {createScheduler, type Scheduler} from 'chivestream-placement';
+import {createObjectiveRecorder} from 'chivestream-report';
 import {createClaims} from './claims.js';
 import {createDispatcher, type AttemptRunner} from './dispatcher.js';
 import {createEpochs} from './epochs.js';
@@ -101,6 +102,7 @@
 	};
 
 	const metrics = createHostMetrics(readFigures);
+	const recorder = createObjectiveRecorder(clock, {host: self.id, zone: self.zone});
 	const calls = createPeerCalls({
 		selfId: self.id,
 		zone: self.zone,
@@ -123,7 +125,11 @@
 		scheduler,
 		runAttempt,
 		onFinished(run, answer) {
-			metrics.recordJob(run, answer, clock.now());
+			const now = clock.now();
+			metrics.recordJob(run, answer, now);
+			recorder.record({
+				team: run.job.team, upstream: run.job.upstream, elapsedMs: now - run.startedAt, answer,
+			});
 		},
 		onDemand: lending.ask,
 	});
@@ -147,6 +153,7 @@
 	const putInForce = (accepted: Configuration) => {
 		const isFirst = configuration === undefined;
 		configuration = accepted;
+		recorder.configure(accepted.declarations.objectives);
 		shareSlots();
 		logger.info('configuration in force', {
 			step: 'configure', peer: 'log', version: accepted.version, offset: accepted.offset,
@@ -279,9 +286,7 @@
 		follower,
 		stream: links.configurationStream,
 		seeds: options.seeds,
-		readHistory: () => ({
-			host: self.id, zone: self.zone, since: startedAt, at: clock.now(), from: startedAt, objectives: [],
-		}),
+		readHistory: recorder.read,
 	});
 
 	const homeToken = () => isServing()
--- a/packages/chivestream-operator/src/__tests__/entry-processes.test.ts
+++ b/packages/chivestream-operator/src/__tests__/entry-processes.test.ts
@@ -164,6 +164,31 @@
 		await expect(runJson('upstreams')).resolves.toMatchObject({answer: {rows: {length: hostCount}}});
 	});
 
+	test('what hosts record about an objective is exported by all of them', async () => {
+		const before = await versionInForce();
+		const {address} = cluster.fleets[0]!.minions[0]!;
+		const minion = {
+			id: 'lens-a-0', zone: 'a', address, slots: 8, connections: 64,
+		};
+		const objective = {
+			name: 'reading', upstream: 'lens', team, targetMs: 20_000, goal: 0.9,
+		};
+		const declarations = {
+			upstreams: {lens: {minions: [minion]}}, teams: {[team]: {maxTasksInFlight: 9}}, limits: {}, objectives: [objective],
+		};
+		await writeFile(file, JSON.stringify(declarations));
+		await expect(runJson('apply', file)).resolves.toMatchObject({code: exitCode.done, answer: {outcome: 'accepted'}});
+		const {callerAddress, operatorAddress} = cluster.entries[0]!;
+		await expect(submitJob(callerAddress, await createKey(callerAddress), 2, 5)).resolves.toMatchObject({state: 'complete'});
+		const reply = await request(`http://${operatorAddress}/v1/histograms`, {headers: {authorization: `Bearer ${clusterOperatorToken}`}});
+		const exported = await reply.body.json();
+		expect(exported).toMatchObject({
+			hosts: Array.from({length: hostCount}, () => ({objectives: [{objective}]})), missing: [],
+		});
+		expect(exported).toHaveProperty('hosts.0.objectives.0.buckets.0.good', 1);
+		await expect(runJson('rollback', String(before))).resolves.toMatchObject({code: exitCode.done});
+	});
+
 	test('with the log down, questions are answered and a change is unknown until it is sent again', async () => {
 		const base = await versionInForce();
 		const words = [`quota ${team} = 80`, '--command-id', randomUUID(), '--base-version', String(base)];
