Let no caller who moves between hosts of a zone see an older configuration

A host put a version in force as soon as a majority of its zone held it, while another host of the zone still waited up to 300 ms for its own offers to be answered (lost answers, killed hosts): a caller that moved in between saw the older version. Ruled out: folds that differ (every host held the same state), hosts that went back (the count for single hosts was 0). Change: a host that hears that another one of its zone has a version in force no longer waits for its own offers (Follower.confirm), and a caller may name the version that it saw last in the header chivestream-configuration: the host reaches it within 2 s or refuses with not-ready.

--- a/packages/chivestream-caller/src/__tests__/service.test.ts
+++ b/packages/chivestream-caller/src/__tests__/service.test.ts
@@ -40,6 +40,8 @@
 		cancel: async () => status,
 		homeToken: () => isReady ? 'h~host~run~0' : undefined,
 		isReady: () => isReady,
+		configurationVersion: () => 7,
+		reachVersion: async version => version <= 7,
 		metrics: async () => 'up 1\n',
 	}, {
 		host: '127.0.0.1', port: 0, maxBodyBytes, requestTimeoutMs: 300, keepAliveTimeoutMs: 1000, maxConnections: 50, now: Date.now,
@@ -67,6 +69,19 @@
 	expect(submitted).toEqual([createJob()]);
 });
 
+test('a caller that names the version it saw is told the one in force, or refused by a host that is behind', async () => {
+	const ask = async (version: string) => request(`http://${service.address}/v1/jobs`, {
+		method: 'POST', body: JSON.stringify(createJob()), headers: {'chivestream-configuration': version},
+	});
+	const served = await ask('7');
+	expect(served.headers['chivestream-configuration']).toBe('7');
+	await served.body.dump();
+	const refused = await ask('8');
+	expect(refused.statusCode).toBe(503);
+	expect(await refused.body.json()).toMatchObject({failure: {code: 'not-ready', notRun: false}});
+	expect(submitted).toHaveLength(1);
+});
+
 test.each([
 	['no JSON', '{"key":', 'not JSON'],
 	['no object', '[]', 'the body'],
--- a/packages/chivestream-caller/src/service.ts
+++ b/packages/chivestream-caller/src/service.ts
@@ -28,6 +28,10 @@
 	/** The token for new keys of this host; undefined while it takes no new ones. */
 	homeToken: () => string | undefined;
 	isReady: () => boolean;
+	/** Version of the configuration in force; undefined while there is none. */
+	configurationVersion: () => number | undefined;
+	/** Whether the version, or a later one, comes into force before the deadline. */
+	reachVersion: (version: number, deadline: number) => Promise<boolean>;
 	/** Metrics in the Prometheus text format. */
 	metrics: () => Promise<string>;
 };
@@ -54,7 +58,9 @@
 };
 
 const homeHeader = 'chivestream-home';
+const configurationHeader = 'chivestream-configuration';
 const longestWaitMs = 60_000;
+const reachVersionMs = 2000;
 
 type RoutedRequest = IncomingMessage & {params: {key?: unknown}};
 
@@ -167,6 +173,21 @@
 	const routes = createRoutes(handlers, options);
 	let isClosing = false;
 
+	/** A caller that names the version it saw last is never served by an older one. */
+	const reachSeenVersion = async (request: RoutedRequest) => {
+		const seen = Number(request.headers[configurationHeader] ?? 0);
+		if (seen > 0 && !await handlers.reachVersion(seen, options.now() + reachVersionMs)) {
+			throw new Failure(failureCode.notReady, `this host has not reached configuration version ${seen} yet; ask another`, {step: 'reach-version', peer: 'configuration'});
+		}
+	};
+
+	const setVersion = (response: ServerResponse) => {
+		const version = handlers.configurationVersion();
+		if (version !== undefined) {
+			response.setHeader(configurationHeader, version);
+		}
+	};
+
 	const handle = (route: Handler) => async (request: RoutedRequest, response: ServerResponse) => {
 		const home = handlers.homeToken();
 		if (home !== undefined) {
@@ -179,6 +200,8 @@
 
 		try {
 			const {key} = request.params;
+			await reachSeenVersion(request);
+			setVersion(response);
 			await route(request, response, typeof key === 'string' ? key : '');
 		} catch (error) {
 			sendFailure(response, toFailure(error, {step: 'serve', peer: request.socket.remoteAddress ?? 'caller'}), false);
--- a/packages/chivestream-configuration/src/__tests__/follower.test.ts
+++ b/packages/chivestream-configuration/src/__tests__/follower.test.ts
@@ -127,3 +127,25 @@
 	expect(await follower.waitForVersion(2, soon())).toBe(true);
 	expect(seen.map(({version}) => version)).toEqual([0, 1, 2]);
 });
+
+test('a version that another host of the zone has in force comes into force without waiting for confirmation', async () => {
+	const stream = new FakeStream();
+	const offered: number[] = [];
+	const {submit, follower} = follow(stream, {
+		async confirmHeld(state) {
+			offered.push(state.configuration.version);
+			return new Promise(() => {
+				// No host of the zone answers.
+			});
+		},
+	});
+	void submitCommand(submit, sampleCommand, soon());
+	await follower.waitForOffset(0, soon());
+	expect(follower.inForce?.version).not.toBe(1);
+	follower.confirm(1);
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	expect(offered).toContain(1);
+	expect(follower.inForce?.version).toBe(1);
+});
--- a/packages/chivestream-configuration/src/follower.ts
+++ b/packages/chivestream-configuration/src/follower.ts
@@ -56,6 +56,7 @@
 	#reader: Reader = initialReader;
 	#inForce: Configuration | undefined;
 	#recent: readonly StreamRecord[] = [];
+	#zoneVersion = -1;
 	#hasReachedLogEnd = false;
 	#havePeersAnswered = false;
 	#isProven = false;
@@ -142,6 +143,12 @@
 		return heldOffset(this.#reader);
 	}
 
+	/** Notes that another host of the zone has a version in force, so that it need not be offered to the zone once more. */
+	confirm(version: number): void {
+		this.#zoneVersion = Math.max(this.#zoneVersion, version);
+		this.#waiters.notify();
+	}
+
 	/** Whether the version, or a later one, came into force here before the deadline. */
 	async waitForVersion(version: number, deadline: number): Promise<boolean> {
 		return this.#waiters.until(() => (this.#inForce?.version ?? -1) >= version, deadline);
@@ -279,8 +286,13 @@
 	}
 
 	async #confirmHeld(state: State): Promise<void> {
+		const deadline = this.#options.clock.now() + confirmMs;
+		const {version} = state.configuration;
 		try {
-			await this.#options.confirmHeld?.(state, this.#options.clock.now() + confirmMs, this.#recent);
+			await Promise.race([
+				this.#options.confirmHeld?.(state, deadline, this.#recent),
+				this.#waiters.until(() => this.#zoneVersion >= version, deadline),
+			]);
 		} catch (error) {
 			this.#warn('the zone could not be offered a version', error);
 		}
--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -199,8 +199,13 @@
 			lending.receive(sender.host.id, parseLendingPayload(new TextDecoder().decode(payload)));
 		},
 		onNewerConfiguration(member) {
-			if (member.configuration) {
-				follower.notice(member.configuration.nextOffset - 1);
+			const {configuration: mark, host} = member;
+			if (mark && host.zone === self.zone) {
+				follower.confirm(mark.version);
+			}
+
+			if (mark) {
+				follower.notice(mark.nextOffset - 1);
 			}
 		},
 		onChange(members) {
@@ -309,6 +314,8 @@
 		cancel: router.cancel,
 		homeToken,
 		isReady: isServing,
+		configurationVersion: () => configuration?.version,
+		reachVersion: async (version, deadline) => follower.waitForVersion(version, deadline),
 		metrics: metrics.format,
 	};
 
--- a/packages/chivestream-entry/src/entry-process.ts
+++ b/packages/chivestream-entry/src/entry-process.ts
@@ -57,6 +57,8 @@
 		cancel: async key => ready('cancel').callerHandlers.cancel(key),
 		homeToken: () => host()?.callerHandlers.homeToken(),
 		isReady: () => host()?.callerHandlers.isReady() ?? false,
+		configurationVersion: () => host()?.callerHandlers.configurationVersion(),
+		reachVersion: async (version, deadline) => ready('reach-version').callerHandlers.reachVersion(version, deadline),
 		metrics: async () => ready('metrics').callerHandlers.metrics(),
 	};
 	const peer: PeerHandlers = {
--- a/packages/chivestream-replay/src/faults/configuration-watch.ts
+++ b/packages/chivestream-replay/src/faults/configuration-watch.ts
@@ -12,6 +12,8 @@
 /** What was seen of the configuration. */
 export type ConfigurationWatch = {
 	reverts: () => number;
+	/** How often a caller that names no version would have seen an older one than before. */
+	staleViews: () => number;
 	inForceMs: () => number;
 	/** Looks at every host now. */
 	look: () => void;
@@ -28,6 +30,8 @@
 	links: Links;
 	cluster: Cluster;
 	stream: MemoryStream;
+	/** Whether callers name the version that they saw last. */
+	namesVersion: boolean;
 };
 
 type VersionRecord = {version: number; at: number; configuration: Configuration; baseVersion: number};
@@ -35,10 +39,11 @@
 
 const callersPerZone = 3;
 const settledMs = 1000;
+const reachVersionMs = 2000;
 
 /** A watch over one cluster. */
 export const createConfigurationWatch = ({
-	clock, random, links, cluster, stream,
+	clock, random, links, cluster, stream, namesVersion,
 }: WatchOptions): ConfigurationWatch => {
 	const callers: Caller[] = zones.flatMap(zone => Array.from({length: callersPerZone}, () => ({zone, seen: 0})));
 	const highest = new WeakMap<ClusterHost, number>();
@@ -48,6 +53,7 @@
 	let state: State = initialState;
 	let readUpTo = 0;
 	let reverts = 0;
+	let staleViews = 0;
 	let inForceMs = 0;
 
 	const readLog = () => {
@@ -114,18 +120,23 @@
 		measureInForce(host, before);
 	};
 
-	/** A caller asks one host of its zone after the other and must never see an older version. */
-	const moveCaller = (caller: Caller) => {
+	/** A caller asks one host of its zone after the other, naming the version that it saw last, and must never see an older one. */
+	const moveCaller = async (caller: Caller) => {
 		const candidates = cluster.hosts().filter(({place, run, host}) => place.zone === caller.zone && !run.isPaused() && host.callerHandlers.isReady());
 		if (candidates.length === 0) {
 			return;
 		}
 
-		const version = versionAt(pickRandom(random, candidates));
-		if (version < caller.seen) {
-			reverts += 1;
+		const target = pickRandom(random, candidates);
+		const {seen} = caller;
+		staleViews += versionAt(target) < seen ? 1 : 0;
+		const isReached = !namesVersion || await target.host.callerHandlers.reachVersion(seen, target.run.clock.now() + reachVersionMs);
+		if (!isReached) {
+			return;
 		}
 
+		const version = versionAt(target);
+		reverts += version < seen ? 1 : 0;
 		caller.seen = Math.max(caller.seen, version);
 	};
 
@@ -145,6 +156,7 @@
 
 	return {
 		reverts: () => reverts,
+		staleViews: () => staleViews,
 		inForceMs: () => Math.round(inForceMs),
 		look() {
 			readLog();
@@ -154,7 +166,7 @@
 			}
 
 			for (const caller of callers) {
-				moveCaller(caller);
+				void moveCaller(caller);
 			}
 		},
 		newWorkAfterLeaveMs(starts) {
--- a/packages/chivestream-replay/src/faults/run-faults.ts
+++ b/packages/chivestream-replay/src/faults/run-faults.ts
@@ -18,15 +18,17 @@
 
 const usageExitCode = 2;
 const kinds = Object.values(faultKind);
+const kindNames: readonly string[] = kinds;
 const mechanisms = Object.values(mechanism);
+const mechanismNames: readonly string[] = mechanisms;
 
 const checkNames = ({faults, switchOff}: FaultOptions): string | undefined => {
-	const unknown = faults.split(',').filter(name => name !== 'all' && !kinds.includes(name));
+	const unknown = faults.split(',').filter(name => name !== 'all' && !kindNames.includes(name));
 	if (unknown.length > 0) {
 		return `--faults: no kind of fault is called "${unknown.join(', ')}"; choose all or some of ${kinds.join(', ')}`;
 	}
 
-	return switchOff === undefined || mechanisms.includes(switchOff)
+	return switchOff === undefined || mechanismNames.includes(switchOff)
 		? undefined
 		: `--switch-off: no mechanism is called "${switchOff}"; choose one of ${mechanisms.join(', ')}`;
 };
--- a/packages/chivestream-replay/src/faults/run-seed.ts
+++ b/packages/chivestream-replay/src/faults/run-seed.ts
@@ -36,6 +36,8 @@
 	cutByStop: number;
 	configurationReverts: number;
 	configurationInForceMs: number;
+	/** How often a caller that names no version would have seen an older one than before. */
+	staleViews: number;
 	unavailability: Record<string, Unavailability>;
 };
 
@@ -105,7 +107,7 @@
 		clock, random, cluster, minionIds: [...minionsById.keys()],
 	});
 	const watch = createConfigurationWatch({
-		clock, random, links, cluster, stream: configurationStream,
+		clock, random, links, cluster, stream: configurationStream, namesVersion: weakening.namesVersion ?? true,
 	});
 	const injector = createInjector({
 		clock, random, cluster, links, callers, streams: [configurationStream, claimsStream], minions: [...minionsById.values()], stopsWait: weakening.stopsWait ?? true,
@@ -158,6 +160,7 @@
 		cutByStop: injector.cutByStop(),
 		configurationReverts: watch.reverts() + watch.lostCommands(operators.accepted),
 		configurationInForceMs: watch.inForceMs(),
+		staleViews: watch.staleViews(),
 		unavailability: measureUnavailability(callers.jobs, faults, from, until),
 	};
 };
--- a/packages/chivestream-replay/src/faults/switches.ts
+++ b/packages/chivestream-replay/src/faults/switches.ts
@@ -25,6 +25,7 @@
 	proofBeforeForce: 'proof-before-force',
 	drainedTargets: 'drained-targets',
 	drainWait: 'drain-wait',
+	seenVersion: 'seen-version',
 } as const;
 
 /** One of the mechanisms. */
@@ -36,6 +37,7 @@
 	judge?: Judge;
 	alterAnswer?: (answer: JobAnswer) => JobAnswer;
 	stopsWait?: boolean;
+	namesVersion?: boolean;
 };
 
 const forgetfulRegistry: typeof createJobRegistry = options => {
@@ -113,4 +115,5 @@
 	[mechanism.proofBeforeForce]: {parts: {follower: {proof: ({havePeersAnswered}) => havePeersAnswered}}},
 	[mechanism.drainedTargets]: {parts: {createScheduler: ignoreDrains}},
 	[mechanism.drainWait]: {stopsWait: false},
+	[mechanism.seenVersion]: {namesVersion: false},
 };
