Widen the faults: replaced hosts that wake, clocks that jump, retention, minions that are not heard

Cause: the first run left out these faults, and two mechanisms (keys closed by a cancellation, refusals that are kept) had no switch.

--- a/packages/chivestream-replay/src/faults/callers.ts
+++ b/packages/chivestream-replay/src/faults/callers.ts
@@ -64,6 +64,7 @@
 const homeKeyShare = 0.6;
 const copyShare = 0.5;
 const mostCopies = 3;
+const earlyCancelShare = 0.04;
 const copySpreadMs = 3000;
 const lateCopyShare = 0.15;
 const lateCopyMs = 30_000;
@@ -162,6 +163,10 @@
 
 	const isInProgress = ({calls}: CallerJob) => calls.some(({end}) => end === undefined);
 
+	const cancel = (known: CallerJob) => {
+		void ask(known, async ({host}) => host.callerHandlers.cancel(known.job.key));
+	};
+
 	return {
 		jobs,
 		resubmissions: () => resubmissions,
@@ -175,6 +180,12 @@
 				job: createJob(key), submittedAt: clock.now(), calls: [], otherAnswers: [],
 			};
 			jobs.push(known);
+			// Some callers cancel before the first copy is on its way.
+			if (random() < earlyCancelShare) {
+				cancel(known);
+				sendLater(known, random() * copySpreadMs);
+			}
+
 			void send(known, balance(), known.job.deadline);
 			const copies = random() < copyShare ? 1 + randomInteger(random, mostCopies) : 0;
 			for (let copy = 0; copy < copies; copy++) {
@@ -194,7 +205,7 @@
 		},
 		cancelWave(share) {
 			for (const known of jobs.filter(known => isInProgress(known) && random() < share)) {
-				void ask(known, async ({host}) => host.callerHandlers.cancel(known.job.key));
+				cancel(known);
 			}
 		},
 		ask(known) {
--- a/packages/chivestream-replay/src/faults/fault-plan.ts
+++ b/packages/chivestream-replay/src/faults/fault-plan.ts
@@ -5,11 +5,18 @@
 export const faultKind = {
 	kill: 'kill',
 	pause: 'pause',
+	/** A paused host is replaced, and wakes beside its successor. */
+	replacedWhilePaused: 'replaced-while-paused',
+	clockJump: 'clock-jump',
 	plannedStop: 'planned-stop',
 	zoneCut: 'zone-cut',
 	oneWayCut: 'one-way-cut',
 	hostCut: 'host-cut',
 	logOutage: 'log-outage',
+	/** Minions that some hosts reach and don't hear. */
+	minionCut: 'minion-cut',
+	/** The log drops what is no longer young. */
+	retention: 'retention',
 	logSlow: 'log-slow',
 	appendAnswerLost: 'append-answer-lost',
 	lostAnswers: 'lost-answers',
@@ -35,7 +42,7 @@
 	until: number;
 };
 
-const faultsPerRun = 18;
+const faultsPerRun = 20;
 const shortestMs = 300;
 const longestMs = 9000;
 
--- a/packages/chivestream-replay/src/faults/host-run.ts
+++ b/packages/chivestream-replay/src/faults/host-run.ts
@@ -18,6 +18,8 @@
 	ended: Promise<void>;
 	pause: () => void;
 	resume: () => void;
+	/** Sets the host's clock forward or back. */
+	jump: (lengthMs: number) => void;
 	end: () => void;
 };
 
@@ -32,10 +34,11 @@
 };
 
 /** A run that has just started. */
-export const createHostRun = ({hostId, zone, incarnation, clock, skewMs}: HostRunOptions): HostRun => {
+export const createHostRun = ({hostId, zone, incarnation, clock, skewMs: initialSkewMs}: HostRunOptions): HostRun => {
 	let waiting: Array<() => void> = [];
 	let isAlive = true;
 	let isPaused = false;
+	let skewMs = initialSkewMs;
 	let resolveEnded: () => void;
 	const ended = new Promise<void>(resolve => {
 		resolveEnded = resolve;
@@ -92,6 +95,9 @@
 				enter(callback);
 			}
 		},
+		jump(lengthMs) {
+			skewMs += lengthMs;
+		},
 		end() {
 			isAlive = false;
 			isPaused = false;
--- a/packages/chivestream-replay/src/faults/inject.ts
+++ b/packages/chivestream-replay/src/faults/inject.ts
@@ -39,6 +39,9 @@
 const normalLogMs = 4;
 const lostAppendShare = 0.6;
 const fewestHostsOfZone = 2;
+const longestJumpMs = 5000;
+const wakeMs = 3000;
+const retainedMs = 8000;
 const modes: Partial<Record<FaultKind, MinionMode>> = {
 	[faultKind.minionFailing]: minionMode.failing,
 	[faultKind.minionHanging]: minionMode.hanging,
@@ -110,6 +113,30 @@
 		restartAt(host, Math.max(clock.now() + 1, until));
 	};
 
+	/** Starts a new run on the address of a paused one, which then wakes for a while. */
+	const replacePaused = (until: number) => {
+		const host = pickSpare();
+		if (!host) {
+			return;
+		}
+
+		host.run.pause();
+		clock.at(clock.now() + ((until - clock.now()) / 2), () => {
+			cluster.start(host.place);
+		});
+		healAt(until, () => {
+			host.run.resume();
+		});
+		clock.at(until + wakeMs, () => {
+			cluster.kill(host);
+		});
+	};
+
+	const dropOld = (stream: MemoryStream) => {
+		const firstYoung = stream.records().findIndex(({at}) => at >= clock.now() - retainedMs);
+		stream.dropBelow(firstYoung === -1 ? stream.records().length : firstYoung);
+	};
+
 	const setFaults = (set: (isOn: boolean) => void, until: number) => {
 		set(true);
 		healAt(until, () => {
@@ -174,6 +201,24 @@
 				});
 			}
 		},
+		[faultKind.replacedWhilePaused]: replacePaused,
+		[faultKind.clockJump]() {
+			const host = pickSpare();
+			if (host) {
+				host.run.jump((random() - 0.5) * 2 * longestJumpMs);
+				disturb([host]);
+			}
+		},
+		[faultKind.minionCut](until) {
+			const hosts = new Set(cluster.places.filter(() => random() < faultyShare).map(({name}) => name));
+			const lost = new Set(minions.filter(() => random() < faultyShare).map(({place}) => place.name));
+			addCut((from, to) => lost.has(from.name) && hosts.has(to.name), until, ({place}) => hosts.has(place.name));
+		},
+		[faultKind.retention]() {
+			for (const stream of streams) {
+				dropOld(stream);
+			}
+		},
 		[faultKind.plannedStop](until) {
 			const host = pickSpare();
 			if (host) {
--- a/packages/chivestream-replay/src/faults/run-seed.ts
+++ b/packages/chivestream-replay/src/faults/run-seed.ts
@@ -2,7 +2,9 @@
 One seeded run over all faults together: nine entry hosts in one process on a fake clock, so that a seed gives the same
 verdict every time. At the end every fault heals, and every job without an answer is sent once more.
 */
-import {createRandom, type Clock, type Random} from 'chivestream-core';
+import {
+	createRandom, pickRandom, type Clock, type Random,
+} from 'chivestream-core';
 import {createFakeClock, createMemoryStream, type FakeClock} from 'chivestream-stand-ins';
 import {measureUnavailability, type Unavailability} from './availability.js';
 import {createCallers, type Callers} from './callers.js';
@@ -51,7 +53,7 @@
 const jobPeriodMs = 90;
 const askShare = 0.2;
 const keyEpochMs = 2000;
-const maxSkewMs = 400;
+const skewsMs = [0, 50, 400, 2000] as const;
 const listLagMs = 10_000;
 const slownesses = [0.7, 1, 1, 1.6, 2.5] as const;
 
@@ -98,7 +100,7 @@
 		clock, random, links, minions: minionsById, judge: weakening.judge,
 	});
 	const cluster = createCluster({
-		clock, random, links, configurationStream, claimsStream, minions, parts: weakening.parts ?? {}, keyEpochMs, maxSkewMs, listLagMs,
+		clock, random, links, configurationStream, claimsStream, minions, parts: weakening.parts ?? {}, keyEpochMs, maxSkewMs: pickRandom(random, skewsMs), listLagMs,
 	});
 	const callers = createCallers({
 		clock, random, links, cluster, alterAnswer: weakening.alterAnswer,
--- a/packages/chivestream-replay/src/faults/switches.ts
+++ b/packages/chivestream-replay/src/faults/switches.ts
@@ -14,6 +14,8 @@
 /** Mechanisms that can be switched off. */
 export const mechanism = {
 	rememberedKeys: 'remembered-keys',
+	closedByCancel: 'closed-by-cancel',
+	keptRefusals: 'kept-refusals',
 	claims: 'claims',
 	incarnationInKey: 'incarnation-in-key',
 	closedEpochs: 'closed-epochs',
@@ -51,6 +53,28 @@
 	};
 };
 
+const unclosedRegistry: typeof createJobRegistry = options => ({
+	...createJobRegistry(options),
+	close() {
+		// The key stays open.
+	},
+});
+
+const refusalDroppingRegistry: typeof createJobRegistry = options => {
+	const registry = createJobRegistry(options);
+	return {
+		...registry,
+		open(job, closesAt) {
+			const answer = registry.get(job.key)?.answer;
+			if (answer?.state === 'failed' && answer.failure.notRun) {
+				registry.forget(job.key);
+			}
+
+			return registry.open(job, closesAt);
+		},
+	};
+};
+
 const unclaimed: typeof createClaims = options => ({
 	...createClaims(options),
 	claim: async () => Ok(options.self),
@@ -104,6 +128,8 @@
 /** The weaker stand-in for each mechanism. */
 export const weakenings: Record<Mechanism, Weakening> = {
 	[mechanism.rememberedKeys]: {parts: {createJobRegistry: forgetfulRegistry}},
+	[mechanism.closedByCancel]: {parts: {createJobRegistry: unclosedRegistry}},
+	[mechanism.keptRefusals]: {parts: {createJobRegistry: refusalDroppingRegistry}},
 	[mechanism.claims]: {parts: {createClaims: unclaimed}},
 	[mechanism.incarnationInKey]: {parts: {isSameRun: (left, right) => left.hostId === right.hostId}},
 	[mechanism.closedEpochs]: {parts: {createEpochs: openEpochs}},
