--- a/packages/chivestream-placement/src/target.ts
+++ b/packages/chivestream-placement/src/target.ts
@@ -103,6 +103,10 @@
 /** Slots or cores of the own share that are neither held off nor lent, busy ones included. */
 export const ownUnits = (target: Target, now: number): number => {
 	let units = target.ownedUnits;
+	if (target.takeovers.length === 0 && target.loans.size === 0) {
+		return units;
+	}
+
 	for (const takeover of target.takeovers) {
 		units -= takeover.availableAt > now ? takeover.count : 0;
 	}
@@ -116,6 +120,10 @@
 
 const borrowedUnits = (target: Target, now: number): number => {
 	let units = 0;
+	if (target.grants.size === 0) {
+		return units;
+	}
+
 	for (const grant of target.grants.values()) {
 		units += grant.bindUntil > now ? grant.count : 0;
 	}
