--- a/packages/chivestream-capacity/src/measurements/lending.ts
+++ b/packages/chivestream-capacity/src/measurements/lending.ts
@@ -3,7 +3,7 @@
 	attemptOutcome, Failure, failureCode, type AttemptResult,
 } from 'chivestream-core';
 import {createLending} from 'chivestream-entry';
-import {type Scheduler} from 'chivestream-placement';
+import {defaultLendingTerms, type Scheduler} from 'chivestream-placement';
 import {measureSlopes, type Sampling, type Slope} from '../slope.js';
 import {measureCpuMs} from '../usage.js';
 import {sampleUpstream} from './sample-declarations.js';
@@ -47,7 +47,9 @@
 	const {clock, scheduler, configure} = sized;
 	configure(1);
 	await clock.advance(holdOffMs);
-	const lending = createLending({scheduler, requestLoan: async () => [], onSlots: () => undefined});
+	const lending = createLending({
+		scheduler, termsOf: () => defaultLendingTerms['response-time'], requestLoan: async () => [], onSlots: () => undefined,
+	});
 	const bytesFor = (hostId: string) => JSON.stringify(lending.payloadFor(hostId)).length;
 	bytesFor(receiver);
 	let steadyBytes = 0;
--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -5,6 +5,7 @@
 	failureCode,
 	formatHome,
 	noneRun,
+	preference,
 	type Configuration,
 	type JobAnswer,
 } from 'chivestream-core';
@@ -16,7 +17,7 @@
 	createMembership, hostPhase, isLive, type Membership, type PeerHandlers,
 } from 'chivestream-peer';
 import {answerPeerRequest as answerOperatorRequest, type OperatorSource} from 'chivestream-operator';
-import {createScheduler, type Scheduler} from 'chivestream-placement';
+import {createScheduler, defaultLendingTerms, type Scheduler} from 'chivestream-placement';
 import {createObjectiveRecorder} from 'chivestream-report';
 import {createClaims, isSameRun} from './claims.js';
 import {createDispatcher, type AttemptRunner} from './dispatcher.js';
@@ -122,6 +123,7 @@
 	const lending = createLending({
 		scheduler,
 		requestLoan: calls.requestLoan,
+		termsOf: upstream => defaultLendingTerms[configuration?.declarations.upstreams[upstream]?.preference ?? preference.fewMessages],
 		onSlots() {
 			dispatcher.pump();
 		},
@@ -202,9 +204,9 @@
 		},
 		send: async (address, request, deadline) => links.peers.get(address).heartbeat(request, deadline),
 		configuration: () => configuration,
-		payload: receiver => receiver.host.zone === self.zone ? new TextEncoder().encode(JSON.stringify(lending.payloadFor(receiver.host.id))) : undefined,
+		payload: receiver => new TextEncoder().encode(JSON.stringify(lending.payloadFor(receiver.host.id))),
 		onPayload(sender, payload) {
-			lending.receive(sender.host.id, parseLendingPayload(new TextDecoder().decode(payload)));
+			lending.receive({id: sender.host.id, isInZone: sender.host.zone === self.zone}, parseLendingPayload(new TextDecoder().decode(payload)));
 		},
 		onNewerConfiguration(member) {
 			const {configuration: mark, host} = member;
--- a/packages/chivestream-entry/src/lending.ts
+++ b/packages/chivestream-entry/src/lending.ts
@@ -3,7 +3,14 @@
 free travels in the heartbeats, so that a request goes only to a host that can grant it; returns travel there too.
 */
 import {
-	type Scheduler, type SlotDemand, type SlotGrant, type TargetObservation,
+	createLenderChoice,
+	type Lender,
+	type LendingTerms,
+	type Scheduler,
+	type SlotDemand,
+	type SlotGrant,
+	type SlotRequest,
+	type TargetObservation,
 } from 'chivestream-placement';
 import {z} from 'zod';
 
@@ -27,7 +34,7 @@
 	/** Asks for slots where tasks wait and another host has free ones. */
 	ask: () => void;
 	payloadFor: (receiverId: string) => LendingPayload;
-	receive: (senderId: string, payload: LendingPayload) => void;
+	receive: (sender: Lender, payload: LendingPayload) => void;
 	/** Forgets what a host had free. */
 	forget: (hostId: string) => void;
 	/** Requests sent so far. */
@@ -38,6 +45,8 @@
 export type LendingOptions = {
 	scheduler: Scheduler;
 	requestLoan: LoanRequest;
+	/** How eagerly slots of an upstream are asked for. */
+	termsOf: (upstream: string) => LendingTerms;
 	/** Called once borrowed or returned slots can take tasks. */
 	onSlots: () => void;
 };
@@ -87,10 +96,11 @@
 });
 
 /** Lending over one scheduler. */
-export const createLending = ({scheduler, requestLoan, onSlots}: LendingOptions): Lending => {
-	const idleByHost = new Map<string, Map<string, number>>();
+export const createLending = ({
+	scheduler, requestLoan, termsOf, onSlots,
+}: LendingOptions): Lending => {
+	const lenders = createLenderChoice();
 	const outboxes = new Map<string, Outbox>();
-	const asking = new Set<string>();
 	let requests = 0;
 
 	const outboxOf = (hostId: string): Outbox => {
@@ -99,47 +109,18 @@
 		return outbox;
 	};
 
-	const findLender = (upstream: string): {hostId: string; idle: number} | undefined => {
-		let best: {hostId: string; idle: number} | undefined;
-		for (const [hostId, idleByUpstream] of idleByHost) {
-			const idle = idleByUpstream.get(upstream) ?? 0;
-			if (idle > (best?.idle ?? 0)) {
-				best = {hostId, idle};
-			}
-		}
-
-		return best;
-	};
-
-	const noteLoan = (lenderId: string, upstream: string, granted: number) => {
-		const idleByUpstream = idleByHost.get(lenderId);
-		const idle = idleByUpstream?.get(upstream) ?? 0;
-		// A host that grants nothing has nothing free until its next heartbeat says otherwise.
-		idleByUpstream?.set(upstream, granted === 0 ? 0 : Math.max(0, idle - granted));
-	};
-
-	const borrowFrom = async (lenderId: string, demand: SlotDemand) => {
+	const borrowFrom = async (request: SlotRequest) => {
 		requests += 1;
-		const grants = await requestLoan(lenderId, demand);
-		const granted = grants.reduce((sum, {count}) => sum + count, 0);
-		noteLoan(lenderId, demand.upstream, granted);
+		const {lenderId, upstream, count} = request;
+		const grants = await requestLoan(lenderId, {upstream, count});
+		const granted = grants.reduce((sum, grant) => sum + grant.count, 0);
+		lenders.noteAnswer(request, granted);
 		if (granted > 0) {
 			scheduler.borrow(lenderId, grants);
 			onSlots();
 		}
 	};
 
-	const askFor = async ({upstream, count}: SlotDemand) => {
-		const lender = findLender(upstream);
-		if (!lender) {
-			return;
-		}
-
-		asking.add(upstream);
-		await borrowFrom(lender.hostId, {upstream, count: Math.min(count, lender.idle)});
-		asking.delete(upstream);
-	};
-
 	/** Each observation goes to every host that this one sends heartbeats to, once. */
 	const collectObservations = () => {
 		for (const observation of scheduler.observations()) {
@@ -161,9 +142,9 @@
 
 	return {
 		ask() {
-			for (const demand of scheduler.demand()) {
-				if (demand.count > 0 && !asking.has(demand.upstream)) {
-					void askFor(demand);
+			for (const {upstream, count} of scheduler.demand()) {
+				for (const request of lenders.plan(upstream, count, termsOf(upstream))) {
+					void borrowFrom(request);
 				}
 			}
 		},
@@ -174,8 +155,12 @@
 			outboxes.set(receiverId, createOutbox());
 			return {...grants, idle: scheduler.idleSlots(), observations: [...observations.values()]};
 		},
-		receive(senderId, payload) {
-			idleByHost.set(senderId, new Map(payload.idle.map(({upstream, count}) => [upstream, count])));
+		receive(sender, payload) {
+			const senderId = sender.id;
+			for (const {upstream, count} of payload.idle) {
+				lenders.noteIdle(sender, upstream, count);
+			}
+
 			scheduler.observe(payload.observations);
 			scheduler.reclaim(senderId, payload.returned);
 			scheduler.borrow(senderId, payload.extended);
@@ -183,7 +168,7 @@
 			onSlots();
 		},
 		forget(hostId) {
-			idleByHost.delete(hostId);
+			lenders.forget(hostId);
 			outboxes.delete(hostId);
 		},
 		requests: () => requests,
