Open a connection for each slot of a minion

Ruled out: lending (the scheduler alone starts all 20 on a fake clock) and the stand-in. Change: connections follow the declared slots. The new test hangs with the old bound of 7.

--- a/packages/chivestream-entry/src/attempts.ts
+++ b/packages/chivestream-entry/src/attempts.ts
@@ -25,11 +25,11 @@
 		: minions.run({...common, minionId: assignment.targetId});
 };
 
-/** Closes the links to minions and workers that are no longer declared. */
-export const closeUndeclared = async (declarations: Declarations, minions: MinionClient, workers: WorkerClient): Promise<void> => {
+/** Fits the links to the declared minions and workers, and closes those to all others. */
+export const declareTargets = async (declarations: Declarations, minions: MinionClient, workers: WorkerClient): Promise<void> => {
 	const upstreams = Object.values(declarations.upstreams);
 	await Promise.all([
-		minions.keepOnly(new Set(upstreams.flatMap(upstream => upstream.minions.map(({address}) => address)))),
+		minions.declare(upstreams.flatMap(upstream => upstream.minions)),
 		workers.keepOnly(new Set(upstreams.flatMap(upstream => upstream.workers.map(({address}) => address)))),
 	]);
 };
--- a/packages/chivestream-entry/src/entry-process.ts
+++ b/packages/chivestream-entry/src/entry-process.ts
@@ -17,7 +17,7 @@
 import {createHostList, createLog, streamName} from 'chivestream-platform';
 import {loadTls, type EntrySettings} from 'chivestream-settings';
 import {createWorkerClient} from 'chivestream-worker';
-import {closeUndeclared, createAttempts} from './attempts.js';
+import {declareTargets, createAttempts} from './attempts.js';
 import {createEntryHost, type EntryHost} from './entry-host.js';
 
 /** Addresses that a process listens on. */
@@ -141,7 +141,7 @@
 			listHosts: hostList.list,
 			peers: createPeerClients(),
 			onDeclarations(declarations) {
-				void closeUndeclared(declarations, minions, workers);
+				void declareTargets(declarations, minions, workers);
 			},
 			runAttempt: createAttempts(minions, workers),
 		},
--- a/packages/chivestream-minion/src/__tests__/client.test.ts
+++ b/packages/chivestream-minion/src/__tests__/client.test.ts
@@ -98,3 +98,25 @@
 	expect(await run(address, AbortSignal.abort(new Error('cancelled')))).toMatchObject({outcome: attemptOutcome.notStarted});
 	expect(await run(address, controller.signal)).toMatchObject({outcome: attemptOutcome.unknown});
 });
+
+test('as many tasks run at once as the minion has slots', async () => {
+	const slots = 12;
+	let running = 0;
+	const release: Array<() => void> = [];
+	const address = await listen((request, response) => {
+		running += 1;
+		release.push(() => {
+			response.setHeader('chivestream-attempt', String(request.headers['chivestream-attempt']));
+			response.end('{}');
+		});
+		if (running === slots) {
+			for (const finish of release) {
+				finish();
+			}
+		}
+	});
+	await client.declare([{address, slots}]);
+	const results = await Promise.all(Array.from({length: slots}, async () => run(address)));
+	expect(results.every(({outcome}) => outcome === attemptOutcome.answered)).toBe(true);
+	expect(running).toBe(slots);
+});
--- a/packages/chivestream-minion/src/client.ts
+++ b/packages/chivestream-minion/src/client.ts
@@ -7,6 +7,7 @@
 	type AttemptIdentity,
 	type AttemptResult,
 	type FailureCode,
+	type Minion,
 } from 'chivestream-core';
 import {Pool} from 'undici';
 import {exchange, type BrokenExchange, type ExchangeEnd} from './exchange.js';
@@ -28,23 +29,23 @@
 /** Runs attempts on minions. */
 export type MinionClient = {
 	run: (attempt: MinionAttempt) => Promise<AttemptResult>;
-	/** Closes the pools of minions that are no longer declared. */
-	keepOnly: (addresses: ReadonlySet<string>) => Promise<void>;
+	/** Takes the declared minions: a connection for each slot, and none to minions that are no longer declared. */
+	declare: (minions: ReadonlyArray<Pick<Minion, 'address' | 'slots'>>) => Promise<void>;
 	/** Waits for running exchanges, then closes every connection. */
 	close: () => Promise<void>;
 };
 
 /** Bounds of a minion client. */
 export type MinionClientOptions = {
-	/** Connections to one minion from this host. */
+	/** Connections to a minion of which no slots are declared. */
 	connections: number;
 	connectTimeoutMs: number;
 	maxResponseBytes: number;
 };
 
-/** Bounds that suit minions of 8 slots and 64 connections shared by nine entry hosts. */
+/** Bounds that suit minions of 8 slots. */
 export const defaultMinionClientOptions: MinionClientOptions = {
-	connections: 7,
+	connections: 8,
 	connectTimeoutMs: 1000,
 	maxResponseBytes: 1_048_576,
 };
@@ -109,6 +110,7 @@
 /** A client that holds one pool of keep-alive connections per minion and never sends an attempt twice. */
 export const createMinionClient = (options: MinionClientOptions = defaultMinionClientOptions): MinionClient => {
 	const pools = new Map<string, Pool>();
+	const slotsByAddress = new Map<string, number>();
 
 	const findPool = (address: string): Pool => {
 		const known = pools.get(address);
@@ -117,7 +119,8 @@
 		}
 
 		const pool = new Pool(`http://${address}`, {
-			connections: options.connections,
+			// Fewer connections than slots would make a task wait for a slot that is free.
+			connections: slotsByAddress.get(address) ?? options.connections,
 			pipelining: 1,
 			connect: {timeout: options.connectTimeoutMs},
 			headersTimeout: noTimeoutMs,
@@ -143,8 +146,14 @@
 			});
 			return judgeExchange(end, attempt);
 		},
-		async keepOnly(addresses) {
-			const obsolete = [...pools].filter(([address]) => !addresses.has(address));
+		async declare(minions) {
+			const previous = new Map(slotsByAddress);
+			slotsByAddress.clear();
+			for (const {address, slots} of minions) {
+				slotsByAddress.set(address, slots);
+			}
+
+			const obsolete = [...pools].filter(([address]) => slotsByAddress.get(address) !== previous.get(address));
 			for (const [address] of obsolete) {
 				pools.delete(address);
 			}
