--- a/packages/chivestream-configuration/src/__fixtures__/test-follower.ts
+++ b/packages/chivestream-configuration/src/__fixtures__/test-follower.ts
@@ -1,7 +1,7 @@
 /** Followers with short waits, for tests. */
 import {type Configuration, createRandom, systemClock} from 'chivestream-core';
+import {type Stream} from 'chivestream-platform';
 import {Follower, type FollowerOptions} from '../follower.js';
-import {type FakeStream} from './fake-stream.js';
 
 const patienceMs = 10_000;
 
@@ -9,7 +9,7 @@
 export const soon = (): number => Date.now() + patienceMs;
 
 /** Starts a follower of a zone of three hosts; `seen` lists what came into force. */
-export const startFollower = (stream: FakeStream, options: Partial<FollowerOptions> = {}) => {
+export const startFollower = (stream: Stream, options: Partial<FollowerOptions> = {}) => {
 	const seen: Configuration[] = [];
 	const follower = new Follower({
 		stream,
