--- a/packages/chivestream-worker/src/leases.ts
+++ b/packages/chivestream-worker/src/leases.ts
@@ -1,4 +1,5 @@
 /** The leases that this host holds on one worker: taken when a task needs room, renewed by one task while in use. */
+import {isDeepStrictEqual} from 'node:util';
 import {
 	type Clock, type Failure, failureCode, type Logger, waitUntil,
 } from 'chivestream-core';
@@ -77,6 +78,8 @@
 	const stopping = new AbortController();
 	let acquiring: Promise<Result<HeldLease, Failure>> | undefined;
 	let isRenewing = false;
+	/** What tasks need that wait for the lease under way. */
+	let waiting: Share = {cores: 0, memoryMb: 0, accelerators: 0};
 
 	const findRoom = (size: Share): HeldLease | undefined =>
 		[...held].find(lease => isUsable(lease.granted, clock.now()) && fits(size, lease));
@@ -137,20 +140,31 @@
 		isRenewing = false;
 	};
 
-	const acquire = async (size: Share): Promise<Result<HeldLease, Failure>> => {
-		let share = enlarge(size, leastShare);
-		let granted = await client.acquire(share, clock.now() + leaseMs);
-		if (granted.isErr() && granted.error.code === failureCode.overQuota) {
-			share = size;
-			granted = await client.acquire(share, clock.now() + leaseMs);
+	/** Asks for room for the task and all that wait, then for less if that does not fit. */
+	const requestLease = async (size: Share): Promise<Result<{granted: GrantedLease; share: Share}, Failure>> => {
+		const shares = [enlarge(addShares(size, waiting), leastShare), enlarge(size, leastShare), size];
+		const distinct = shares.filter((share, index) => index === 0 || !isDeepStrictEqual(share, shares[index - 1]));
+		let result: Result<GrantedLease, Failure> | undefined;
+		for (const share of distinct) {
+			// eslint-disable-next-line no-await-in-loop
+			result = await client.acquire(share, clock.now() + leaseMs);
+			if (result.isOk() || result.error.code !== failureCode.overQuota) {
+				return result.map(granted => ({granted, share}));
+			}
 		}
 
-		if (granted.isErr()) {
-			return new Err(granted.error);
+		return result!.map(granted => ({granted, share: size}));
+	};
+
+	const acquire = async (size: Share): Promise<Result<HeldLease, Failure>> => {
+		const requested = await requestLease(size);
+		if (requested.isErr()) {
+			return new Err(requested.error);
 		}
 
+		const {granted, share} = requested.value;
 		const lease: HeldLease = {
-			granted: granted.value,
+			granted,
 			share,
 			inUse: {cores: 0, memoryMb: 0, accelerators: 0},
 			tasks: 0,
@@ -181,7 +195,9 @@
 		}
 
 		if (acquiring) {
+			waiting = addShares(waiting, size);
 			const other = await acquiring;
+			waiting = addShares(waiting, size, -1);
 			return other.isErr() ? new Err(other.error) : reserve(size);
 		}
 
