--- a/packages/chivestream-replay/src/faults/switches.ts
+++ b/packages/chivestream-replay/src/faults/switches.ts
@@ -14,6 +14,8 @@
 /** Mechanisms that can be switched off. */
 export const mechanism = {
 	rememberedKeys: 'remembered-keys',
+	closedByCancel: 'closed-by-cancel',
+	keptRefusals: 'kept-refusals',
 	claims: 'claims',
 	incarnationInKey: 'incarnation-in-key',
 	closedEpochs: 'closed-epochs',
@@ -25,6 +27,7 @@
 	proofBeforeForce: 'proof-before-force',
 	drainedTargets: 'drained-targets',
 	drainWait: 'drain-wait',
+	seenVersion: 'seen-version',
 } as const;
 
 /** One of the mechanisms. */
@@ -36,6 +39,7 @@
 	judge?: Judge;
 	alterAnswer?: (answer: JobAnswer) => JobAnswer;
 	stopsWait?: boolean;
+	namesVersion?: boolean;
 };
 
 const forgetfulRegistry: typeof createJobRegistry = options => {
@@ -49,6 +53,28 @@
 	};
 };
 
+const unclosedRegistry: typeof createJobRegistry = options => ({
+	...createJobRegistry(options),
+	close() {
+		// The key stays open.
+	},
+});
+
+const refusalDroppingRegistry: typeof createJobRegistry = options => {
+	const registry = createJobRegistry(options);
+	return {
+		...registry,
+		open(job, closesAt) {
+			const answer = registry.get(job.key)?.answer;
+			if (answer?.state === 'failed' && answer.failure.notRun) {
+				registry.forget(job.key);
+			}
+
+			return registry.open(job, closesAt);
+		},
+	};
+};
+
 const unclaimed: typeof createClaims = options => ({
 	...createClaims(options),
 	claim: async () => Ok(options.self),
@@ -102,6 +128,8 @@
 /** The weaker stand-in for each mechanism. */
 export const weakenings: Record<Mechanism, Weakening> = {
 	[mechanism.rememberedKeys]: {parts: {createJobRegistry: forgetfulRegistry}},
+	[mechanism.closedByCancel]: {parts: {createJobRegistry: unclosedRegistry}},
+	[mechanism.keptRefusals]: {parts: {createJobRegistry: refusalDroppingRegistry}},
 	[mechanism.claims]: {parts: {createClaims: unclaimed}},
 	[mechanism.incarnationInKey]: {parts: {isSameRun: (left, right) => left.hostId === right.hostId}},
 	[mechanism.closedEpochs]: {parts: {createEpochs: openEpochs}},
@@ -113,4 +141,5 @@
 	[mechanism.proofBeforeForce]: {parts: {follower: {proof: ({havePeersAnswered}) => havePeersAnswered}}},
 	[mechanism.drainedTargets]: {parts: {createScheduler: ignoreDrains}},
 	[mechanism.drainWait]: {stopsWait: false},
+	[mechanism.seenVersion]: {namesVersion: false},
 };
