--- a/packages/chivestream-placement/src/create-scheduler.ts
+++ b/packages/chivestream-placement/src/create-scheduler.ts
@@ -1,31 +1,25 @@
 /** One entry host's decisions, put together from the parts of this package. */
 import {
-	type AttemptResult, attemptOutcome, type Clock, type Configuration, failureCode, type Preference, type Random,
+	attemptOutcome, type Clock, type Configuration, type Preference, type Random,
 } from 'chivestream-core';
 import {admitJob} from './admission.js';
 import {type JobGroup, type WaitingTask} from './fair-queue.js';
 import {createHeap} from './heap.js';
-import {
-	acceptGrant, bindMarginMs, defaultLendingTerms, demandOf, dropLapsed, grantsToExtend, type LendingTerms, lendSlots, takeIdleGrants,
-} from './lending.js';
+import {createLendingDecisions} from './lending-decisions.js';
+import {defaultLendingTerms, type LendingTerms} from './lending.js';
+import {createObservationDecisions} from './observation-decisions.js';
+import {createOutcomeLearner} from './outcome.js';
 import {
 	chooseFastestSoon, type JobOrder, orderByProportionalWait, type TargetChoice,
 } from './policies.js';
 import {
-	calibrationOf, createPool, freeUnitsOf, needOfTask, type Pool, refreshTarget, retryBudgetOf,
+	freeUnitsOf, needOfTask, type Pool, refreshTarget, retryBudgetOf,
 } from './pool.js';
-import {
-	isQuarantined, quarantine, recordFailure, recordSuccess,
-} from './quarantine.js';
 import {earnRetry, spendRetry} from './retry-budget.js';
-import {
-	type Assignment, type QueuedTask, type Scheduler, type SlotGrant,
-} from './scheduler.js';
+import {type Assignment, type QueuedTask, type Scheduler} from './scheduler.js';
+import {createSchedulerState} from './scheduler-state.js';
 import {shareOut} from './share-out.js';
-import {estimateOf, learnLogarithm, logarithmOfRatio} from './speed.js';
-import {
-	needOn, occupy, type Target, vacate,
-} from './target.js';
+import {occupy, type Target, vacate} from './target.js';
 
 /** What a scheduler is made of. */
 export type SchedulerParts = {
@@ -40,80 +34,21 @@
 	takeoverHoldOffMs?: number;
 };
 
-type Wake = {
-	at: number;
-	pool: Pool;
-	target: Target;
-};
-
 const defaultTakeoverHoldOffMs = 3000;
-const refusalBackoffMs = 25;
-const drainingBackoffMs = 2000;
-const samplesToTrust = 3;
-const gossipGain = 0.3;
-const meanWorkGain = 0.02;
-const noticeableChange = 0.15;
-const unknownHoldOffMs = 3000;
-
-const groupByLender = (entries: Array<{lenderId: string; grant: SlotGrant}>): Array<{lenderId: string; grants: SlotGrant[]}> => {
-	const byLender = new Map<string, SlotGrant[]>();
-	for (const {lenderId, grant} of entries) {
-		const grants = byLender.get(lenderId) ?? [];
-		grants.push(grant);
-		byLender.set(lenderId, grants);
-	}
-
-	return [...byLender].map(([lenderId, grants]) => ({lenderId, grants}));
-};
-
 /** Creates the decisions of one entry host. */
 export const createScheduler = (parts: SchedulerParts): Scheduler => {
 	const {
 		clock, random, chooseTarget = chooseFastestSoon, orderJob = orderByProportionalWait, lendingTerms = defaultLendingTerms,
 		takeoverHoldOffMs = defaultTakeoverHoldOffMs,
 	} = parts;
-	const pools = new Map<string, Pool>();
-	/** Pools that may be able to bind a task. */
-	const activePools = new Set<Pool>();
+	const state = createSchedulerState(clock, random);
+	const {pools, activePools, poolOf, findTarget, refresh, wakeTarget, processWakes, nextWakeAt} = state;
+	const learn = createOutcomeLearner(state);
 	const running = new Set<Assignment>();
-	const wakes = createHeap<Wake>((left, right) => left.at < right.at);
 	const expiries = createHeap<WaitingTask>((left, right) => left.task.deadline < right.task.deadline);
-	const reported = new Map<string, number>();
 	let configuration: Configuration | undefined;
 	let selfId = '';
 	let sequence = 0;
-	let grantCount = 0;
-
-	const nextGrantId = () => {
-		grantCount++;
-		return `${selfId}/${grantCount}`;
-	};
-
-	const refresh = (pool: Pool, target: Target, now: number) => {
-		refreshTarget(pool, target, now);
-		if (target.bucket >= 0) {
-			activePools.add(pool);
-		}
-	};
-
-	const wakeTarget = (pool: Pool, target: Target, at: number) => {
-		wakes.push({at, pool, target});
-	};
-
-	const processWakes = (now: number) => {
-		for (let wake = wakes.peek(); wake && wake.at <= now; wake = wakes.peek()) {
-			wakes.pop();
-			dropLapsed(wake.target, now);
-			wake.target.takeovers = wake.target.takeovers.filter(({availableAt}) => availableAt > now);
-			refresh(wake.pool, wake.target, now);
-		}
-	};
-
-	const findTarget = (upstream: string, targetId: string): {pool: Pool; target: Target} | undefined => {
-		const pool = pools.get(upstream);
-		const target = pool?.targets.get(targetId);
-		return pool && target ? {pool, target} : undefined;
-	};
 
 	const unqueue = (pool: Pool, waiting: WaitingTask) => {
 		pool.queue.remove(waiting);
@@ -128,18 +63,6 @@
 		}
 	};
 
-	const poolOf = (upstream: string): Pool => {
-		let pool = pools.get(upstream);
-		if (!pool) {
-			pool = createPool(upstream, {
-				minions: [], workers: [], notStartedStatuses: [], preference: 'response-time',
-			}, random);
-			pools.set(upstream, pool);
-		}
-
-		return pool;
-	};
-
 	const groupOf = (pool: Pool, task: QueuedTask, longestMs: number): JobGroup => {
 		let group = pool.groups.get(task.key);
 		if (!group) {
@@ -196,51 +119,6 @@
 		return target && bind(pool, waiting, target, now);
 	};
 
-	const learnRunTime = (pool: Pool, target: Target, assignment: Assignment, now: number) => {
-		const calibration = calibrationOf(pool, assignment.task.team);
-		const ratio = logarithmOfRatio(now - assignment.startedAt, assignment.task.declaredMs);
-		const targetSample = ratio - calibration.value;
-		const teamSample = ratio - target.slowness.value;
-		learnLogarithm(target.slowness, targetSample);
-		learnLogarithm(calibration, teamSample);
-		const workMs = (now - assignment.startedAt) / estimateOf(target.slowness);
-		pool.meanWorkMs += meanWorkGain * (workMs - pool.meanWorkMs);
-	};
-
-	const failTarget = (pool: Pool, target: Target, key: string, now: number) => {
-		recordFailure(target.health, key, now);
-		if (isQuarantined(target.health, now)) {
-			wakeTarget(pool, target, target.health.quarantinedUntil);
-		}
-	};
-
-	const backOff = (pool: Pool, target: Target, untilMs: number) => {
-		target.backoffUntil = Math.max(target.backoffUntil, untilMs);
-		wakeTarget(pool, target, target.backoffUntil);
-	};
-
-	const learn = (pool: Pool, target: Target, assignment: Assignment, result: AttemptResult, now: number) => {
-		if (result.outcome === attemptOutcome.answered && result.isSuccess) {
-			recordSuccess(target.health);
-			learnRunTime(pool, target, assignment, now);
-			return;
-		}
-
-		if (result.outcome === attemptOutcome.unknown) {
-			// The task may still run: its slot is not free yet.
-			target.takeovers.push({count: needOn(target, needOfTask(assignment.task)).units, availableAt: now + unknownHoldOffMs});
-			wakeTarget(pool, target, now + unknownHoldOffMs);
-		}
-
-		if (result.outcome !== attemptOutcome.notStarted || result.failure.code === failureCode.connectionFailed || result.failure.code === failureCode.timedOut) {
-			failTarget(pool, target, assignment.task.key, now);
-			return;
-		}
-
-		const backoffMs = result.failure.code === failureCode.draining ? drainingBackoffMs : refusalBackoffMs * (0.5 + random());
-		backOff(pool, target, now + backoffMs);
-	};
-
 	const retry = (pool: Pool, task: QueuedTask, now: number): boolean => {
 		if (task.deadline <= now || !spendRetry(retryBudgetOf(pool, task.team))) {
 			return false;
@@ -318,7 +196,9 @@
 			vacate(target, needOfTask(assignment.task));
 			pool.running--;
 			pool.queue.end(pool.queue.team(assignment.task.team));
-			learn(pool, target, assignment, result, now);
+			learn({
+				pool, target, assignment, result,
+			});
 			refresh(pool, target, now);
 			activePools.add(pool);
 			return {isRetried: result.outcome === attemptOutcome.notStarted && retry(pool, assignment.task, now)};
@@ -344,115 +224,14 @@
 
 			return expired;
 		},
-		demand() {
-			const now = clock.now();
-			processWakes(now);
-			return [...pools.values()].flatMap(pool => demandOf(pool, lendingTerms[pool.declared.preference], now) ?? []);
-		},
-		lend(borrowerId, {upstream, count}) {
-			const now = clock.now();
-			processWakes(now);
-			const pool = pools.get(upstream);
-			if (!pool) {
-				return [];
-			}
-
-			const grants = lendSlots(pool, borrowerId, count, lendingTerms[pool.declared.preference], now, nextGrantId);
-			for (const grant of grants) {
-				wakeTarget(pool, pool.targets.get(grant.targetId)!, grant.deadline);
-			}
-
-			return grants;
-		},
-		borrow(lenderId, grants) {
-			const now = clock.now();
-			for (const grant of grants) {
-				const pool = poolOf(grant.upstream);
-				const target = acceptGrant(pool, lenderId, grant, now);
-				if (target) {
-					wakeTarget(pool, target, grant.deadline - bindMarginMs);
-					wakeTarget(pool, target, grant.deadline);
-					activePools.add(pool);
-				}
-			}
-		},
-		releaseIdle() {
-			const now = clock.now();
-			return groupByLender([...pools.values()].flatMap(pool => takeIdleGrants(pool, lendingTerms[pool.declared.preference].smallestRestMs, now)));
-		},
-		reclaim(borrowerId, grants) {
-			const now = clock.now();
-			for (const {upstream, targetId, grantId} of grants) {
-				const found = findTarget(upstream, targetId);
-				if (found?.target.loans.get(grantId)?.borrowerId === borrowerId) {
-					found.target.loans.delete(grantId);
-					refresh(found.pool, found.target, now);
-				}
-			}
-		},
-		renewals() {
-			const now = clock.now();
-			return groupByLender([...pools.values()].flatMap(pool => grantsToExtend(pool, lendingTerms[pool.declared.preference], now)));
-		},
-		extend(borrowerId, grants) {
-			const accepted: SlotGrant[] = [];
-			for (const grant of grants) {
-				const found = findTarget(grant.upstream, grant.targetId);
-				const loan = found?.target.loans.get(grant.grantId);
-				if (found && loan?.borrowerId === borrowerId) {
-					loan.deadline = Math.max(loan.deadline, grant.deadline);
-					wakeTarget(found.pool, found.target, loan.deadline);
-					accepted.push({...grant, count: loan.count, deadline: loan.deadline});
-				}
-			}
-
-			return accepted;
-		},
-		wakeAt: () => wakes.peek()?.at,
+		...createLendingDecisions(state, lendingTerms, () => selfId),
+		...createObservationDecisions(state),
+		wakeAt: nextWakeAt,
 		idleSlots() {
 			const now = clock.now();
 			processWakes(now);
 			return [...pools.values()].map(pool => ({upstream: pool.name, count: freeUnitsOf(pool, now)}));
 		},
-		observations() {
-			const now = clock.now();
-			const changed = [];
-			for (const pool of pools.values()) {
-				for (const target of pool.targets.values()) {
-					const isOut = isQuarantined(target.health, now) && target.health.hasOwnEvidence;
-					const rank = isOut ? Number.POSITIVE_INFINITY : target.slowness.value;
-					const last = reported.get(target.id) ?? 0;
-					const hasChanged = rank !== last && !(Math.abs(rank - last) < noticeableChange);
-					if (hasChanged && (isOut || target.slowness.samples >= samplesToTrust)) {
-						reported.set(target.id, rank);
-						changed.push({targetId: target.id, slowness: estimateOf(target.slowness), isQuarantined: isOut});
-					}
-				}
-			}
-
-			return changed;
-		},
-		observe(observations) {
-			const now = clock.now();
-			const byId = new Map(observations.map(observation => [observation.targetId, observation]));
-			for (const pool of pools.values()) {
-				for (const [targetId, observation] of byId) {
-					const target = pool.targets.get(targetId);
-					if (!target) {
-						continue;
-					}
-
-					if (observation.isQuarantined && target.health.quarantines === 0) {
-						quarantine(target.health, now);
-						wakeTarget(pool, target, target.health.quarantinedUntil);
-					}
-
-					const gain = target.slowness.samples === 0 ? 1 : gossipGain;
-					target.slowness.value += gain * (Math.log(observation.slowness) - target.slowness.value);
-					refresh(pool, target, now);
-				}
-			}
-		},
 		load: () => [...pools.values()].map(pool => ({upstream: pool.name, queued: pool.queue.size(), running: pool.running})),
 	};
 	return scheduler;
