Show only what is known, in a stable order

A trial against nine entry hosts showed times of 1970 in the history, an age of the log that no host measures and rows in the order of arrival. The time of a change is left out where it is unknown, the column logAge goes, rows are sorted by the first column in the end, and figures are rounded.

--- a/packages/chivestream-entry/src/host-rows.ts
+++ b/packages/chivestream-entry/src/host-rows.ts
@@ -139,7 +139,6 @@
 	version: configuration()?.version ?? 0,
 	offset: configuration()?.offset ?? -1,
 	isLogReachable: follower.lastFailure === undefined,
-	logAge: 0,
 });
 
 const readers: {[Table in TableName]: (state: HostState) => Array<RowsByTable[Table]>} = {
--- a/packages/chivestream-entry/src/operator-source.ts
+++ b/packages/chivestream-entry/src/operator-source.ts
@@ -183,7 +183,7 @@
 		async history() {
 			const accepted = follower.held.verdicts.filter(({outcome}) => outcome === verdictOutcome.accepted);
 			return Ok(accepted.toReversed().map(({version, offset, commandId, summary}) => ({
-				version, offset, at: 0, commandId, summary,
+				version, offset, commandId, summary,
 			})));
 		},
 		submit,
--- a/packages/chivestream-operator/src/__fixtures__/fake-source.ts
+++ b/packages/chivestream-operator/src/__fixtures__/fake-source.ts
@@ -92,7 +92,7 @@
 			workers: [],
 			hosts: [],
 			configuration: [{
-				host: fake.host, zone: fake.zone, version: fake.version, offset: fake.version * 2, isLogReachable: true, logAge: 5,
+				host: fake.host, zone: fake.zone, version: fake.version, offset: fake.version * 2, isLogReachable: true,
 			}],
 		};
 		return rows[table];
--- a/packages/chivestream-operator/src/__tests__/evaluate.test.ts
+++ b/packages/chivestream-operator/src/__tests__/evaluate.test.ts
@@ -48,6 +48,8 @@
 		['jobs order by age desc limit 2', ['c', 'a']],
 		['jobs order by team, age', ['c', 'b', 'a']],
 		['jobs limit 0', []],
+		['jobs order by team limit 3', ['c', 'a', 'b']],
+		['jobs where team = lens-desk order by upstream', ['a', 'b']],
 	])('%s', (text, expected) => {
 		expect(keysOf(text)).toEqual(expected);
 	});
--- a/packages/chivestream-operator/src/answers.ts
+++ b/packages/chivestream-operator/src/answers.ts
@@ -85,7 +85,7 @@
 	entries: z.array(z.object({
 		version: z.number(),
 		offset: z.number(),
-		at: z.number(),
+		at: z.number().optional(),
 		commandId: z.string(),
 		summary: z.string(),
 	})),
--- a/packages/chivestream-operator/src/command-line/format-answer.ts
+++ b/packages/chivestream-operator/src/command-line/format-answer.ts
@@ -90,7 +90,7 @@
 	['version', 'offset', 'at', 'command', 'change'],
 	entries.map(({
 		version, offset, at, commandId, summary,
-	}) => [String(version), String(offset), formatTime(at), commandId, summary]),
+	}) => [String(version), String(offset), at === undefined ? '-' : formatTime(at), commandId, summary]),
 );
 
 const formatLines = (answer: Answer): string[] => {
--- a/packages/chivestream-operator/src/command-line/format-table.ts
+++ b/packages/chivestream-operator/src/command-line/format-table.ts
@@ -3,6 +3,7 @@
 import {type Cell} from '../tables/rows.js';
 
 const gap = '  ';
+const shownDecimals = 3;
 
 const spanUnits = [
 	{unit: 'd', lengthMs: 86_400_000},
@@ -34,6 +35,10 @@
 		return formatTime(cell);
 	}
 
+	if (typeof cell === 'number') {
+		return String(Number(cell.toFixed(shownDecimals)));
+	}
+
 	if (Array.isArray(cell)) {
 		return cell.join(',') || '-';
 	}
--- a/packages/chivestream-operator/src/evaluate.ts
+++ b/packages/chivestream-operator/src/evaluate.ts
@@ -82,7 +82,8 @@
 	}
 };
 
-const compareRows = (left: Cells, right: Cells, orderings: readonly Ordering[]): number => {
+/** Compares by the orderings, then by the table's first column. */
+const compareRows = (left: Cells, right: Cells, orderings: readonly Ordering[], columns: readonly Column[]): number => {
 	for (const {column, isDescending} of orderings) {
 		const order = compare(left[column.text], right[column.text]);
 		if (order !== 0) {
@@ -90,7 +91,8 @@
 		}
 	}
 
-	return 0;
+	const name = columns[0]?.name ?? '';
+	return compare(left[name], right[name]);
 };
 
 /** Rows of the query's table that meet its condition, in its order, up to its limit. The query must have been checked. */
@@ -98,6 +100,6 @@
 	const columns: readonly Column[] = isTableName(query.table.text) ? columnsByTable[query.table.text] : [];
 	const test = query.where ? createTest(columns, query.where, now) : () => true;
 	const selected = rows.filter(row => test(row));
-	const sorted = selected.toSorted((left, right) => compareRows(left, right, query.orderings));
+	const sorted = selected.toSorted((left, right) => compareRows(left, right, query.orderings, columns));
 	return query.limit === undefined ? sorted : sorted.slice(0, query.limit);
 };
--- a/packages/chivestream-operator/src/source.ts
+++ b/packages/chivestream-operator/src/source.ts
@@ -62,8 +62,8 @@
 export type HistoryEntry = {
 	version: number;
 	offset: number;
-	/** Time at which the log took the record, in milliseconds since the Unix epoch. */
-	at: number;
+	/** Time at which the log took the record, in milliseconds since the Unix epoch, where it is known. */
+	at?: number;
 	commandId: string;
 	/** One line that says what changed, such as `drain m-17`. */
 	summary: string;
--- a/packages/chivestream-operator/src/tables/columns.ts
+++ b/packages/chivestream-operator/src/tables/columns.ts
@@ -113,7 +113,7 @@
 		number('version'),
 		number('offset'),
 		{name: 'isLogReachable', type: columnType.flag},
-		span('logAge'),
+
 	],
 };
 
--- a/packages/chivestream-operator/src/tables/rows.ts
+++ b/packages/chivestream-operator/src/tables/rows.ts
@@ -98,8 +98,6 @@
 	offset: number;
 	/** Whether the host's last exchange with the log succeeded. */
 	isLogReachable: boolean;
-	/** Milliseconds since its last successful exchange with the log. */
-	logAge: number;
 };
 
 /** The row type of each table. */
