--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -10,7 +10,7 @@
 } from 'chivestream-core';
 import {type CallerHandlers} from 'chivestream-caller';
 import {
-	Follower, holdersNeeded, runSnapshotWriter, type PeerState, type State,
+	Follower, holdersNeeded, runSnapshotWriter, type PeerState,
 } from 'chivestream-configuration';
 import {
 	createMembership, hostPhase, isLive, type Membership, type PeerHandlers,
@@ -18,10 +18,10 @@
 import {answerPeerRequest as answerOperatorRequest, type OperatorSource} from 'chivestream-operator';
 import {createScheduler, type Scheduler} from 'chivestream-placement';
 import {createObjectiveRecorder} from 'chivestream-report';
-import {createClaims} from './claims.js';
+import {createClaims, isSameRun} from './claims.js';
 import {createDispatcher, type AttemptRunner} from './dispatcher.js';
 import {createEpochs} from './epochs.js';
-import {type HostOptions} from './host-links.js';
+import {type HostOptions, type HostParts} from './host-links.js';
 import {createJobRegistry} from './job-registry.js';
 import {createJobRouter} from './job-router.js';
 import {
@@ -59,8 +59,13 @@
 const drainQuietMs = 2000;
 const drainPollMs = 50;
 
+const defaultParts: HostParts = {
+	createScheduler, createEpochs, createJobRegistry, createClaims, isSameRun, follower: {},
+};
+
 /** Builds an entry host over its links; `start` sets it going. */
 export const createEntryHost = (options: HostOptions): EntryHost => {
+	const parts = {...defaultParts, ...options.parts};
 	const {
 		self, clock, random, logger, links, limits,
 	} = options;
@@ -70,10 +75,10 @@
 	let configuration: Configuration | undefined;
 	let drainDeadline: number | undefined;
 
-	const scheduler = createScheduler({clock, random});
-	const epochs = createEpochs({now: clock.now, epochMs: limits.keyEpochMs, openEpochs});
-	const registry = createJobRegistry({now: clock.now, maxRecords: limits.maxRememberedJobs, maxAnswerBytes: limits.maxRememberedBytes});
-	const claims = createClaims({
+	const scheduler = parts.createScheduler({clock, random});
+	const epochs = parts.createEpochs({now: clock.now, epochMs: limits.keyEpochMs, openEpochs});
+	const registry = parts.createJobRegistry({now: clock.now, maxRecords: limits.maxRememberedJobs, maxAnswerBytes: limits.maxRememberedBytes});
+	const claims = parts.createClaims({
 		self: claimant, stream: links.claimsStream, clock, logger, retentionMs: claimRetentionMs,
 	});
 
@@ -101,8 +106,8 @@
 		};
 	};
 
-	const metrics = createHostMetrics(readFigures);
 	const recorder = createObjectiveRecorder(clock, {host: self.id, zone: self.zone});
+	const metrics = createHostMetrics(readFigures);
 	const calls = createPeerCalls({
 		selfId: self.id,
 		zone: self.zone,
@@ -110,6 +115,7 @@
 		logger,
 		peers: links.peers,
 		membership: () => membership,
+		isSameRun: parts.isSameRun,
 		seedAddresses: options.seeds.map(({address}) => address).filter(address => address !== self.peerAddress),
 		countForward: metrics.countForward,
 	});
@@ -125,10 +131,10 @@
 		scheduler,
 		runAttempt,
 		onFinished(run, answer) {
-			const now = clock.now();
-			metrics.recordJob(run, answer, now);
+			const {team, upstream} = run.job;
+			metrics.recordJob(run, answer, clock.now());
 			recorder.record({
-				team: run.job.team, upstream: run.job.upstream, elapsedMs: now - run.startedAt, answer,
+				team, upstream, elapsedMs: clock.now() - run.startedAt, answer,
 			});
 		},
 		onDemand: lending.ask,
@@ -154,6 +160,7 @@
 		const isFirst = configuration === undefined;
 		configuration = accepted;
 		recorder.configure(accepted.declarations.objectives);
+		links.onDeclarations(accepted.declarations);
 		shareSlots();
 		logger.info('configuration in force', {
 			step: 'configure', peer: 'log', version: accepted.version, offset: accepted.offset,
@@ -179,8 +186,9 @@
 		zone: self.zone,
 		zoneSize,
 		fetchFromPeers: calls.fetchStates,
-		confirmHeld: async (state, deadline) => calls.offerState(state, holdersNeeded(zoneSize()), deadline),
+		confirmHeld: async (state, deadline, records) => calls.offerRecords(state.configuration.offset, records, holdersNeeded(zoneSize()), deadline),
 		onChange: putInForce,
+		...parts.follower,
 	});
 
 	const membership = createMembership({
@@ -199,8 +207,13 @@
 			lending.receive(sender.host.id, parseLendingPayload(new TextDecoder().decode(payload)));
 		},
 		onNewerConfiguration(member) {
-			if (member.configuration) {
-				follower.notice(member.configuration.nextOffset - 1);
+			const {configuration: mark, host} = member;
+			if (mark && host.zone === self.zone) {
+				follower.confirm(mark.version);
+			}
+
+			if (mark) {
+				follower.notice(mark.nextOffset - 1);
 			}
 		},
 		onChange(members) {
@@ -228,6 +241,7 @@
 		registry,
 		claims,
 		relay: calls,
+		isSameRun: parts.isSameRun,
 		run: dispatcher.run,
 		cancelRun: dispatcher.cancel,
 		limits: () => configuration?.declarations.limits,
@@ -271,7 +285,7 @@
 			cancel: router.cancelLocal,
 			operator: text => answerOperatorRequest(operatorSource, text),
 			state: peerState,
-			adopt: (state: State) => follower.adopt(state),
+			hold: async (offset, records, deadline) => follower.hold(offset, records, deadline),
 			version: () => configuration?.version ?? -1,
 		}),
 	};
@@ -306,6 +320,8 @@
 		cancel: router.cancel,
 		homeToken,
 		isReady: isServing,
+		configurationVersion: () => configuration?.version,
+		reachVersion: async (version, deadline) => follower.waitForVersion(version, deadline),
 		metrics: metrics.format,
 	};
 
--- a/packages/chivestream-entry/src/entry-process.ts
+++ b/packages/chivestream-entry/src/entry-process.ts
@@ -15,8 +15,9 @@
 import {createOperatorService} from 'chivestream-operator';
 import {createPeerClients, startPeerService, type PeerHandlers} from 'chivestream-peer';
 import {createHostList, createLog, streamName} from 'chivestream-platform';
-import {type EntrySettings} from 'chivestream-settings';
-import {createAttempts, refuseWorkerAttempts} from './attempts.js';
+import {loadTls, type EntrySettings} from 'chivestream-settings';
+import {createWorkerClient} from 'chivestream-worker';
+import {closeUndeclared, createAttempts} from './attempts.js';
 import {createEntryHost, type EntryHost} from './entry-host.js';
 
 /** Addresses that a process listens on. */
@@ -57,6 +58,8 @@
 		cancel: async key => ready('cancel').callerHandlers.cancel(key),
 		homeToken: () => host()?.callerHandlers.homeToken(),
 		isReady: () => host()?.callerHandlers.isReady() ?? false,
+		configurationVersion: () => host()?.callerHandlers.configurationVersion(),
+		reachVersion: async (version, deadline) => ready('reach-version').callerHandlers.reachVersion(version, deadline),
 		metrics: async () => ready('metrics').callerHandlers.metrics(),
 	};
 	const peer: PeerHandlers = {
@@ -79,6 +82,20 @@
 	};
 };
 
+/** Key and certificate for callers and operators, checked; undefined where the settings name none. */
+const readTls = async ({tls}: EntrySettings) => {
+	if (!tls) {
+		return undefined;
+	}
+
+	const loaded = await loadTls(tls, systemClock.now());
+	if (loaded.isErr()) {
+		throw loaded.error;
+	}
+
+	return loaded.value;
+};
+
 /** Starts an entry host with the given settings; resolves once it listens. */
 export const startEntryProcess = async (settings: EntrySettings, logger: Logger): Promise<EntryProcess> => {
 	const clock = systemClock;
@@ -86,6 +103,7 @@
 	const random = createRandom(Math.floor(Math.random() * (2 ** 31)));
 	const running: {host?: EntryHost} = {};
 	const handlers = createStartingHandlers(() => running.host);
+	const tls = await readTls(settings);
 	const callerListen = splitAddress(settings.listen.caller);
 	const callerService = await startCallerService(handlers.caller, {
 		...callerListen,
@@ -94,6 +112,7 @@
 		keepAliveTimeoutMs,
 		maxConnections,
 		now: clock.now,
+		tls,
 	});
 	const peerService = await startPeerService({listen: settings.listen.peer, handlers: handlers.peer, membership: handlers.membership});
 
@@ -108,6 +127,7 @@
 	const log = createLog({urls: settings.platform.logs, requestMs: settings.limits.platformRequestMs});
 	const hostList = createHostList({url: settings.platform.hosts, requestMs: settings.limits.platformRequestMs});
 	const minions = createMinionClient();
+	const workers = createWorkerClient({holder: `${self.id}/${self.incarnation}`, clock, logger});
 	const host = createEntryHost({
 		self,
 		clock,
@@ -120,7 +140,10 @@
 			claimsStream: log.stream(streamName.claims),
 			listHosts: hostList.list,
 			peers: createPeerClients(),
-			runAttempt: createAttempts(minions, refuseWorkerAttempts),
+			onDeclarations(declarations) {
+				void closeUndeclared(declarations, minions, workers);
+			},
+			runAttempt: createAttempts(minions, workers),
 		},
 	});
 	running.host = host;
@@ -130,6 +153,7 @@
 		checkDeclarations: text => readDeclarations(text, 'declarations', host.follower.held.configuration.declarations.drains)
 			.mapErr(failure => [failure.message]),
 		logger,
+		...(tls && {certificate: {key: tls.key, certificate: tls.cert}}),
 	});
 	const operatorPort = await operatorService.listen(operatorListen.port, operatorListen.host);
 	const operatorAddress = `${operatorListen.host}:${operatorPort}`;
@@ -148,6 +172,7 @@
 			await host.close();
 			await peerService.close();
 			await minions.close();
+			await workers.close();
 			await log.close();
 			await hostList.close();
 			logger.info('left', {step: 'stop', peer: self.id});
--- a/packages/chivestream-placement/src/lender-choice.ts
+++ b/packages/chivestream-placement/src/lender-choice.ts
@@ -1,4 +1,6 @@
-/** Decides which hosts of the zone to ask for slots, from what they last said of their idle ones. */
+/** Decides which hosts to ask for slots, from what they last said of their idle ones: those of the own zone first. */
+
+import {type LendingTerms} from './lending.js';
 
 /** A request for slots to one host. */
 export type SlotRequest = {
@@ -7,14 +9,20 @@
 	count: number;
 };
 
+/** A host that may lend. */
+export type Lender = {
+	id: string;
+	isInZone: boolean;
+};
+
 /** What one host knows of the idle slots of the others, for each upstream. */
 export type LenderChoice = {
 	/** Takes what a host said of its idle slots. */
-	noteIdle: (lenderId: string, upstream: string, count: number) => void;
+	noteIdle: (lender: Lender, upstream: string, count: number) => void;
 	/** Forgets a host that left. */
 	forget: (lenderId: string) => void;
 	/** Whom to ask for how many, the one with most idle slots first; nothing while an answer is outstanding. */
-	plan: (upstream: string, count: number) => SlotRequest[];
+	plan: (upstream: string, count: number, terms: Pick<LendingTerms, 'lendersPerRequest' | 'isAcrossZones'>) => SlotRequest[];
 	/** Takes the answer to a request; 0 when the host lent nothing or did not answer. */
 	noteAnswer: (request: SlotRequest, granted: number) => void;
 };
@@ -26,6 +34,7 @@
 export const createLenderChoice = (): LenderChoice => {
 	const idle = new Map<string, Map<string, number>>();
 	const outstanding = new Set<string>();
+	const isInZone = new Map<string, boolean>();
 
 	const idleOf = (upstream: string): Map<string, number> => {
 		let counts = idle.get(upstream);
@@ -38,25 +47,28 @@
 	};
 
 	return {
-		noteIdle(lenderId, upstream, count) {
-			idleOf(upstream).set(lenderId, count);
+		noteIdle(lender, upstream, count) {
+			isInZone.set(lender.id, lender.isInZone);
+			idleOf(upstream).set(lender.id, count);
 		},
 		forget(lenderId) {
 			for (const counts of idle.values()) {
 				counts.delete(lenderId);
 			}
 		},
-		plan(upstream, count) {
+		plan(upstream, count, {lendersPerRequest, isAcrossZones}) {
 			if (outstanding.has(upstream)) {
 				return [];
 			}
 
 			let left = count;
 			const requests: SlotRequest[] = [];
-			const lenders = [...idleOf(upstream)].toSorted(([, leftIdle], [, rightIdle]) => rightIdle - leftIdle);
+			const farness = (lenderId: string) => isInZone.get(lenderId) ? 0 : 1;
+			const lenders = [...idleOf(upstream)].filter(([id]) => isAcrossZones || isInZone.get(id)).toSorted(([left, leftIdle], [right, rightIdle]) =>
+				(farness(left) - farness(right)) || (rightIdle - leftIdle));
 			for (const [lenderId, lenderIdle] of lenders) {
 				const asked = Math.min(left, Math.floor(lenderIdle * expectedLentShare));
-				if (asked > 0) {
+				if (asked > 0 && requests.length < lendersPerRequest) {
 					requests.push({lenderId, upstream, count: asked});
 					left -= asked;
 				}
