Tell an operator that a job's home is out of reach, not that its key is unknown

Cause: a key whose home is no member any more was looked up at the asked host, which knows nothing of it and answered unknown-key, as if nothing ever ran. Change: only the host itself looks up its own and opaque keys; a home that is no member is out of reach. The new case of entry-processes failed before (code 9, unknown-key) and passes now (code 3, unreachable): 16 passed.

--- a/packages/chivestream-entry/src/operator-source.ts
+++ b/packages/chivestream-entry/src/operator-source.ts
@@ -153,17 +153,15 @@
 		return toSubmission(submission);
 	};
 
-	const cancelAt = async (member: Member | undefined, key: string, isForced: boolean, deadline: number) => {
-		if (member) {
-			return calls.ask<'cancel'>(member, {kind: 'cancel', key, isForced}, deadline);
+	/** What became of the key at the host that may run it; undefined when that host can't be reached. */
+	const cancelAtHolder = async (key: string, isForced: boolean, deadline: number) => {
+		const owner = router.ownerOf(key);
+		if (!owner || owner.hostId === self.id) {
+			return router.cancelLocal(key, isForced);
 		}
 
-		return router.cancelLocal(key, isForced);
-	};
-
-	const findHolder = (key: string): Member | undefined => {
-		const owner = router.ownerOf(key);
-		return owner && owner.hostId !== self.id ? membership.findMember(owner.hostId) : undefined;
+		const member = membership.findMember(owner.hostId);
+		return member && calls.ask<'cancel'>(member, {kind: 'cancel', key, isForced}, deadline);
 	};
 
 	return {
@@ -172,7 +170,7 @@
 		localHistory: options.readHistory,
 		peers: listPeers,
 		async cancel(key, mode, deadline): Promise<Result<JobAnswer | undefined, Failure>> {
-			const status = await cancelAt(findHolder(key), key, mode === cancelMode.stop, deadline);
+			const status = await cancelAtHolder(key, mode === cancelMode.stop, deadline);
 			if (!status) {
 				return Err(new Failure(failureCode.homeUnreachable, 'the home of the job can\'t be reached', {step: 'cancel-job', peer: key}));
 			}
--- a/packages/chivestream-operator/src/__tests__/entry-processes.test.ts
+++ b/packages/chivestream-operator/src/__tests__/entry-processes.test.ts
@@ -124,6 +124,12 @@
 		await expect(submitJob(callerAddress, key, 1, 1)).resolves.toMatchObject({state: 'failed', failure: {code: 'cancelled', notRun: true}});
 	});
 
+	test('a job whose home is gone is out of reach, not unknown', async () => {
+		await expect(runJson('cancel', 'h~entry-gone~mx8kz0000~0~key')).resolves.toMatchObject({
+			code: exitCode.incomplete, answer: {jobs: [{outcome: 'unreachable'}]},
+		});
+	});
+
 	test('an opaque key that nobody knows is not found', async () => {
 		await expect(runJson('cancel', 'no-such-key')).resolves.toMatchObject({code: exitCode.notFound});
 	});
