--- a/packages/chivestream-peer/src/__tests__/convergence.test.ts
+++ b/packages/chivestream-peer/src/__tests__/convergence.test.ts
@@ -4,7 +4,7 @@
 } from '@jest/globals';
 import * as fc from 'fast-check';
 import {createFakeClock, type FakeClock} from '../__fixtures__/fake-clock.js';
-import {createNetwork, type Network} from '../__fixtures__/network.js';
+import {createNetwork, type Network, type Node} from '../__fixtures__/network.js';
 import {chooseRepresentatives, defaultTiming, memberState} from '../index.js';
 
 const zones = ['a1', 'a2', 'b1'];
@@ -96,47 +96,57 @@
 
 const faultList = fc.array(fault, {minLength: 1, maxLength: 4});
 const stepLength = fc.integer({min: 100, max: 4000});
+const settings = {numRuns: runs, seed: propertySeed};
+
+const expectRunningHostsAlive = (network: Network) => {
+	const running = [...network.nodes.values()];
+	for (const viewer of running) {
+		const seen = viewer.membership.members().filter(({state}) => state === memberState.alive);
+		const expected = running.filter(node => node !== viewer).map(({host}) => host.incarnation);
+		expect(seen.map(({host}) => host.incarnation).toSorted()).toEqual(expected.toSorted());
+	}
+};
+
+const expectAgreement = (network: Network) => {
+	for (const {host, membership} of network.nodes.values()) {
+		expect(membership.zoneMembers().map(({id}) => id)).toEqual(network.idsIn(host.zone).toSorted());
+	}
+};
+
+const holdsSlot = ({host, membership}: Node): boolean => {
+	const sharers = membership.zoneMembers().map(({id}) => id);
+	return sharers.includes(host.id) && chooseRepresentatives('slot-1', sharers)[0] === host.id;
+};
+
+const expectOneHolder = (network: Network, zone: string) => {
+	const holders = [...network.nodes.values()].filter(node => node.host.zone === zone && holdsSlot(node));
+	expect(holders).toHaveLength(1);
+};
 
 describe('after any faults and their repair', () => {
 	test('every host sees exactly the running hosts alive, in their latest incarnation', async () => {
 		await fc.assert(fc.asyncProperty(faultList, stepLength, async (faults, stepMs) => {
-			await runFaults(faults, stepMs, network => {
-				const running = [...network.nodes.values()];
-				for (const viewer of running) {
-					const seen = viewer.membership.members().filter(({state}) => state === memberState.alive);
-					const expected = running.filter(node => node !== viewer).map(({host}) => host.incarnation);
-					expect(seen.map(({host}) => host.incarnation).toSorted()).toEqual(expected.toSorted());
-				}
-			});
-		}), {numRuns: runs, seed: propertySeed});
+			await runFaults(faults, stepMs, expectRunningHostsAlive);
+		}), settings);
 	});
 
 	test('the hosts of a zone agree on its sharers, and each counts itself in', async () => {
 		await fc.assert(fc.asyncProperty(faultList, stepLength, async (faults, stepMs) => {
-			await runFaults(faults, stepMs, network => {
-				for (const {host, membership} of network.nodes.values()) {
-					expect(membership.zoneMembers().map(({id}) => id)).toEqual(network.idsIn(host.zone).toSorted());
-				}
-			});
-		}), {numRuns: runs, seed: propertySeed});
+			await runFaults(faults, stepMs, expectAgreement);
+		}), settings);
 	});
 });
 
-describe('at any time', () => {
-	test('a slot has one holder at most once the hosts of its zone have stopped changing their views', async () => {
+describe('while a host is paused or dead', () => {
+	test('a slot has exactly one holder once the others have noticed', async () => {
 		await fc.assert(fc.asyncProperty(fc.constantFrom('pause' as const, 'kill' as const), hostId, async (kind, id) => {
 			await runFaults([], 0, async (network, clock) => {
 				await inject(network, {kind, id});
-				const zone = zoneOf(id);
 				const {suspicionMs, heartbeatIntervalMs, tickMs} = defaultTiming;
 				await clock.advance(suspicionMs + heartbeatIntervalMs + tickMs);
-				const claimed = network.idsIn(zone)
-					.map(each => network.nodes.get(each)!)
-					.filter(node => node.membership.zoneMembers().includes(node.host))
-					.map(node => chooseRepresentatives('slot-1', node.membership.zoneMembers().map(host => host.id))[0] === node.host.id);
-				expect(claimed.filter(Boolean)).toHaveLength(1);
+				expectOneHolder(network, zoneOf(id));
 				repair(network);
 			});
-		}), {numRuns: runs, seed: propertySeed});
+		}), settings);
 	});
 });
