--- a/packages/chivestream-peer/src/capacity/in-memory.ts
+++ b/packages/chivestream-peer/src/capacity/in-memory.ts
@@ -3,8 +3,8 @@
 import {createFakeClock} from '../__fixtures__/fake-clock.js';
 import {createNetwork, type Network} from '../__fixtures__/network.js';
 
-const warmUpMs = 8000;
-const measuredMs = 8000;
+const warmUpMs = 6000;
+const measuredMs = 6000;
 const millisecondsPerSecond = 1000;
 const microsecondsPerMillisecond = 1000;
 
--- a/packages/chivestream-peer/src/capacity/main.ts
+++ b/packages/chivestream-peer/src/capacity/main.ts
@@ -14,7 +14,6 @@
 	{zones: 9, hostsPerZone: 4},
 	{zones: 9, hostsPerZone: 10},
 	{zones: 9, hostsPerZone: 20},
-	{zones: 9, hostsPerZone: 32},
 ];
 const seed = 1;
 const rounds = 40;
--- a/packages/chivestream-peer/src/timing.ts
+++ b/packages/chivestream-peer/src/timing.ts
@@ -38,7 +38,7 @@
 	tickMs: 250,
 };
 
-const unstretchedZoneSize = 12;
+const unstretchedZoneSize = 8;
 
 /** The lengths for a zone of a size: beyond a limit they grow with it, so that a host's messages a second do not. */
 export const stretchTiming = (timing: Timing, zoneSize: number): Timing => {
