Count a cancelled job as served, and draw few faults where there is one kind

Cause: jobs that callers cancelled counted as refused, and many faults of one kind overlapped, so that no time after a fault's end was undisturbed.

--- a/packages/chivestream-replay/src/faults/availability.ts
+++ b/packages/chivestream-replay/src/faults/availability.ts
@@ -1,5 +1,5 @@
 /** How much was refused or left unknown while a kind of fault lasted, and how long after its end. */
-import {answerState} from 'chivestream-core';
+import {answerState, failureCode} from 'chivestream-core';
 import {type Call, type CallerJob} from './callers.js';
 import {type Fault} from './fault-plan.js';
 
@@ -18,7 +18,9 @@
 const settlingMs = 10_000;
 const shareDigits = 1000;
 
-const isRefused = ({end}: Call): boolean => end?.kind === 'answered' && end.answer.state === answerState.failed && end.answer.failure.notRun;
+/** Whether the job was refused; a caller who cancelled it got what it asked for. */
+const isRefused = ({end}: Call): boolean => end?.kind === 'answered' && end.answer.state === answerState.failed
+	&& end.answer.failure.notRun && end.answer.failure.code !== failureCode.cancelled;
 
 const isUnknown = (call: Call): boolean => {
 	const {end} = call;
@@ -26,7 +28,11 @@
 		return true;
 	}
 
-	return end.answer.state === answerState.failed && !end.answer.failure.notRun && end.answer.failure.tasks.unknown > 0;
+	if (end.answer.state !== answerState.failed || end.answer.failure.code === failureCode.cancelled) {
+		return false;
+	}
+
+	return !end.answer.failure.notRun && end.answer.failure.tasks.unknown > 0;
 };
 
 const share = (part: number, whole: number): number => whole === 0 ? 0 : Math.round(part / whole * shareDigits) / shareDigits;
--- a/packages/chivestream-replay/src/faults/fault-plan.ts
+++ b/packages/chivestream-replay/src/faults/fault-plan.ts
@@ -43,12 +43,22 @@
 };
 
 const faultsPerRun = 20;
+/** Few faults of a single kind, so that each is seen to begin and to end. */
+const faultsOfOneKind = 3;
 const shortestMs = 300;
 const longestMs = 9000;
 
+const countFaults = (random: Random, kinds: readonly FaultKind[]): number => {
+	if (kinds.length <= 1) {
+		return kinds.length * faultsOfOneKind;
+	}
+
+	return faultsPerRun + randomInteger(random, faultsPerRun);
+};
+
 /** Faults of the given kinds between two times. */
 export const planFaults = (random: Random, kinds: readonly FaultKind[], from: number, until: number): Fault[] => {
-	const faultCount = kinds.length === 0 ? 0 : faultsPerRun + randomInteger(random, faultsPerRun);
+	const faultCount = countFaults(random, kinds);
 	const faults = Array.from({length: faultCount}, () => {
 		const at = from + (random() * (until - from));
 		const lengthMs = shortestMs + (random() * random() * longestMs);
