Check the verdict of the fault run, and switch off whole answers and deadlines

Cause: no mechanism that the run could switch off showed a partial answer or a job without an answer; the verdict itself had no test. Change: HostParts takes the dispatcher; two more mechanisms; a test of each count of the verdict.

--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -59,7 +59,7 @@
 const drainPollMs = 50;
 
 const defaultParts: HostParts = {
-	createScheduler, createEpochs, createJobRegistry, createClaims, isSameRun, follower: {},
+	createScheduler, createEpochs, createJobRegistry, createClaims, createDispatcher, isSameRun, follower: {},
 };
 
 /** Builds an entry host over its links; `start` sets it going. */
@@ -124,7 +124,7 @@
 			dispatcher.pump();
 		},
 	});
-	const dispatcher = createDispatcher({
+	const dispatcher = parts.createDispatcher({
 		clock,
 		scheduler,
 		runAttempt,
--- a/packages/chivestream-entry/src/host-links.ts
+++ b/packages/chivestream-entry/src/host-links.ts
@@ -7,6 +7,7 @@
 import {type Assignment, type createScheduler} from 'chivestream-placement';
 import {type HostList, type Stream} from 'chivestream-platform';
 import {type Claimant, type createClaims} from './claims.js';
+import {type createDispatcher} from './dispatcher.js';
 import {type createEpochs} from './epochs.js';
 import {type createJobRegistry} from './job-registry.js';
 
@@ -43,6 +44,7 @@
 	createEpochs: typeof createEpochs;
 	createJobRegistry: typeof createJobRegistry;
 	createClaims: typeof createClaims;
+	createDispatcher: typeof createDispatcher;
 	/** Whether two claimants are the same run of a host. */
 	isSameRun: (left: Claimant, right: Claimant) => boolean;
 	/** Rules of the configuration's follower. */
--- a/packages/chivestream-replay/src/faults/switches.ts
+++ b/packages/chivestream-replay/src/faults/switches.ts
@@ -4,7 +4,7 @@
 } from 'chivestream-core';
 import {applyRecord, commandSchema, readerRules} from 'chivestream-configuration';
 import {
-	createClaims, createEpochs, createJobRegistry, type HostParts,
+	createClaims, createDispatcher, createEpochs, createJobRegistry, type HostParts,
 } from 'chivestream-entry';
 import {judgeExchange} from 'chivestream-minion';
 import {createScheduler} from 'chivestream-placement';
@@ -21,6 +21,8 @@
 	closedEpochs: 'closed-epochs',
 	retryOnlyNotStarted: 'retry-only-not-started',
 	echoMatch: 'echo-match',
+	wholeAnswer: 'whole-answer',
+	answerAtDeadline: 'answer-at-deadline',
 	notRunOnlyIfKnown: 'not-run-only-if-known',
 	baseVersion: 'base-version',
 	confirmBeforeForce: 'confirm-before-force',
@@ -42,6 +44,8 @@
 	namesVersion?: boolean;
 };
 
+const foreverMs = 3_600_000;
+
 const forgetfulRegistry: typeof createJobRegistry = options => {
 	const registry = createJobRegistry(options);
 	return {
@@ -119,6 +123,17 @@
 	? {...answer, failure: {...answer.failure, notRun: true}}
 	: answer;
 
+/** Calls a job complete as soon as some of its tasks are. */
+const answerInPart = (answer: JobAnswer): JobAnswer => answer.state === 'failed' && answer.failure.tasks.completed > 0
+	? {key: answer.key, state: 'complete', results: Array.from({length: answer.failure.tasks.completed})}
+	: answer;
+
+/** Waits for every task, however long it takes. */
+const waitForever: typeof createDispatcher = options => {
+	const dispatcher = createDispatcher(options);
+	return {...dispatcher, run: async job => dispatcher.run({...job, deadline: job.deadline + foreverMs})};
+};
+
 const ignoreBaseVersion: typeof applyRecord = (state, record) => {
 	const command = commandSchema.safeParse(record.value);
 	const value = command.success ? {...command.data, baseVersion: state.configuration.version} : record.value;
@@ -135,6 +150,8 @@
 	[mechanism.closedEpochs]: {parts: {createEpochs: openEpochs}},
 	[mechanism.retryOnlyNotStarted]: {parts: {createScheduler: retryUnknown}},
 	[mechanism.echoMatch]: {judge: judgeWithoutEcho},
+	[mechanism.wholeAnswer]: {alterAnswer: answerInPart},
+	[mechanism.answerAtDeadline]: {parts: {createDispatcher: waitForever}},
 	[mechanism.notRunOnlyIfKnown]: {alterAnswer: guessNotRun},
 	[mechanism.baseVersion]: {parts: {follower: {rules: {...readerRules, fold: ignoreBaseVersion}}}},
 	[mechanism.confirmBeforeForce]: {parts: {follower: {confirmHeld: async () => undefined}}},
