--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -5,18 +5,20 @@
 	failureCode,
 	formatHome,
 	noneRun,
+	preference,
 	type Configuration,
 	type JobAnswer,
 } from 'chivestream-core';
 import {type CallerHandlers} from 'chivestream-caller';
 import {
-	Follower, holdersNeeded, runSnapshotWriter, type PeerState, type State,
+	Follower, holdersNeeded, runSnapshotWriter, type PeerState,
 } from 'chivestream-configuration';
 import {
 	createMembership, hostPhase, isLive, type Membership, type PeerHandlers,
 } from 'chivestream-peer';
 import {answerPeerRequest as answerOperatorRequest, type OperatorSource} from 'chivestream-operator';
-import {createScheduler, type Scheduler} from 'chivestream-placement';
+import {createScheduler, defaultLendingTerms, type Scheduler} from 'chivestream-placement';
+import {createObjectiveRecorder} from 'chivestream-report';
 import {createClaims, isSameRun} from './claims.js';
 import {createDispatcher, type AttemptRunner} from './dispatcher.js';
 import {createEpochs} from './epochs.js';
@@ -105,6 +107,7 @@
 		};
 	};
 
+	const recorder = createObjectiveRecorder(clock, {host: self.id, zone: self.zone});
 	const metrics = createHostMetrics(readFigures);
 	const calls = createPeerCalls({
 		selfId: self.id,
@@ -120,6 +123,7 @@
 	const lending = createLending({
 		scheduler,
 		requestLoan: calls.requestLoan,
+		termsOf: upstream => defaultLendingTerms[configuration?.declarations.upstreams[upstream]?.preference ?? preference.fewMessages],
 		onSlots() {
 			dispatcher.pump();
 		},
@@ -129,7 +133,11 @@
 		scheduler,
 		runAttempt,
 		onFinished(run, answer) {
+			const {team, upstream} = run.job;
 			metrics.recordJob(run, answer, clock.now());
+			recorder.record({
+				team, upstream, elapsedMs: clock.now() - run.startedAt, answer,
+			});
 		},
 		onDemand: lending.ask,
 	});
@@ -153,6 +161,8 @@
 	const putInForce = (accepted: Configuration) => {
 		const isFirst = configuration === undefined;
 		configuration = accepted;
+		recorder.configure(accepted.declarations.objectives);
+		links.onDeclarations(accepted.declarations);
 		shareSlots();
 		logger.info('configuration in force', {
 			step: 'configure', peer: 'log', version: accepted.version, offset: accepted.offset,
@@ -178,7 +188,7 @@
 		zone: self.zone,
 		zoneSize,
 		fetchFromPeers: calls.fetchStates,
-		confirmHeld: async (state, deadline) => calls.offerState(state, holdersNeeded(zoneSize()), deadline),
+		confirmHeld: async (state, deadline, records) => calls.offerRecords(state.configuration.offset, records, holdersNeeded(zoneSize()), deadline),
 		onChange: putInForce,
 		...parts.follower,
 	});
@@ -194,9 +204,9 @@
 		},
 		send: async (address, request, deadline) => links.peers.get(address).heartbeat(request, deadline),
 		configuration: () => configuration,
-		payload: receiver => receiver.host.zone === self.zone ? new TextEncoder().encode(JSON.stringify(lending.payloadFor(receiver.host.id))) : undefined,
+		payload: receiver => new TextEncoder().encode(JSON.stringify(lending.payloadFor(receiver.host.id))),
 		onPayload(sender, payload) {
-			lending.receive(sender.host.id, parseLendingPayload(new TextDecoder().decode(payload)));
+			lending.receive({id: sender.host.id, isInZone: sender.host.zone === self.zone}, parseLendingPayload(new TextDecoder().decode(payload)));
 		},
 		onNewerConfiguration(member) {
 			const {configuration: mark, host} = member;
@@ -277,7 +287,7 @@
 			cancel: router.cancelLocal,
 			operator: text => answerOperatorRequest(operatorSource, text),
 			state: peerState,
-			adopt: (state: State) => follower.adopt(state),
+			hold: async (offset, records, deadline) => follower.hold(offset, records, deadline),
 			version: () => configuration?.version ?? -1,
 		}),
 	};
@@ -292,9 +302,7 @@
 		follower,
 		stream: links.configurationStream,
 		seeds: options.seeds,
-		readHistory: () => ({
-			host: self.id, zone: self.zone, since: startedAt, at: clock.now(), from: startedAt, objectives: [],
-		}),
+		readHistory: recorder.read,
 	});
 
 	const homeToken = () => isServing()
--- a/packages/chivestream-entry/src/host-links.ts
+++ b/packages/chivestream-entry/src/host-links.ts
@@ -1,6 +1,6 @@
 /** Everything through which an entry host touches the outside, passed as arguments so that tests can put fakes there. */
 import {
-	type AttemptResult, type Clock, type Host, type Logger, type Random, type Task,
+	type AttemptResult, type Clock, type Declarations, type Host, type Logger, type Random, type Task,
 } from 'chivestream-core';
 import {type PeerClients} from 'chivestream-peer';
 import {type FollowerOptions} from 'chivestream-configuration';
@@ -26,6 +26,8 @@
 	claimsStream: Stream;
 	listHosts: HostList;
 	peers: PeerClients;
+	/** Told of the declarations in force, so that links to upstream hosts that left them can be closed. */
+	onDeclarations: (declarations: Declarations) => void;
 	runAttempt: (order: AttemptOrder) => Promise<AttemptResult>;
 };
 
--- a/packages/chivestream-entry/src/peer-request.ts
+++ b/packages/chivestream-entry/src/peer-request.ts
@@ -1,14 +1,19 @@
 /** Requests between entry hosts that travel as JSON in the peer service's `Query` call. */
 import {type KeyStatus} from 'chivestream-core';
-import {type PeerState, type State, stateSchema} from 'chivestream-configuration';
+import {type PeerState, stateSchema} from 'chivestream-configuration';
+import {type StreamRecord} from 'chivestream-platform';
 import {z} from 'zod';
 
+const recordSchema = z.object({offset: z.number(), at: z.number(), value: z.unknown()});
+
 const requestSchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('fetch'), key: z.string(), waitDeadline: z.number()}),
 	z.object({kind: z.literal('cancel'), key: z.string(), isForced: z.boolean()}),
 	z.object({kind: z.literal('operator'), request: z.string()}),
 	z.object({kind: z.literal('state')}),
-	z.object({kind: z.literal('adopt'), state: stateSchema}),
+	z.object({
+		kind: z.literal('hold'), offset: z.number(), records: z.array(recordSchema), deadline: z.number(),
+	}),
 	z.object({kind: z.literal('version')}),
 ]);
 
@@ -23,7 +28,7 @@
 	operator: string;
 	state: PeerState;
 	/** Offset that the host now holds. */
-	adopt: number;
+	hold: number;
 	/** Version in force, -1 while there is none. */
 	version: number;
 };
@@ -34,7 +39,7 @@
 	cancel: (key: string, isForced: boolean) => Promise<KeyStatus>;
 	operator: (request: string) => string;
 	state: () => PeerState;
-	adopt: (state: State) => number;
+	hold: (offset: number, records: StreamRecord[], deadline: number) => Promise<number>;
 	version: () => number;
 };
 
@@ -47,7 +52,7 @@
 	state: z.object({
 		hostId: z.string(), zone: z.string(), isProven: z.boolean(), state: stateSchema,
 	}),
-	adopt: z.number(),
+	hold: z.number(),
 	version: z.number(),
 };
 
@@ -75,8 +80,8 @@
 			return handlers.state();
 		}
 
-		case 'adopt': {
-			return handlers.adopt(request.state);
+		case 'hold': {
+			return handlers.hold(request.offset, request.records, request.deadline);
 		}
 
 		case 'version': {
--- a/packages/chivestream-peer/src/host-table.ts
+++ b/packages/chivestream-peer/src/host-table.ts
@@ -15,6 +15,8 @@
 	heardAt: number;
 	/** Time at which this incarnation was first heard of. */
 	learnedAt: number;
+	/** Time at which a digest that lists it last advanced; 0 if none does. */
+	vouchedAt: number;
 	/** Time of the latest evidence of life, direct or not. */
 	evidenceAt: number;
 	configuration: ConfigurationMark | undefined;
@@ -80,6 +82,7 @@
 				record,
 				phase,
 				heardAt: isSameRun ? before.heardAt : 0,
+				vouchedAt: 0,
 				learnedAt: isSameRun ? before.learnedAt : now,
 				evidenceAt: isSameRun ? before.evidenceAt : now,
 				configuration: isSameRun ? before.configuration : undefined,
--- a/packages/chivestream-placement/src/lending.ts
+++ b/packages/chivestream-placement/src/lending.ts
@@ -1,6 +1,6 @@
 /** Lends free slots to other hosts of the zone and uses those they lend. */
 import {type Preference, preference} from 'chivestream-core';
-import {freeUnitsOf, type Pool, refreshTarget} from './pool.js';
+import {type Pool, refreshTarget} from './pool.js';
 import {type SlotDemand, type SlotGrant} from './scheduler.js';
 import {createDeclaredTarget} from './share-out.js';
 import {freeUnits, ownUnits, type Target} from './target.js';
@@ -15,24 +15,46 @@
 	smallestBatch: number;
 	/** Share of its free slots that a host lends at once. */
 	lentShare: number;
+	/** Idle grants are returned when more than this is left of them, in milliseconds; else they lapse. */
+	smallestRestMs: number;
+	/** Most hosts asked at a time. */
+	lendersPerRequest: number;
+	/** Whether hosts of other zones are asked after those of the own. */
+	isAcrossZones: boolean;
+	/** How often grants are looked through for those to return or extend, in milliseconds. */
+	grantCheckIntervalMs: number;
 };
 
 /** Time before a grant's deadline from which the borrower binds no more tasks, in milliseconds. */
-export const bindMarginMs = 1500;
+export const bindMarginMs = 800;
 
 /** Terms for each preference. */
 export const defaultLendingTerms: Record<Preference, LendingTerms> = {
 	[preference.responseTime]: {
-		grantMs: 4000, patienceMs: 0, smallestBatch: 1, lentShare: 0.5,
+		grantMs: 4000,
+		patienceMs: 0,
+		smallestBatch: 1,
+		lentShare: 0.5,
+		smallestRestMs: 500,
+		lendersPerRequest: 8,
+		isAcrossZones: true,
+		grantCheckIntervalMs: 50,
 	},
 	[preference.fewMessages]: {
-		grantMs: 10_000, patienceMs: 20, smallestBatch: 4, lentShare: 0.5,
+		grantMs: 4000,
+		patienceMs: 20,
+		smallestBatch: 4,
+		lentShare: 0.5,
+		smallestRestMs: 500,
+		lendersPerRequest: 2,
+		isAcrossZones: false,
+		grantCheckIntervalMs: 250,
 	},
 };
 
 /** Slots worth asking for now; none while the shortage is younger than the patience. */
 export const demandOf = (pool: Pool, terms: LendingTerms, now: number): SlotDemand | undefined => {
-	const count = pool.queue.size() - freeUnitsOf(pool, now);
+	const count = pool.queue.size();
 	if (count <= 0) {
 		pool.shortSince = undefined;
 		return undefined;
@@ -52,7 +74,9 @@
 		return [];
 	}
 
-	const targets = [...pool.targets.values()].filter(target => !target.isWorker && lendableUnits(target, now) > 0);
+	const targets = [...pool.targets.values()]
+		.filter(target => !target.isWorker && lendableUnits(target, now) > 0)
+		.toSorted((left, right) => left.slowness.value - right.slowness.value);
 	let total = 0;
 	for (const target of targets) {
 		total += lendableUnits(target, now);
--- a/packages/chivestream-replay/src/faults/cluster.ts
+++ b/packages/chivestream-replay/src/faults/cluster.ts
@@ -131,6 +131,9 @@
 				peers: createMemoryPeers({
 					run, place, links, findCallee: findByAddress,
 				}),
+				onDeclarations() {
+				// The minions of the run hold no connections.
+				},
 				runAttempt: async order => minions.runAttempt(run, place, order),
 			},
 			limits: {
