Start the entry hosts again when an address was taken in between

Seen once: EADDRINUSE for an address that had been free a moment before, while other programs opened connections on the same machine. The whole group starts again at other addresses, at most three times; any other failure ends at once.

--- a/packages/chivestream-stand-ins/src/cluster/cluster.ts
+++ b/packages/chivestream-stand-ins/src/cluster/cluster.ts
@@ -4,10 +4,10 @@
 import {join} from 'node:path';
 import {type Declarations, type Team, type Upstream} from 'chivestream-core';
 import {request} from 'undici';
-import {launchEntry, waitUntilReady, type LaunchedEntry} from './launched-entry.js';
+import {launchReadyEntries} from './entry-group.js';
+import {type LaunchedEntry} from './launched-entry.js';
 import {type LaunchedProcess} from './launched-process.js';
 import {launchStandIn, type LaunchedStandIn} from './launched-stand-in.js';
-import {findFreeAddresses} from './ports.js';
 import {launchFleet, type Fleet, type FleetOptions} from './upstream-fleet.js';
 
 /** What to start. */
@@ -38,9 +38,7 @@
 	stop: () => Promise<void>;
 };
 
-const readyTimeoutMs = 20_000;
 const stopTimeoutMs = 5000;
-const addressesPerHost = 3;
 const maxDeadlineMs = 60_000;
 const retryRatio = 0.2;
 const maxTasksPerJob = 180;
@@ -89,29 +87,6 @@
 		return launched;
 	}));
 
-	const launchEntries = async (logAddress: string, hostsAddress: string): Promise<LaunchedEntry[]> => {
-		const members = options.zones.flatMap(zone =>
-			Array.from({length: options.hostsPerZone}, (_, index) => ({id: `entry-${zone}-${index}`, zone})));
-		const addresses = await findFreeAddresses(members.length * addressesPerHost);
-		const peers = members.map((member, index) => ({...member, address: addresses[index]!}));
-		return Promise.all(members.map(async (member, index) => {
-			const entry = await launchEntry({
-				...member,
-				peerAddress: addresses[index]!,
-				callerAddress: addresses[members.length + index]!,
-				operatorAddress: addresses[(2 * members.length) + index]!,
-				logAddress,
-				hostsAddress,
-				peers,
-				directory,
-				nodeOptions: options.nodeOptions,
-				limits: options.limits,
-			});
-			processes.push(entry.process);
-			return entry;
-		}));
-	};
-
 	const start = async (): Promise<Cluster> => {
 		const [log, hosts, balancer, fleets] = await Promise.all([
 			launchTracked('log'),
@@ -125,14 +100,20 @@
 		});
 
 		await publish(0, {kind: 'replace', declarations: createDeclarations(options, fleets)});
-		const entries = await launchEntries(log.address, hosts.address);
+		const entries = await launchReadyEntries({
+			...options,
+			logAddress: log.address,
+			hostsAddress: hosts.address,
+			directory,
+			onLaunch(entry) {
+				processes.push(entry.process);
+			},
+		});
 		await sendJson('PUT', `http://${hosts.address}/hosts`, {
 			hosts: entries.map(({id, zone, peerAddress}) => ({
 				id, zone, address: peerAddress, state: 'live',
 			})),
 		});
-		const readyDeadline = Date.now() + readyTimeoutMs;
-		await Promise.all(entries.map(async entry => waitUntilReady(entry, readyDeadline)));
 		await sendJson('PUT', `http://${balancer.controlAddress}/targets`, {
 			targets: entries.map(entry => ({address: entry.callerAddress})),
 		});
