--- a/packages/chivestream-configuration/src/__tests__/follower.test.ts
+++ b/packages/chivestream-configuration/src/__tests__/follower.test.ts
@@ -1,25 +1,15 @@
 import {afterEach, expect, test} from '@jest/globals';
 import {createCommand, sampleCommand} from '../__fixtures__/declarations.js';
 import {FakeStream} from '../__fixtures__/fake-stream.js';
-import {soon, startFollower} from '../__fixtures__/test-follower.js';
+import {createFollowers, soon} from '../__fixtures__/test-follower.js';
 import {
-	applyRecord, type Change, createSnapshot, type Follower, initialState, type PeerState, type State, submitCommand,
+	applyRecord, type Change, createSnapshot, initialState, type PeerState, type State, submitCommand,
 } from '../index.js';
 
 const quota: Change = {kind: 'team', team: 'day-a', maxTasksInFlight: 7};
-const followers: Follower[] = [];
+const {follow, stopAll} = createFollowers();
 
-const follow: typeof startFollower = (stream, options) => {
-	const started = startFollower(stream, options);
-	followers.push(started.follower);
-	return started;
-};
-
-afterEach(() => {
-	for (const follower of followers.splice(0)) {
-		follower.stop();
-	}
-});
+afterEach(stopAll);
 
 const stateAfter = (values: unknown[]): State => {
 	let state = initialState;
@@ -127,3 +117,25 @@
 	expect(await follower.waitForVersion(2, soon())).toBe(true);
 	expect(seen.map(({version}) => version)).toEqual([0, 1, 2]);
 });
+
+test('a version that another host of the zone has in force comes into force without waiting for confirmation', async () => {
+	const stream = new FakeStream();
+	const offered: number[] = [];
+	const {submit, follower} = follow(stream, {
+		async confirmHeld(state) {
+			offered.push(state.configuration.version);
+			return new Promise(() => {
+				// No host of the zone answers.
+			});
+		},
+	});
+	void submitCommand(submit, sampleCommand, soon());
+	await follower.waitForOffset(0, soon());
+	expect(follower.inForce?.version).not.toBe(1);
+	follower.confirm(1);
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	expect(offered).toContain(1);
+	expect(follower.inForce?.version).toBe(1);
+});
