Compare the entry host's memory between rounds of the same load

The first sample came after one-task jobs and the last after jobs of twenty, so that growth by another load looked like a leak.

--- a/packages/chivestream-stand-ins/src/bench/bench.ts
+++ b/packages/chivestream-stand-ins/src/bench/bench.ts
@@ -40,7 +40,7 @@
 	shareOfDirect: number;
 	/** The same by round. */
 	shares: number[];
-	/** Resident memory of the entry host after the warm-up and at the end. */
+	/** Resident memory of the entry host after the first and the last round of the same load. */
 	memoryMb: {first: number; last: number};
 };
 
@@ -64,6 +64,8 @@
 	direct: number;
 	through: number;
 	perCore: number;
+	/** Resident memory of the entry host after the round. */
+	memoryMb: number;
 };
 
 const round = (value: number): number => Math.round(value * roundingScale) / roundingScale;
@@ -90,7 +92,9 @@
 		const through = await saturate(senders.through, load) * tasksPerJob;
 		const after = await readUsage(pid);
 		const cores = (after.cpuSeconds - before.cpuSeconds) / ((performance.now() - startedAt) / msPerSecond);
-		measured.push({direct, through, perCore: through / cores});
+		measured.push({
+			direct, through, perCore: through / cores, memoryMb: Math.round(after.memoryMb),
+		});
 	}
 	/* eslint-enable no-await-in-loop */
 
@@ -119,13 +123,9 @@
 	const single = {taskCount: 1, jobsInFlight: singleJobsInFlight};
 	await saturate(senders.direct, {...single, lengthMs: throughputLengthMs});
 	const saturationJobsPerSecond = await saturate(senders.through, {...single, lengthMs: warmUpLengthMs});
-	const first = await readUsage(pid);
-
-	// The first round warms up the jobs of many tasks.
-	const [, ...throughput] = await measureThroughput(senders, pid, options.rounds + 1);
+	const [warmUp, ...throughput] = await measureThroughput(senders, pid, options.rounds + 1);
 	const halfLoadJobsPerSecond = Math.round(saturationJobsPerSecond / 2);
 	const latency = await measureLatency(senders, halfLoadJobsPerSecond, options);
-	const last = await readUsage(pid);
 	return {
 		addedLatencyMs: {
 			p50: round(latency.through.p50 - latency.direct.p50),
@@ -139,7 +139,7 @@
 		directStartsPerSecond: Math.round(median(throughput.map(({direct}) => direct))),
 		shareOfDirect: round(median(throughput.map(({direct, through}) => through / direct))),
 		shares: throughput.map(({direct, through}) => round(through / direct)),
-		memoryMb: {first: Math.round(first.memoryMb), last: Math.round(last.memoryMb)},
+		memoryMb: {first: warmUp?.memoryMb ?? 0, last: throughput.at(-1)?.memoryMb ?? 0},
 	};
 };
 
