--- a/packages/chivestream-operator/src/language/grammar.ts
+++ b/packages/chivestream-operator/src/language/grammar.ts
@@ -2,35 +2,15 @@
 /* eslint-disable new-cap, @typescript-eslint/naming-convention -- the parser library writes its names in capitals */
 import {EmbeddedActionsParser, type IToken, type TokenType} from 'chevrotain';
 import {
-	type Cancellation, cancelMode, type Change, comparisonOperator, type ComparisonOperator, type Condition, type Literal, type Name,
-	type Ordering, type Place, type Query, type Statement,
+	type Cancellation, cancelMode, type Change, type ComparisonOperator, type Condition, type Literal, type Name,
+	type Ordering, type Query, type Statement,
 } from './syntax.js';
 import {
 	allTokens, columnName, keyword, number, quotedText, span, symbol, tableKeyword, wholeNumber, word,
 } from './tokens.js';
-
-const placeOf = (token: IToken): Place => ({start: token.startOffset, end: token.startOffset + token.image.length});
-
-const operatorTokens: Array<{type: TokenType; operator: ComparisonOperator}> = [
-	{type: symbol.equal, operator: comparisonOperator.equal},
-	{type: symbol.notEqual, operator: comparisonOperator.notEqual},
-	{type: symbol.less, operator: comparisonOperator.less},
-	{type: symbol.lessOrEqual, operator: comparisonOperator.lessOrEqual},
-	{type: symbol.greater, operator: comparisonOperator.greater},
-	{type: symbol.greaterOrEqual, operator: comparisonOperator.greaterOrEqual},
-	{type: keyword.contains, operator: comparisonOperator.contains},
-];
-
-const unitMs: Record<string, number> = {
-	ms: 1, s: 1000, m: 60_000, h: 3_600_000, d: 86_400_000,
-};
-
-const unescapeText = (text: string): string => text.replaceAll(/\\(.)/gv, '$1');
-
-const parseSpan = (image: string): number => {
-	const unit = image.replace(/^[\d.]+/v, '');
-	return Number.parseFloat(image) * (unitMs[unit] ?? 1);
-};
+import {
+	nameFrom, operatorTokens, parseSpan, placeOf, unquote,
+} from './token-values.js';
 
 /** Reads one statement. Each rule is a method that returns its part of the tree. */
 class StatementParser extends EmbeddedActionsParser {
@@ -43,7 +23,7 @@
 	]));
 
 	private readonly query = this.RULE('query', (): Query => {
-		const table = this.OR(Object.values(tableKeyword).map(token => ({ALT: () => this.nameFrom(this.CONSUME(token))})));
+		const table = this.OR(Object.values(tableKeyword).map(token => ({ALT: () => nameFrom(this.CONSUME(token))})));
 		const where = this.OPTION(() => this.SUBRULE(this.whereClause));
 		const orderings = this.OPTION1(() => this.SUBRULE(this.orderClause)) ?? [];
 		const limit = this.OPTION2(() => {
@@ -101,7 +81,7 @@
 	]));
 
 	private readonly comparison = this.RULE('comparison', (): Condition => {
-		const column = this.nameFrom(this.CONSUME(columnName));
+		const column = nameFrom(this.CONSUME(columnName));
 		return this.OR<Condition>([
 			{
 				ALT: () => {
@@ -153,19 +133,19 @@
 		{
 			ALT: () => {
 				const token = this.CONSUME(quotedText);
-				return {kind: 'text', text: this.unquote(token), place: placeOf(token)};
+				return {kind: 'text', text: unquote(token), place: placeOf(token)};
 			},
 		},
 		{
 			ALT: () => {
 				const token = this.CONSUME(number);
-				return {...this.nameFrom(token), kind: 'number', number: Number(token.image)};
+				return {...nameFrom(token), kind: 'number', number: Number(token.image)};
 			},
 		},
 		{
 			ALT: () => {
 				const token = this.CONSUME(span);
-				return {...this.nameFrom(token), kind: 'span', spanMs: parseSpan(token.image)};
+				return {...nameFrom(token), kind: 'span', spanMs: parseSpan(token.image)};
 			},
 		},
 		{ALT: () => this.SUBRULE(this.moment)},
@@ -190,7 +170,7 @@
 			]);
 			return sign * parseSpan(this.CONSUME(span).image);
 		});
-		return {...this.nameFrom(token), kind: 'now', shiftMs: shiftMs ?? 0};
+		return {...nameFrom(token), kind: 'now', shiftMs: shiftMs ?? 0};
 	});
 
 	private readonly orderClause = this.RULE('orderClause', (): Ordering[] => {
@@ -207,7 +187,7 @@
 	});
 
 	private readonly ordering = this.RULE('ordering', (): Ordering => {
-		const column = this.nameFrom(this.CONSUME(columnName));
+		const column = nameFrom(this.CONSUME(columnName));
 		const direction = this.OPTION(() => this.OR([
 			{ALT: () => this.CONSUME(keyword.asc)},
 			{ALT: () => this.CONSUME(keyword.desc)},
@@ -229,7 +209,7 @@
 	});
 
 	private readonly selectedJobs = this.RULE('selectedJobs', (): Query => {
-		const table = this.nameFrom(this.CONSUME(tableKeyword.jobs));
+		const table = nameFrom(this.CONSUME(tableKeyword.jobs));
 		const where = this.SUBRULE(this.whereClause);
 		return {
 			kind: 'query', table, where, orderings: [],
@@ -313,13 +293,13 @@
 
 	/** An id, key, team or file; ids may look like a number or a length of time. */
 	private readonly name = this.RULE('name', (): Name => this.OR([
-		{ALT: () => this.nameFrom(this.CONSUME(word))},
-		{ALT: () => this.nameFrom(this.CONSUME(number))},
-		{ALT: () => this.nameFrom(this.CONSUME(span))},
+		{ALT: () => nameFrom(this.CONSUME(word))},
+		{ALT: () => nameFrom(this.CONSUME(number))},
+		{ALT: () => nameFrom(this.CONSUME(span))},
 		{
 			ALT: () => {
 				const token = this.CONSUME(quotedText);
-				return {text: this.unquote(token), place: placeOf(token)};
+				return {text: unquote(token), place: placeOf(token)};
 			},
 		},
 	]));
@@ -328,15 +308,6 @@
 		super(allTokens, {maxLookahead: 2});
 		this.performSelfAnalysis();
 	}
-
-	private nameFrom(token: IToken): Name {
-		return {text: token.image, place: placeOf(token)};
-	}
-
-	/** The text between the quotes. */
-	private unquote(token: IToken): string {
-		return unescapeText(token.image.slice(1, -1));
-	}
 }
 
 /** The parser. Reused for each statement: set `input`, then call `statement`. */
