--- a/packages/chivestream-replay/src/faults/inject.ts
+++ b/packages/chivestream-replay/src/faults/inject.ts
@@ -42,7 +42,10 @@
 const longestJumpMs = 5000;
 const wakeMs = 3000;
 const retainedMs = 8000;
-const modes: Partial<Record<FaultKind, MinionMode>> = {
+
+type MinionFault = Extract<FaultKind, `minion-${MinionMode}`>;
+
+const modes: Record<MinionFault, MinionMode> = {
 	[faultKind.minionFailing]: minionMode.failing,
 	[faultKind.minionHanging]: minionMode.hanging,
 	[faultKind.minionStraggling]: minionMode.straggling,
@@ -52,6 +55,8 @@
 	[faultKind.minionDead]: minionMode.dead,
 };
 
+const isMinionFault = (kind: FaultKind): kind is MinionFault => Object.hasOwn(modes, kind);
+
 const isBetween = (left: string, right: string, from: string, to: string) =>
 	(from === left && to === right) || (from === right && to === left);
 
@@ -170,7 +175,6 @@
 			const isOutside = (other: string) => !isInside(other) && other !== 'callers' && !(keepsPlatform && other === platformPlace.zone);
 			return (isInside(from.zone) && isOutside(to.zone)) || (isInside(to.zone) && isOutside(from.zone));
 		}, until, ({place}) => place.zone === zone);
-		return zone;
 	};
 
 	const cutHosts = (until: number, isOneWay: boolean) => {
@@ -183,7 +187,7 @@
 		);
 	};
 
-	const apply: Record<FaultKind, (until: number) => void> = {
+	const apply: Record<Exclude<FaultKind, MinionFault>, (until: number) => void> = {
 		[faultKind.kill](until) {
 			const host = pickSpare();
 			if (host) {
@@ -226,9 +230,7 @@
 				stops.add(ended);
 			}
 		},
-		[faultKind.zoneCut](until) {
-			cutZone(until);
-		},
+		[faultKind.zoneCut]: cutZone,
 		[faultKind.oneWayCut](until) {
 			cutHosts(until, true);
 		},
@@ -265,27 +267,6 @@
 				links.faults.duplicates = isOn ? lostShare : 0;
 			}, until);
 		},
-		[faultKind.minionFailing](until) {
-			spoilMinions(modes[faultKind.minionFailing]!, until);
-		},
-		[faultKind.minionHanging](until) {
-			spoilMinions(modes[faultKind.minionHanging]!, until);
-		},
-		[faultKind.minionStraggling](until) {
-			spoilMinions(modes[faultKind.minionStraggling]!, until);
-		},
-		[faultKind.minionCrossing](until) {
-			spoilMinions(modes[faultKind.minionCrossing]!, until);
-		},
-		[faultKind.minionRepeating](until) {
-			spoilMinions(modes[faultKind.minionRepeating]!, until);
-		},
-		[faultKind.minionRefusing](until) {
-			spoilMinions(modes[faultKind.minionRefusing]!, until);
-		},
-		[faultKind.minionDead](until) {
-			spoilMinions(modes[faultKind.minionDead]!, until);
-		},
 		[faultKind.cancelWave]() {
 			callers.cancelWave(random());
 		},
@@ -297,7 +278,11 @@
 		schedule(fault) {
 			clock.at(fault.at, () => {
 				counts[fault.kind] = (counts[fault.kind] ?? 0) + 1;
-				apply[fault.kind](fault.until);
+				if (isMinionFault(fault.kind)) {
+					spoilMinions(modes[fault.kind], fault.until);
+				} else {
+					apply[fault.kind](fault.until);
+				}
 			});
 		},
 		healAll() {
