--- a/packages/chivestream-replay/src/faults/availability.ts
+++ b/packages/chivestream-replay/src/faults/availability.ts
@@ -42,7 +42,8 @@
 	const within = firstCalls.filter(({sentAt}) => ofKind.some(({at, until}) => sentAt >= at && sentAt < until));
 	const wholeAfter = ofKind.map(fault => {
 		const later = firstCalls.filter(({sentAt}) => sentAt >= fault.until && sentAt < fault.until + settlingMs);
-		const undisturbed = later.filter(({sentAt}) => faults.every(other => other === fault || sentAt < other.at || other.until + settlingMs < fault.at));
+		const undisturbed = later.filter(({endedAt = Number.POSITIVE_INFINITY}) =>
+			faults.every(other => other === fault || endedAt < other.at || other.until + settlingMs < fault.at));
 		const bad = undisturbed.filter(call => isRefused(call) || isUnknown(call));
 		return Math.max(0, ...bad.map(({sentAt}) => sentAt - fault.until));
 	});
