--- a/packages/chivestream-placement/src/lending-decisions.ts
+++ b/packages/chivestream-placement/src/lending-decisions.ts
@@ -44,7 +44,9 @@
 				return [];
 			}
 
-			const grants = lendSlots(pool, borrowerId, count, lendingTerms[pool.declared.preference], now, nextGrantId);
+			const grants = lendSlots(pool, {
+				borrowerId, count, terms: lendingTerms[pool.declared.preference], nextGrantId,
+			}, now);
 			for (const grant of grants) {
 				wakeTarget(pool, pool.targets.get(grant.targetId)!, grant.deadline);
 			}
--- a/packages/chivestream-placement/src/lending.ts
+++ b/packages/chivestream-placement/src/lending.ts
@@ -3,7 +3,9 @@
 import {type Pool, refreshTarget} from './pool.js';
 import {type SlotDemand, type SlotGrant} from './scheduler.js';
 import {createDeclaredTarget} from './share-out.js';
-import {freeUnits, ownUnits, type Target} from './target.js';
+import {
+	type BorrowedGrant, freeUnits, ownUnits, type Target,
+} from './target.js';
 
 /** How eagerly slots are asked for and lent. */
 export type LendingTerms = {
@@ -68,8 +70,17 @@
 const lendableUnits = (target: Target, now: number): number =>
 	Math.max(0, Math.min(freeUnits(target, now), ownUnits(target, now) - target.usedUnits));
 
+/** A borrower's request for slots. */
+export type LendingRequest = {
+	borrowerId: string;
+	count: number;
+	terms: LendingTerms;
+	nextGrantId: () => string;
+};
+
 /** Lends free slots of the own share, at most the demanded count. */
-export const lendSlots = (pool: Pool, borrowerId: string, count: number, terms: LendingTerms, now: number, nextGrantId: () => string): SlotGrant[] => {
+export const lendSlots = (pool: Pool, request: LendingRequest, now: number): SlotGrant[] => {
+	const {borrowerId, count, terms, nextGrantId} = request;
 	if (pool.queue.size() > 0) {
 		return [];
 	}
@@ -130,7 +141,7 @@
 const unitsOnGrants = (target: Target, now: number): number =>
 	Math.max(0, target.usedUnits - Math.max(0, ownUnits(target, now)));
 
-const toSlotGrant = (pool: Pool, target: Target, grantId: string, count: number, deadline: number): SlotGrant => ({
+const toSlotGrant = (pool: Pool, target: Target, {grantId, count}: BorrowedGrant, deadline: number): SlotGrant => ({
 	grantId, upstream: pool.name, targetId: target.id, count, deadline,
 });
 
@@ -142,7 +153,7 @@
 		for (const grant of target.grants.values()) {
 			const isEnding = grant.bindUntil <= now;
 			if (isEnding && inUse > 0 && grant.deadline - now <= bindMarginMs / 2) {
-				due.push({lenderId: grant.lenderId, grant: toSlotGrant(pool, target, grant.grantId, grant.count, now + terms.grantMs)});
+				due.push({lenderId: grant.lenderId, grant: toSlotGrant(pool, target, grant, now + terms.grantMs)});
 			}
 
 			inUse -= grant.count;
@@ -170,7 +181,7 @@
 			if (grant.count <= unused && grant.deadline - now > smallestRestMs) {
 				unused -= grant.count;
 				target.grants.delete(grant.grantId);
-				idle.push({lenderId: grant.lenderId, grant: toSlotGrant(pool, target, grant.grantId, grant.count, grant.deadline)});
+				idle.push({lenderId: grant.lenderId, grant: toSlotGrant(pool, target, grant, grant.deadline)});
 			}
 		}
 
--- a/packages/chivestream-replay/src/profile/replay-trace.ts
+++ b/packages/chivestream-replay/src/profile/replay-trace.ts
@@ -1,7 +1,7 @@
 /** Replays a trace through the decisions of every entry host, in one process on a fake clock. */
 import {type Configuration, createRandom} from 'chivestream-core';
 import {
-	createEntryModel, type EntryModel, type JobEnd, upstreamName,
+	createEntryModel, type EntryLinks, type EntryModel, type JobEnd, upstreamName,
 } from './entry-model.js';
 import {createEventQueue} from './event-queue.js';
 import {type JobRecord, type ReplayRecord} from './measures.js';
@@ -74,7 +74,7 @@
 
 	const isConnected = (zone: string, otherZone: string) => zone === otherZone || (!severed.has(zone) && !severed.has(otherZone));
 
-	const entries: ReadonlyMap<string, EntryModel> = new Map(deployment.hosts.map(host => [host.id, createEntryModel(host, policy(queue, createRandom(deployment.seed + 3 + deployment.hosts.indexOf(host))), {
+	const links: EntryLinks = {
 		clock: queue,
 		deployment,
 		minions,
@@ -94,7 +94,10 @@
 		onDone(key, taskIndex) {
 			doneWork.push({at: queue.now(), workMs: eventsByKey.get(key)!.tasks[taskIndex]!.workMs, key});
 		},
-	})]));
+	};
+	const createEntry = (host: Deployment['hosts'][number], index: number): [string, EntryModel] =>
+		[host.id, createEntryModel(host, policy(queue, createRandom(deployment.seed + 3 + index)), links)];
+	const entries: ReadonlyMap<string, EntryModel> = new Map(deployment.hosts.map((host, index) => createEntry(host, index)));
 
 	const configureAll = () => {
 		for (const entry of entries.values()) {
