Keep the grant that ends last for tasks that still run

Cause: 11 slot overruns for lens-desk at 90% with the cancellation wave: a host gave back the grant with time left and kept one about to end, while a task ran; the lender then used the slot. Ruled out: lost outcomes, changes of the share (no such event in that trace). Change: idle grants go back in the order of their deadlines; the last to end cover what runs.

--- a/packages/chivestream-placement/src/lending.ts
+++ b/packages/chivestream-placement/src/lending.ts
@@ -145,12 +145,15 @@
 	grantId, upstream: pool.name, targetId: target.id, count, deadline,
 });
 
+const byDeadline = (target: Target): BorrowedGrant[] =>
+	[...target.grants.values()].toSorted((left, right) => left.deadline - right.deadline);
+
 /** Grants that end soon while a task still runs on them, with the deadline to ask for. */
 export const grantsToExtend = (pool: Pool, terms: LendingTerms, now: number): Array<{lenderId: string; grant: SlotGrant}> => {
 	const due: Array<{lenderId: string; grant: SlotGrant}> = [];
 	for (const target of pool.targets.values()) {
 		let inUse = target.grants.size > 0 ? unitsOnGrants(target, now) : 0;
-		for (const grant of target.grants.values()) {
+		for (const grant of byDeadline(target).toReversed()) {
 			const isEnding = grant.bindUntil <= now;
 			if (isEnding && inUse > 0 && grant.deadline - now <= bindMarginMs / 2) {
 				due.push({lenderId: grant.lenderId, grant: toSlotGrant(pool, target, grant, now + terms.grantMs)});
@@ -177,9 +180,14 @@
 		}
 
 		unused -= target.grants.size > 0 ? unitsOnGrants(target, now) : 0;
-		for (const grant of target.grants.values()) {
-			if (grant.count <= unused && grant.deadline - now > smallestRestMs) {
-				unused -= grant.count;
+		// The grants that are kept must be the last to end, or a task may outlive the one that covers it.
+		for (const grant of byDeadline(target)) {
+			if (grant.count > unused) {
+				break;
+			}
+
+			unused -= grant.count;
+			if (grant.deadline - now > smallestRestMs) {
 				target.grants.delete(grant.grantId);
 				idle.push({lenderId: grant.lenderId, grant: toSlotGrant(pool, target, grant, grant.deadline)});
 			}
