--- a/packages/chivestream-peer/src/index.ts
+++ b/packages/chivestream-peer/src/index.ts
@@ -6,6 +6,7 @@
 	isLive, memberState, type Member, type MemberState,
 } from './member.js';
 export * from './membership.js';
+export type * from './membership-options.js';
 export * from './peer-failure.js';
 export {chooseRepresentatives} from './representatives.js';
 export * from './service.js';
