--- a/packages/chivestream-peer/src/__tests__/service.test.ts
+++ b/packages/chivestream-peer/src/__tests__/service.test.ts
@@ -7,6 +7,7 @@
 import {
 	answerState, Failure, failureCode, type Job, type JobAnswer,
 } from 'chivestream-core';
+import {startRelay} from '../capacity/relay.js';
 import {
 	createPeerClient, delivery, startPeerService, type PeerClient, type PeerHandlers, type PeerService,
 } from '../index.js';
@@ -130,6 +131,33 @@
 		expect(cut.isErr() && cut.error).toMatchObject({code: failureCode.connectionFailed, delivery: delivery.unknown});
 	});
 
+	test('a call whose connection is cut fails as unknown before its deadline, and a healed cut is used again', async () => {
+		const {address} = await start({
+			async submit() {
+				await never();
+				return answer;
+			},
+		});
+		const relay = await startRelay(address);
+		const client = connect(relay.address);
+		await client.query('connected', inSeconds(10));
+		const running = client.submit(job, inSeconds(25));
+		relay.cut();
+		const cut = await running;
+		expect(cut.isErr() && cut.error).toMatchObject({code: failureCode.connectionFailed, delivery: delivery.unknown});
+		const during = await client.query('during', inSeconds(1));
+		expect(during.isErr()).toBe(true);
+		relay.heal();
+		const results = [await client.query('after', inSeconds(1))];
+		const deadline = inSeconds(10);
+		while (Date.now() < deadline && !results.at(-1)?.isOk()) {
+			results.push(await client.query('after', inSeconds(1)));
+		}
+
+		expect(results.at(-1)).toMatchObject({value: 'AFTER'});
+		await relay.close();
+	});
+
 	test('a planned close lets calls in progress end', async () => {
 		const gate = new EventTarget();
 
