Look at the members less often in larger zones

Cause: at 288 hosts in one process a look at all members four times a second was most of a host's own work: 8.74 ms a second. Change: the interval between looks grows with the zone as the other lengths do. Tests: membership.test.ts and convergence.test.ts 18 of 18 pass.

--- a/packages/chivestream-peer/src/timing.ts
+++ b/packages/chivestream-peer/src/timing.ts
@@ -50,5 +50,6 @@
 		zoneSuspicionMs: timing.zoneSuspicionMs * factor,
 		holdMs: timing.holdMs * factor,
 		aloneMs: timing.aloneMs * factor,
+		tickMs: timing.tickMs * factor,
 	};
 };
