--- a/packages/chivestream-placement/src/create-scheduler.ts
+++ b/packages/chivestream-placement/src/create-scheduler.ts
@@ -139,7 +139,7 @@
 			selfId = sharers.selfId;
 			const takeoverUntil = isFirst && isAlone ? now : now + takeoverHoldOffMs;
 			const change = {
-				sharers, drains: new Set(declarations.drains), now, takeoverUntil,
+				sharers, drains: new Set(declarations.drains), now, takeoverUntil, holdOffMs: takeoverHoldOffMs,
 			};
 			for (const name of pools.keys()) {
 				if (!Object.hasOwn(declarations.upstreams, name)) {
--- a/packages/chivestream-placement/src/share-out.ts
+++ b/packages/chivestream-placement/src/share-out.ts
@@ -14,6 +14,8 @@
 	now: number;
 	/** When slots that come to this host may be used. */
 	takeoverUntil: number;
+	/** How long every host leaves slots alone that come to it, in milliseconds. */
+	holdOffMs: number;
 };
 
 /** A declared minion or worker of the upstream by its id, from any zone. */
@@ -27,6 +29,8 @@
 	return worker ? createWorkerTarget(upstreamName, worker) : undefined;
 };
 
+const sumTakeovers = (takeovers: readonly Takeover[]): number => takeovers.reduce((sum, {count}) => sum + count, 0);
+
 /** Takes held-off slots first from the newest takeover when a share shrinks. */
 const shrinkTakeovers = (takeovers: Takeover[], count: number): Takeover[] => {
 	let left = count;
@@ -42,15 +46,27 @@
 	return kept;
 };
 
-const setOwnedUnits = (target: Target, owned: number, {now, takeoverUntil}: ShareOut): void => {
-	const growth = owned - target.ownedUnits;
-	target.ownedUnits = owned;
+/** Slots that come from another host and may still be busy with its tasks: those beyond the share that was only just lost. */
+const heldOffGrowth = (target: Target, owned: number, now: number): number => {
+	const stillOwn = target.lostShare.deadline > now ? target.lostShare.units : 0;
+	return owned - Math.max(target.ownedUnits, Math.min(owned, stillOwn));
+};
+
+const setOwnedUnits = (target: Target, owned: number, {now, takeoverUntil, holdOffMs}: ShareOut): void => {
+	const loss = target.ownedUnits - owned;
+	const growth = heldOffGrowth(target, owned, now);
 	target.takeovers = target.takeovers.filter(({availableAt}) => availableAt > now);
 	if (growth > 0 && takeoverUntil > now) {
 		target.takeovers.push({count: growth, availableAt: takeoverUntil});
-	} else if (growth < 0) {
-		target.takeovers = shrinkTakeovers(target.takeovers, -growth);
 	}
+
+	if (loss > 0) {
+		const usable = target.ownedUnits - sumTakeovers(target.takeovers);
+		target.takeovers = shrinkTakeovers(target.takeovers, loss);
+		target.lostShare = {units: Math.max(0, usable), deadline: now + holdOffMs};
+	}
+
+	target.ownedUnits = owned;
 };
 
 const replaceDeclared = (pool: Pool, known: Target, fresh: Target): void => {
--- a/packages/chivestream-placement/src/target.ts
+++ b/packages/chivestream-placement/src/target.ts
@@ -44,6 +44,8 @@
 	/** Slots or cores of this host's share, those still held off included. */
 	ownedUnits: number;
 	takeovers: Takeover[];
+	/** The share that this host lost last; no other host uses any of it before the deadline. */
+	lostShare: {units: number; deadline: number};
 	loans: Map<string, Loan>;
 	grants: Map<string, BorrowedGrant>;
 	runningTasks: number;
@@ -71,6 +73,7 @@
 	totalAccelerators: Number.POSITIVE_INFINITY,
 	ownedUnits: 0,
 	takeovers: [],
+	lostShare: {units: 0, deadline: 0},
 	loans: new Map(),
 	grants: new Map(),
 	runningTasks: 0,
