--- a/packages/chivestream-capacity/src/usage.ts
+++ b/packages/chivestream-capacity/src/usage.ts
@@ -1,5 +1,5 @@
 /** Processor time, memory and traffic of this and of other processes. */
-import {readFile} from 'node:fs/promises';
+import {readFile, readdir} from 'node:fs/promises';
 import process from 'node:process';
 import {setTimeout} from 'node:timers/promises';
 import {setFlagsFromString} from 'node:v8';
@@ -10,13 +10,10 @@
 const collectGarbage = z.custom<() => void>(value => typeof value === 'function').parse(runInNewContext('gc'));
 
 const microsecondsPerMs = 1000;
-const msPerTick = 10;
+const nanosecondsPerMs = 1_000_000;
 const collections = 3;
 const pauseMs = 10;
 const bytesPerKilobyte = 1024;
-/** Fields of `stat` after the name in brackets. */
-const userTimeField = 11;
-const systemTimeField = 12;
 
 /** What another process has used since its start. */
 export type ProcessUsage = {
@@ -51,12 +48,18 @@
 	return Number.parseInt(line?.slice(name.length + 1) ?? '', 10);
 };
 
+/** Processor time of all threads of a process. */
+const readCpuMs = async (pid: number): Promise<number> => {
+	const threads = await readdir(`/proc/${pid}/task`);
+	const texts = await Promise.all(threads.map(async thread => readFile(`/proc/${pid}/task/${thread}/schedstat`, 'utf8')));
+	return texts.reduce((sum, text) => sum + Number(text.split(' ', 1)[0]), 0) / nanosecondsPerMs;
+};
+
 /** Usage of a process that runs, as the kernel tells it. */
 export const readProcessUsage = async (pid: number): Promise<ProcessUsage> => {
-	const [stat, status, io] = await Promise.all(['stat', 'status', 'io'].map(async file => readFile(`/proc/${pid}/${file}`, 'utf8')));
-	const fields = stat!.slice(stat!.lastIndexOf(')') + 2).split(' ');
+	const [status, io] = await Promise.all(['status', 'io'].map(async file => readFile(`/proc/${pid}/${file}`, 'utf8')));
 	return {
-		cpuMs: (Number(fields[userTimeField]) + Number(fields[systemTimeField])) * msPerTick,
+		cpuMs: await readCpuMs(pid),
 		trafficBytes: readField(io!, 'rchar') + readField(io!, 'wchar'),
 		residentBytes: readField(status!, 'VmRSS') * bytesPerKilobyte,
 	};
