--- a/packages/chivestream-configuration/src/__fixtures__/test-follower.ts
+++ b/packages/chivestream-configuration/src/__fixtures__/test-follower.ts
@@ -1,7 +1,7 @@
 /** Followers with short waits, for tests. */
 import {type Configuration, createRandom, systemClock} from 'chivestream-core';
+import {type Stream} from 'chivestream-platform';
 import {Follower, type FollowerOptions} from '../follower.js';
-import {type FakeStream} from './fake-stream.js';
 
 const patienceMs = 10_000;
 
@@ -9,7 +9,7 @@
 export const soon = (): number => Date.now() + patienceMs;
 
 /** Starts a follower of a zone of three hosts; `seen` lists what came into force. */
-export const startFollower = (stream: FakeStream, options: Partial<FollowerOptions> = {}) => {
+export const startFollower = (stream: Stream, options: Partial<FollowerOptions> = {}) => {
 	const seen: Configuration[] = [];
 	const follower = new Follower({
 		stream,
@@ -30,3 +30,21 @@
 	};
 	return {follower, seen, submit};
 };
+
+/** Starts followers and stops all of them at the end of a test. */
+export const createFollowers = () => {
+	const followers: Follower[] = [];
+	const follow: typeof startFollower = (stream, options) => {
+		const started = startFollower(stream, options);
+		followers.push(started.follower);
+		return started;
+	};
+
+	const stopAll = () => {
+		for (const follower of followers.splice(0)) {
+			follower.stop();
+		}
+	};
+
+	return {follow, stopAll};
+};
--- a/packages/chivestream-replay/src/faults/switches.ts
+++ b/packages/chivestream-replay/src/faults/switches.ts
@@ -4,7 +4,7 @@
 } from 'chivestream-core';
 import {applyRecord, commandSchema, readerRules} from 'chivestream-configuration';
 import {
-	createClaims, createEpochs, createJobRegistry, type HostParts,
+	createClaims, createDispatcher, createEpochs, createJobRegistry, type HostParts,
 } from 'chivestream-entry';
 import {judgeExchange} from 'chivestream-minion';
 import {createScheduler} from 'chivestream-placement';
@@ -14,17 +14,22 @@
 /** Mechanisms that can be switched off. */
 export const mechanism = {
 	rememberedKeys: 'remembered-keys',
+	closedByCancel: 'closed-by-cancel',
+	keptRefusals: 'kept-refusals',
 	claims: 'claims',
 	incarnationInKey: 'incarnation-in-key',
 	closedEpochs: 'closed-epochs',
 	retryOnlyNotStarted: 'retry-only-not-started',
 	echoMatch: 'echo-match',
+	wholeAnswer: 'whole-answer',
+	answerAtDeadline: 'answer-at-deadline',
 	notRunOnlyIfKnown: 'not-run-only-if-known',
 	baseVersion: 'base-version',
 	confirmBeforeForce: 'confirm-before-force',
 	proofBeforeForce: 'proof-before-force',
 	drainedTargets: 'drained-targets',
 	drainWait: 'drain-wait',
+	seenVersion: 'seen-version',
 } as const;
 
 /** One of the mechanisms. */
@@ -36,8 +41,11 @@
 	judge?: Judge;
 	alterAnswer?: (answer: JobAnswer) => JobAnswer;
 	stopsWait?: boolean;
+	namesVersion?: boolean;
 };
 
+const foreverMs = 3_600_000;
+
 const forgetfulRegistry: typeof createJobRegistry = options => {
 	const registry = createJobRegistry(options);
 	return {
@@ -49,6 +57,28 @@
 	};
 };
 
+const unclosedRegistry: typeof createJobRegistry = options => ({
+	...createJobRegistry(options),
+	close() {
+		// The key stays open.
+	},
+});
+
+const refusalDroppingRegistry: typeof createJobRegistry = options => {
+	const registry = createJobRegistry(options);
+	return {
+		...registry,
+		open(job, closesAt) {
+			const answer = registry.get(job.key)?.answer;
+			if (answer?.state === 'failed' && answer.failure.notRun) {
+				registry.forget(job.key);
+			}
+
+			return registry.open(job, closesAt);
+		},
+	};
+};
+
 const unclaimed: typeof createClaims = options => ({
 	...createClaims(options),
 	claim: async () => Ok(options.self),
@@ -93,6 +123,17 @@
 	? {...answer, failure: {...answer.failure, notRun: true}}
 	: answer;
 
+/** Calls a job complete as soon as some of its tasks are. */
+const answerInPart = (answer: JobAnswer): JobAnswer => answer.state === 'failed' && answer.failure.tasks.completed > 0
+	? {key: answer.key, state: 'complete', results: Array.from({length: answer.failure.tasks.completed})}
+	: answer;
+
+/** Waits for every task, however long it takes. */
+const waitForever: typeof createDispatcher = options => {
+	const dispatcher = createDispatcher(options);
+	return {...dispatcher, run: async job => dispatcher.run({...job, deadline: job.deadline + foreverMs})};
+};
+
 const ignoreBaseVersion: typeof applyRecord = (state, record) => {
 	const command = commandSchema.safeParse(record.value);
 	const value = command.success ? {...command.data, baseVersion: state.configuration.version} : record.value;
@@ -102,15 +143,20 @@
 /** The weaker stand-in for each mechanism. */
 export const weakenings: Record<Mechanism, Weakening> = {
 	[mechanism.rememberedKeys]: {parts: {createJobRegistry: forgetfulRegistry}},
+	[mechanism.closedByCancel]: {parts: {createJobRegistry: unclosedRegistry}},
+	[mechanism.keptRefusals]: {parts: {createJobRegistry: refusalDroppingRegistry}},
 	[mechanism.claims]: {parts: {createClaims: unclaimed}},
 	[mechanism.incarnationInKey]: {parts: {isSameRun: (left, right) => left.hostId === right.hostId}},
 	[mechanism.closedEpochs]: {parts: {createEpochs: openEpochs}},
 	[mechanism.retryOnlyNotStarted]: {parts: {createScheduler: retryUnknown}},
 	[mechanism.echoMatch]: {judge: judgeWithoutEcho},
+	[mechanism.wholeAnswer]: {alterAnswer: answerInPart},
+	[mechanism.answerAtDeadline]: {parts: {createDispatcher: waitForever}},
 	[mechanism.notRunOnlyIfKnown]: {alterAnswer: guessNotRun},
 	[mechanism.baseVersion]: {parts: {follower: {rules: {...readerRules, fold: ignoreBaseVersion}}}},
 	[mechanism.confirmBeforeForce]: {parts: {follower: {confirmHeld: async () => undefined}}},
 	[mechanism.proofBeforeForce]: {parts: {follower: {proof: ({havePeersAnswered}) => havePeersAnswered}}},
 	[mechanism.drainedTargets]: {parts: {createScheduler: ignoreDrains}},
 	[mechanism.drainWait]: {stopsWait: false},
+	[mechanism.seenVersion]: {namesVersion: false},
 };
