--- a/packages/chivestream-peer/src/membership.ts
+++ b/packages/chivestream-peer/src/membership.ts
@@ -9,7 +9,7 @@
 import {
 	type ConfigurationMark, type Digest, type HeartbeatMessage, type HostRecord,
 } from './generated/peer.js';
-import {hostPhase} from './handlers.js';
+import {hostPhase, type HostPhase} from './handlers.js';
 import {createKnowledge} from './knowledge.js';
 import {createLifeCycle} from './life-cycle.js';
 import {
@@ -24,6 +24,9 @@
 import {defaultTiming, stretchTiming} from './timing.js';
 import {computeMembers, listHeard} from './view.js';
 
+// A draining host keeps its slots until it has left, or the jobs that it still holds would be cut.
+const sharingPhases = new Set<HostPhase>([hostPhase.serving, hostPhase.draining]);
+
 /** Starts the membership of a host. */
 export const createMembership = (options: MembershipOptions): Membership => {
 	const {
@@ -56,7 +59,7 @@
 	const isInZone = ({host}: Member) => host.zone === self.zone;
 	const intervalMs = (member: Member) => isInZone(member) ? timing.heartbeatIntervalMs : timing.zoneIntervalMs;
 	const mayHoldSlots = () => !isSuperseded && sharing.check(clock.now(), livePeerIds, timing);
-	const isSharing = () => mayHoldSlots() && lifeCycle.phase() === hostPhase.serving;
+	const isSharing = () => mayHoldSlots() && sharingPhases.has(lifeCycle.phase());
 
 	const knowledge = createKnowledge({
 		self,
@@ -262,7 +265,7 @@
 		},
 		members: () => members,
 		zoneMembers() {
-			const sharers = members.filter(({state, phase}) => state === memberState.alive && phase === hostPhase.serving);
+			const sharers = members.filter(member => isLive(member) && sharingPhases.has(member.phase));
 			const hosts = sharers.filter(member => isInZone(member)).map(({host}) => host);
 			return [...hosts, ...(isSharing() ? [self] : [])].toSorted((left, right) => left.id < right.id ? -1 : 1);
 		},
--- a/packages/chivestream-placement/src/__tests__/scheduler.test.ts
+++ b/packages/chivestream-placement/src/__tests__/scheduler.test.ts
@@ -73,6 +73,29 @@
 		expect(drain(scheduler)).toHaveLength(4);
 	});
 
+	test('takes slots back at once that it lost only just before, since no other host has used them yet', () => {
+		const {scheduler, configuration, clock} = createHost(1, 'e1', ['e1', 'e2']);
+		clock.advance(3000);
+		scheduler.configure(configuration, createSharers('e1', ['e2']));
+		scheduler.enqueue(createTasks(8));
+		expect(drain(scheduler)).toHaveLength(0);
+		clock.advance(2000);
+		scheduler.configure(configuration, createSharers('e1', ['e1', 'e2']));
+		expect(drain(scheduler)).toHaveLength(4);
+	});
+
+	test('holds slots off that it lost long enough ago for another host to use them', () => {
+		const {scheduler, configuration, clock} = createHost(1, 'e1', ['e1', 'e2']);
+		clock.advance(3000);
+		scheduler.configure(configuration, createSharers('e1', ['e2']));
+		clock.advance(3000);
+		scheduler.configure(configuration, createSharers('e1', ['e1', 'e2']));
+		scheduler.enqueue(createTasks(8));
+		expect(drain(scheduler)).toHaveLength(0);
+		clock.advance(3000);
+		expect(drain(scheduler)).toHaveLength(4);
+	});
+
 	test('prefers the minion that turned out faster', () => {
 		const {scheduler, clock} = createHost();
 		for (let round = 0; round < 10; round++) {
