Extend grants in time, and let a starting host ask its zone and three others

Cause: renewals travelled in heartbeats every 500 ms, but a grant is renewed in the last 400 ms before its deadline, so a lender could take a slot back under a running task.

--- a/packages/chivestream-capacity/src/measurements/lending.ts
+++ b/packages/chivestream-capacity/src/measurements/lending.ts
@@ -48,7 +48,7 @@
 	configure(1);
 	await clock.advance(holdOffMs);
 	const lending = createLending({
-		scheduler, termsOf: () => defaultLendingTerms['response-time'], requestLoan: async () => [], onSlots: () => undefined,
+		clock, scheduler, termsOf: () => defaultLendingTerms['response-time'], requestLoan: async () => [], requestExtension: async () => [], onSlots: () => undefined,
 	});
 	const bytesFor = (hostId: string) => JSON.stringify(lending.payloadFor(hostId)).length;
 	bytesFor(receiver);
--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -57,6 +57,7 @@
 const clockSkewMs = 120_000;
 const claimRetentionMs = keyWindowMs + (3 * clockSkewMs);
 const sweepPeriodMs = 5000;
+const grantCheckPeriodMs = 100;
 const drainQuietMs = 2000;
 const drainPollMs = 50;
 
@@ -117,12 +118,14 @@
 		peers: links.peers,
 		membership: () => membership,
 		isSameRun: parts.isSameRun,
-		seedAddresses: options.seeds.map(({address}) => address).filter(address => address !== self.peerAddress),
+		seeds: options.seeds.filter(({address}) => address !== self.peerAddress),
 		countForward: metrics.countForward,
 	});
 	const lending = createLending({
+		clock,
 		scheduler,
 		requestLoan: calls.requestLoan,
+		requestExtension: calls.requestExtension,
 		termsOf: upstream => defaultLendingTerms[configuration?.declarations.upstreams[upstream]?.preference ?? preference.fewMessages],
 		onSlots() {
 			dispatcher.pump();
@@ -289,6 +292,7 @@
 			state: peerState,
 			hold: async (offset, records, deadline) => follower.hold(offset, records, deadline),
 			version: () => configuration?.version ?? -1,
+			extend: scheduler.extend,
 		}),
 	};
 
@@ -327,6 +331,15 @@
 		metrics: metrics.format,
 	};
 
+	const scheduleRenewals = () => {
+		if (!stopping.signal.aborted) {
+			clock.at(clock.now() + grantCheckPeriodMs, () => {
+				lending.renewGrants();
+				scheduleRenewals();
+			});
+		}
+	};
+
 	const scheduleSweep = () => {
 		if (!stopping.signal.aborted) {
 			clock.at(clock.now() + sweepPeriodMs, () => {
@@ -367,6 +380,7 @@
 				stream: links.configurationStream, follower, clock, hostId: self.id, liveHosts, logger,
 			}, stopping.signal);
 			scheduleSweep();
+			scheduleRenewals();
 		},
 		async drain() {
 			const deadline = clock.now() + limits.drainMs;
--- a/packages/chivestream-entry/src/lending.ts
+++ b/packages/chivestream-entry/src/lending.ts
@@ -2,6 +2,7 @@
 Borrows free slots from other entry hosts of the zone when tasks wait, and gives idle ones back. What each host has
 free travels in the heartbeats, so that a request goes only to a host that can grant it; returns travel there too.
 */
+import {type Clock} from 'chivestream-core';
 import {
 	createLenderChoice,
 	type Lender,
@@ -20,21 +21,22 @@
 	observations: TargetObservation[];
 	/** Grants that the receiver lent and gets back. */
 	returned: SlotGrant[];
-	/** Grants that the receiver lent and is asked to extend. */
-	renewals: SlotGrant[];
-	/** Grants that the receiver borrowed and may keep longer. */
-	extended: SlotGrant[];
 };
 
 /** Asks a host for slots; an empty list where it grants none or can't be reached. */
 export type LoanRequest = (lenderId: string, demand: SlotDemand) => Promise<SlotGrant[]>;
 
+/** Asks a lender to extend grants; gives those that it extended. */
+export type ExtensionRequest = (lenderId: string, grants: SlotGrant[]) => Promise<SlotGrant[]>;
+
 /** Lends and borrows slots. */
 export type Lending = {
 	/** Asks for slots where tasks wait and another host has free ones. */
 	ask: () => void;
 	payloadFor: (receiverId: string) => LendingPayload;
 	receive: (sender: Lender, payload: LendingPayload) => void;
+	/** Asks lenders to extend grants that end while tasks still run on them. */
+	renewGrants: () => void;
 	/** Forgets what a host had free. */
 	forget: (hostId: string) => void;
 	/** Requests sent so far. */
@@ -43,8 +45,10 @@
 
 /** What lending needs. */
 export type LendingOptions = {
+	clock: Clock;
 	scheduler: Scheduler;
 	requestLoan: LoanRequest;
+	requestExtension: ExtensionRequest;
 	/** How eagerly slots of an upstream are asked for. */
 	termsOf: (upstream: string) => LendingTerms;
 	/** Called once borrowed or returned slots can take tasks. */
@@ -53,7 +57,8 @@
 
 const demandSchema = z.object({upstream: z.string(), count: z.number().int().positive()});
 
-const grantSchema = z.object({
+/** Schema of a grant. */
+export const grantSchema = z.object({
 	grantId: z.string(),
 	upstream: z.string(),
 	targetId: z.string(),
@@ -71,8 +76,6 @@
 	idle: z.array(z.object({upstream: z.string(), count: z.number().int().nonnegative()})),
 	observations: z.array(observationSchema),
 	returned: z.array(grantSchema),
-	renewals: z.array(grantSchema),
-	extended: z.array(grantSchema),
 });
 
 /** Parses a demand from another host. */
@@ -87,21 +90,21 @@
 type Outbox = {
 	observations: Map<string, TargetObservation>;
 	returned: SlotGrant[];
-	renewals: SlotGrant[];
-	extended: SlotGrant[];
 };
 
 const createOutbox = (): Outbox => ({
-	observations: new Map(), returned: [], renewals: [], extended: [],
+	observations: new Map(), returned: [],
 });
 
 /** Lending over one scheduler. */
 export const createLending = ({
-	scheduler, requestLoan, termsOf, onSlots,
+	clock, scheduler, requestLoan, requestExtension, termsOf, onSlots,
 }: LendingOptions): Lending => {
 	const lenders = createLenderChoice();
 	const outboxes = new Map<string, Outbox>();
 	let requests = 0;
+	/** Until when the last of the borrowed slots may be used. */
+	let borrowedUntil = 0;
 
 	const outboxOf = (hostId: string): Outbox => {
 		const outbox = outboxes.get(hostId) ?? createOutbox();
@@ -109,6 +112,11 @@
 		return outbox;
 	};
 
+	const takeGrants = (lenderId: string, grants: SlotGrant[]) => {
+		borrowedUntil = Math.max(borrowedUntil, ...grants.map(({deadline}) => deadline));
+		scheduler.borrow(lenderId, grants);
+	};
+
 	const borrowFrom = async (request: SlotRequest) => {
 		requests += 1;
 		const {lenderId, upstream, count} = request;
@@ -116,7 +124,7 @@
 		const granted = grants.reduce((sum, grant) => sum + grant.count, 0);
 		lenders.noteAnswer(request, granted);
 		if (granted > 0) {
-			scheduler.borrow(lenderId, grants);
+			takeGrants(lenderId, grants);
 			onSlots();
 		}
 	};
@@ -134,10 +142,11 @@
 		for (const {lenderId, grants} of scheduler.releaseIdle()) {
 			outboxOf(lenderId).returned.push(...grants);
 		}
+	};
 
-		for (const {lenderId, grants} of scheduler.renewals()) {
-			outboxOf(lenderId).renewals.push(...grants);
-		}
+	const renew = async (lenderId: string, grants: SlotGrant[]) => {
+		requests += 1;
+		takeGrants(lenderId, await requestExtension(lenderId, grants));
 	};
 
 	return {
@@ -148,6 +157,15 @@
 				}
 			}
 		},
+		renewGrants() {
+			if (clock.now() > borrowedUntil) {
+				return;
+			}
+
+			for (const {lenderId, grants} of scheduler.renewals()) {
+				void renew(lenderId, grants);
+			}
+		},
 		payloadFor(receiverId) {
 			const {observations, ...grants} = outboxOf(receiverId);
 			collectObservations();
@@ -163,8 +181,6 @@
 
 			scheduler.observe(payload.observations);
 			scheduler.reclaim(senderId, payload.returned);
-			scheduler.borrow(senderId, payload.extended);
-			outboxOf(senderId).extended.push(...scheduler.extend(senderId, payload.renewals));
 			onSlots();
 		},
 		forget(hostId) {
--- a/packages/chivestream-entry/src/peer-calls.ts
+++ b/packages/chivestream-entry/src/peer-calls.ts
@@ -20,6 +20,7 @@
 	/** One request to one member; undefined where it gave no reply. */
 	ask: <Kind extends PeerRequest['kind']>(member: Member, request: Extract<PeerRequest, {kind: Kind}>, deadline: number) => Promise<PeerReplies[Kind] | undefined>;
 	requestLoan: (lenderId: string, demand: SlotDemand) => Promise<SlotGrant[]>;
+	requestExtension: (lenderId: string, grants: SlotGrant[]) => Promise<SlotGrant[]>;
 	fetchStates: () => Promise<PeerState[]>;
 	/** Offers the records up to an offset to the hosts of the zone; resolves once enough hold it or all have answered. */
 	offerRecords: (offset: number, records: readonly StreamRecord[], holders: number, deadline: number) => Promise<void>;
@@ -35,14 +36,15 @@
 	/** The membership, which is made after the calls. */
 	membership: () => Membership;
 	isSameRun?: (left: Claimant, right: Claimant) => boolean;
-	/** Addresses to ask before any member is known. */
-	seedAddresses: readonly string[];
+	/** Hosts to ask before any member is known. */
+	seeds: ReadonlyArray<{zone: string; address: string}>;
 	/** Counts jobs handed to their home. */
 	countForward: (wasAnswered: boolean) => void;
 };
 
 const loanTimeoutMs = 200;
 const stateTimeoutMs = 1000;
+const statesFromElsewhere = 3;
 const cancelTimeoutMs = 30_000;
 const relayGraceMs = 2000;
 
@@ -72,9 +74,13 @@
 
 	const zoneMembers = () => membership().members().filter(member => member.host.zone === options.zone && isLive(member));
 
+	/** Hosts of the zone, whose answers prove a state, and a few others; not all, or a large system would drown a new host. */
 	const stateAddresses = () => {
-		const live = membership().members().filter(member => isLive(member)).map(({host}) => host.peerAddress);
-		return new Set([...live, ...options.seedAddresses]);
+		const live = membership().members().filter(member => isLive(member)).map(({host}) => ({zone: host.zone, address: host.peerAddress}));
+		const known = [...live, ...options.seeds];
+		const inZone = known.filter(({zone}) => zone === options.zone);
+		const elsewhere = known.filter(({zone}) => zone !== options.zone).slice(0, statesFromElsewhere);
+		return new Set([...inZone, ...elsewhere].map(({address}) => address));
 	};
 
 	return {
@@ -114,6 +120,14 @@
 			const reply = await peers.get(lender.host.peerAddress).lend(selfId, JSON.stringify(demand), clock.now() + loanTimeoutMs);
 			return reply.isOk() ? parseGrants(reply.value) : [];
 		},
+		async requestExtension(lenderId, grants) {
+			const lender = membership().findMember(lenderId);
+			if (!lender || !isLive(lender)) {
+				return [];
+			}
+
+			return await ask<'extend'>(lender, {kind: 'extend', borrowerId: selfId, grants}, clock.now() + loanTimeoutMs) ?? [];
+		},
 		async fetchStates() {
 			const deadline = clock.now() + stateTimeoutMs;
 			const replies = await Promise.all([...stateAddresses()].map(async address => askAddress(address, {kind: 'state'}, deadline)));
--- a/packages/chivestream-entry/src/peer-request.ts
+++ b/packages/chivestream-entry/src/peer-request.ts
@@ -2,7 +2,9 @@
 import {type KeyStatus} from 'chivestream-core';
 import {type PeerState, stateSchema} from 'chivestream-configuration';
 import {type StreamRecord} from 'chivestream-platform';
+import {type SlotGrant} from 'chivestream-placement';
 import {z} from 'zod';
+import {grantSchema} from './lending.js';
 
 const recordSchema = z.object({offset: z.number(), at: z.number(), value: z.unknown()});
 
@@ -15,6 +17,7 @@
 		kind: z.literal('hold'), offset: z.number(), records: z.array(recordSchema), deadline: z.number(),
 	}),
 	z.object({kind: z.literal('version')}),
+	z.object({kind: z.literal('extend'), borrowerId: z.string(), grants: z.array(grantSchema)}),
 ]);
 
 /** A request to another entry host. */
@@ -31,6 +34,8 @@
 	hold: number;
 	/** Version in force, -1 while there is none. */
 	version: number;
+	/** The grants that were extended. */
+	extend: SlotGrant[];
 };
 
 /** Answers one kind of request each. */
@@ -41,6 +46,7 @@
 	state: () => PeerState;
 	hold: (offset: number, records: StreamRecord[], deadline: number) => Promise<number>;
 	version: () => number;
+	extend: (borrowerId: string, grants: SlotGrant[]) => SlotGrant[];
 };
 
 const keyStatusSchema = z.custom<KeyStatus>(value => typeof value === 'object' && value !== null && 'kind' in value);
@@ -54,6 +60,7 @@
 	}),
 	hold: z.number(),
 	version: z.number(),
+	extend: z.array(grantSchema),
 };
 
 /** The reply to a kind of request from its text; undefined where it is malformed. */
@@ -87,6 +94,10 @@
 		case 'version': {
 			return handlers.version();
 		}
+
+		case 'extend': {
+			return handlers.extend(request.borrowerId, request.grants);
+		}
 	}
 };
 
