--- /dev/null
+++ b/packages/chivestream-entry/src/__tests__/job-registry.test.ts
@@ -0,0 +1,80 @@
+import {beforeEach, expect, test} from '@jest/globals';
+import {type JobAnswer} from 'chivestream-core';
+import {createFakeClock, type FakeClock} from 'chivestream-stand-ins';
+import {createJob} from '../__fixtures__/router-host.js';
+import {createJobRegistry, type JobRecord, type JobRegistry} from '../job-registry.js';
+
+let clock: FakeClock;
+let registry: JobRegistry;
+
+beforeEach(() => {
+	clock = createFakeClock();
+	registry = createJobRegistry({now: clock.now, maxRecords: 3, maxAnswerBytes: 30});
+});
+
+const open = (key: string, lengthMs = 1000): JobRecord => {
+	const opening = registry.open(createJob(clock, key), clock.now() + lengthMs);
+	if (opening.kind !== 'opened') {
+		throw new Error(`${key} was ${opening.kind}`);
+	}
+
+	return opening.record;
+};
+
+const complete = (key: string, result: string): JobAnswer => ({key, state: 'complete', results: [result]});
+
+test('a full registry takes no new key and still joins the ones it has', () => {
+	for (const key of ['a', 'b', 'c']) {
+		open(key);
+	}
+
+	expect(registry.open(createJob(clock, 'd'), clock.now() + 1000)).toEqual({kind: 'full'});
+	expect(registry.open(createJob(clock, 'a', {createdAt: 5}), clock.now() + 1000)).toMatchObject({kind: 'joined'});
+});
+
+test('a sweep drops just the records whose keys have closed, in whatever order they were opened', async () => {
+	open('late', 3000).settle(complete('late', 'x'));
+	open('early', 1000).settle(complete('early', 'x'));
+	await clock.advance(1000);
+	registry.sweep();
+	expect(registry.get('early')).toBeUndefined();
+	expect(registry.get('late')).toBeDefined();
+	await clock.advance(2000);
+	registry.sweep();
+	expect(registry.size()).toBe(0);
+	expect(registry.answerBytes()).toBe(0);
+});
+
+test('a record that waits for its answer outlives the closing of its key', async () => {
+	const record = open('a');
+	await clock.advance(5000);
+	registry.sweep();
+	expect(registry.get('a')).toBe(record);
+	record.settle(complete('a', 'x'));
+	await clock.advance(0);
+	expect(registry.get('a')).toBeUndefined();
+});
+
+test('a key that was forgotten and opened again is not dropped with its first record', async () => {
+	open('a', 1000);
+	registry.forget('a');
+	open('a', 9000).settle(complete('a', 'x'));
+	await clock.advance(2000);
+	registry.sweep();
+	expect(registry.get('a')).toBeDefined();
+});
+
+test('beyond the bytes allowed, the oldest answers go and their keys stay closed', () => {
+	open('a').settle(complete('a', 'x'.repeat(20)));
+	open('b').settle(complete('b', 'x'.repeat(20)));
+	expect(registry.get('a')?.answer).toMatchObject({state: 'failed', failure: {code: 'key-closed', notRun: false, tasks: {completed: 1}}});
+	expect(registry.get('b')?.answer).toMatchObject({state: 'complete'});
+	expect(registry.answerBytes()).toBeLessThanOrEqual(30);
+});
+
+test('the first answer stands', async () => {
+	const record = open('a');
+	record.settle(complete('a', 'first'));
+	record.settle(complete('a', 'second'));
+	expect(await record.answered).toEqual(complete('a', 'first'));
+});
--- a/packages/chivestream-entry/src/job-registry.ts
+++ b/packages/chivestream-entry/src/job-registry.ts
@@ -11,6 +11,7 @@
 	type Job,
 	type JobAnswer,
 } from 'chivestream-core';
+import {createHeap} from 'chivestream-placement';
 
 /** What is remembered of one key. */
 export type JobRecord = {
@@ -81,6 +82,8 @@
 export const createJobRegistry = ({now, maxRecords, maxAnswerBytes}: RegistryOptions): JobRegistry => {
 	const records = new Map<string, JobRecord>();
 	const withAnswers = new Set<JobRecord>();
+	/** Records by the time at which their keys close, so that a sweep touches no other. */
+	const closing = createHeap<JobRecord>((left, right) => left.closesAt < right.closesAt);
 	let answerBytes = 0;
 
 	const dropAnswer = (record: JobRecord) => {
@@ -112,6 +115,28 @@
 		}
 	};
 
+	/** Drops a record whose key is closed; one that still waits for its answer stays until that is there. */
+	const dropRecord = (record: JobRecord) => {
+		if (records.get(record.key) !== record) {
+			return;
+		}
+
+		if (!record.answer) {
+			void record.answered.then(() => {
+				dropRecord(record);
+			});
+			return;
+		}
+
+		dropAnswer(record);
+		records.delete(record.key);
+	};
+
+	const addRecord = (record: JobRecord) => {
+		records.set(record.key, record);
+		closing.push(record);
+	};
+
 	const createRecord = (key: string, digest: string | undefined, closesAt: number): JobRecord => {
 		let resolveAnswer: (answer: JobAnswer) => void;
 		const answered = new Promise<JobAnswer>(resolve => {
@@ -149,7 +174,7 @@
 			}
 
 			const record = createRecord(job.key, digest, closesAt);
-			records.set(job.key, record);
+			addRecord(record);
 			return {kind: 'opened', record};
 		},
 		get: key => records.get(key),
@@ -157,7 +182,7 @@
 			if (!records.has(key) && records.size < maxRecords) {
 				const record = createRecord(key, undefined, closesAt);
 				record.settle(answer);
-				records.set(key, record);
+				addRecord(record);
 			}
 		},
 		forget(key) {
@@ -168,11 +193,9 @@
 			}
 		},
 		sweep() {
-			for (const [key, record] of records) {
-				if (record.answer && record.closesAt <= now()) {
-					dropAnswer(record);
-					records.delete(key);
-				}
+			for (let record = closing.peek(); record && record.closesAt <= now(); record = closing.peek()) {
+				closing.pop();
+				dropRecord(record);
 			}
 		},
 		size: () => records.size,
