--- a/packages/chivestream-entry/src/entry-host.ts
+++ b/packages/chivestream-entry/src/entry-host.ts
@@ -7,17 +7,16 @@
 	noneRun,
 	preference,
 	type Configuration,
-	type JobAnswer,
 } from 'chivestream-core';
 import {type CallerHandlers} from 'chivestream-caller';
-import {
-	Follower, holdersNeeded, runSnapshotWriter, type PeerState,
-} from 'chivestream-configuration';
+import {Follower, holdersNeeded, runSnapshotWriter} from 'chivestream-configuration';
 import {
 	createMembership, hostPhase, isLive, type Membership, type PeerHandlers,
 } from 'chivestream-peer';
-import {answerPeerRequest as answerOperatorRequest, type OperatorSource} from 'chivestream-operator';
-import {createScheduler, defaultLendingTerms, type Scheduler} from 'chivestream-placement';
+import {type OperatorSource} from 'chivestream-operator';
+import {
+	createScheduler, defaultLendingTerms, takeoverHoldOffMs, type Scheduler,
+} from 'chivestream-placement';
 import {createObjectiveRecorder} from 'chivestream-report';
 import {createClaims, isSameRun} from './claims.js';
 import {createDispatcher, type AttemptRunner} from './dispatcher.js';
@@ -25,13 +24,13 @@
 import {type HostOptions, type HostParts} from './host-links.js';
 import {createJobRegistry} from './job-registry.js';
 import {createJobRouter} from './job-router.js';
-import {
-	createLending, parseDemand, parseGrants, parseLendingPayload,
-} from './lending.js';
+import {createLending, parseLendingPayload} from './lending.js';
 import {createHostMetrics, type HostFigures, type HostMetrics} from './metrics.js';
 import {createOperatorSource} from './operator-source.js';
 import {createPeerCalls, type PeerCalls} from './peer-calls.js';
-import {answerPeerRequest} from './peer-request.js';
+import {createPeerHandlers} from './peer-handlers.js';
+import {createPlannedStop} from './planned-stop.js';
+import {repeat} from './repeat.js';
 import {type HostState} from './host-rows.js';
 
 /** A running entry host without its servers. */
@@ -58,8 +57,6 @@
 const claimRetentionMs = keyWindowMs + (3 * clockSkewMs);
 const sweepPeriodMs = 5000;
 const grantCheckPeriodMs = 100;
-const drainQuietMs = 2000;
-const drainPollMs = 50;
 
 const defaultParts: HostParts = {
 	createScheduler, createEpochs, createJobRegistry, createClaims, createDispatcher, isSameRun, follower: {},
@@ -75,7 +72,8 @@
 	const stopping = new AbortController();
 	const startedAt = clock.now();
 	let configuration: Configuration | undefined;
-	let drainDeadline: number | undefined;
+	let readyDeadline: number | undefined;
+	let isSuperseded = false;
 
 	const scheduler = parts.createScheduler({clock, random});
 	const epochs = parts.createEpochs({now: clock.now, epochMs: limits.keyEpochMs, openEpochs});
@@ -161,6 +159,12 @@
 		dispatcher.pump();
 	};
 
+	const startServing = async () => {
+		await membership.announce(hostPhase.serving);
+		shareSlots();
+		readyDeadline = clock.now() + takeoverHoldOffMs;
+	};
+
 	const putInForce = (accepted: Configuration) => {
 		const isFirst = configuration === undefined;
 		configuration = accepted;
@@ -171,7 +175,7 @@
 			step: 'configure', peer: 'log', version: accepted.version, offset: accepted.offset,
 		});
 		if (isFirst && membership.phase() === hostPhase.joining) {
-			void membership.announce(hostPhase.serving).then(shareSlots);
+			void startServing();
 		}
 
 		membership.pushConfiguration();
@@ -232,12 +236,18 @@
 			shareSlots();
 		},
 		onSuperseded(incarnation) {
+			isSuperseded = true;
 			logger.error('a newer incarnation of this host is running', {step: 'membership', peer: self.id, incarnation});
 		},
 	});
 
-	const isServing = () => configuration !== undefined && membership.phase() === hostPhase.serving;
-	const takesNewJobs = () => isServing() || (drainDeadline !== undefined && clock.now() < drainDeadline);
+	const plannedStop = createPlannedStop({
+		hostId: self.id, clock, logger, membership, dispatcher, drainMs: limits.drainMs,
+	});
+	const isServing = () => configuration !== undefined && !isSuperseded && membership.phase() === hostPhase.serving;
+	const takesNewJobs = () => isServing() || plannedStop.takesLateJobs();
+	/** A host that serves has no slots to use until the hold-off of those that came to it has passed. */
+	const isReady = () => isServing() && readyDeadline !== undefined && clock.now() >= readyDeadline;
 
 	const router = createJobRouter({
 		self: claimant,
@@ -255,10 +265,6 @@
 		clockSkewMs,
 	});
 
-	const peerState = (): PeerState => ({
-		hostId: self.id, zone: self.zone, isProven: follower.isProven, state: follower.held,
-	});
-
 	const hostState: HostState = {
 		self,
 		startedAt,
@@ -270,32 +276,6 @@
 		runs: dispatcher.runs,
 	};
 
-	const peerHandlers: PeerHandlers = {
-		submit: router.submitForwarded,
-		async fetch(key, waitDeadline): Promise<JobAnswer | undefined> {
-			const status = await router.fetchLocal(key, waitDeadline);
-			return status.kind === 'answered' ? status.answer : undefined;
-		},
-		async cancel(key) {
-			const status = await router.cancelLocal(key);
-			return status.kind === 'answered' ? status.answer : undefined;
-		},
-		lend: (borrowerId, demand) => JSON.stringify(scheduler.lend(borrowerId, parseDemand(demand))),
-		reclaim(borrowerId, grants) {
-			scheduler.reclaim(borrowerId, parseGrants(grants));
-		},
-		readConfiguration: () => configuration,
-		query: async request => answerPeerRequest(request, {
-			fetch: router.fetchLocal,
-			cancel: router.cancelLocal,
-			operator: text => answerOperatorRequest(operatorSource, text),
-			state: peerState,
-			hold: async (offset, records, deadline) => follower.hold(offset, records, deadline),
-			version: () => configuration?.version ?? -1,
-			extend: scheduler.extend,
-		}),
-	};
-
 	const operatorSource = createOperatorSource({
 		state: hostState,
 		clock,
@@ -309,6 +289,10 @@
 		readHistory: recorder.read,
 	});
 
+	const peerHandlers = createPeerHandlers({
+		self, router, scheduler, follower, operatorSource, configuration: () => configuration,
+	});
+
 	const homeToken = () => isServing()
 		? formatHome({...claimant, epoch: epochs.current()})
 		: undefined;
@@ -325,45 +309,12 @@
 		fetch: router.fetch,
 		cancel: router.cancel,
 		homeToken,
-		isReady: isServing,
+		isReady,
 		configurationVersion: () => configuration?.version,
 		reachVersion: async (version, deadline) => follower.waitForVersion(version, deadline),
 		metrics: metrics.format,
 	};
 
-	const scheduleRenewals = () => {
-		if (!stopping.signal.aborted) {
-			clock.at(clock.now() + grantCheckPeriodMs, () => {
-				lending.renewGrants();
-				scheduleRenewals();
-			});
-		}
-	};
-
-	const scheduleSweep = () => {
-		if (!stopping.signal.aborted) {
-			clock.at(clock.now() + sweepPeriodMs, () => {
-				registry.sweep();
-				scheduleSweep();
-			});
-		}
-	};
-
-	const pause = async (deadline: number) => new Promise<void>(resolve => {
-		clock.at(deadline, resolve);
-	});
-
-	const waitForRuns = async (deadline: number) => {
-		while (dispatcher.attempts() > 0 || !dispatcher.runs().next().done) {
-			if (clock.now() >= deadline) {
-				logger.warn('leaving with work in progress', {step: 'drain', peer: self.id, attempts: dispatcher.attempts()});
-				return;
-			}
-
-			await pause(clock.now() + drainPollMs); // eslint-disable-line no-await-in-loop -- polls until idle
-		}
-	};
-
 	return {
 		callerHandlers,
 		peerHandlers,
@@ -379,18 +330,10 @@
 			void runSnapshotWriter({
 				stream: links.configurationStream, follower, clock, hostId: self.id, liveHosts, logger,
 			}, stopping.signal);
-			scheduleSweep();
-			scheduleRenewals();
-		},
-		async drain() {
-			const deadline = clock.now() + limits.drainMs;
-			// Callers that already have a connection or a key of this host may still send for a moment.
-			drainDeadline = clock.now() + drainQuietMs;
-			await membership.announce(hostPhase.draining);
-			await pause(drainDeadline);
-			await waitForRuns(deadline);
-			await membership.announce(hostPhase.left);
+			repeat(clock, sweepPeriodMs, stopping.signal, registry.sweep);
+			repeat(clock, grantCheckPeriodMs, stopping.signal, lending.renewGrants);
 		},
+		drain: plannedStop.drain,
 		async close() {
 			stopping.abort();
 			follower.stop();
--- a/packages/chivestream-placement/src/create-scheduler.ts
+++ b/packages/chivestream-placement/src/create-scheduler.ts
@@ -35,12 +35,13 @@
 	takeoverHoldOffMs?: number;
 };
 
-const defaultTakeoverHoldOffMs = 3000;
+/** How long slots that come from another host are left alone unless the parts say otherwise, in milliseconds. */
+export const takeoverHoldOffMs = 3000;
 /** Creates the decisions of one entry host. */
 export const createScheduler = (parts: SchedulerParts): Scheduler => {
 	const {
 		clock, random, chooseTarget = chooseFastestSoon, orderJob = orderByProportionalWait, lendingTerms = defaultLendingTerms,
-		takeoverHoldOffMs = defaultTakeoverHoldOffMs,
+		takeoverHoldOffMs: holdOffMs = takeoverHoldOffMs,
 	} = parts;
 	const state = createSchedulerState(clock, random);
 	const {pools, activePools, poolOf, findTarget, refresh, wakeTarget, processWakes, nextWakeAt} = state;
@@ -137,9 +138,9 @@
 			const isAlone = sharers.hostIds.length <= 1;
 			configuration = accepted;
 			selfId = sharers.selfId;
-			const takeoverUntil = isFirst && isAlone ? now : now + takeoverHoldOffMs;
+			const takeoverUntil = isFirst && isAlone ? now : now + holdOffMs;
 			const change = {
-				sharers, drains: new Set(declarations.drains), now, takeoverUntil, holdOffMs: takeoverHoldOffMs,
+				sharers, drains: new Set(declarations.drains), now, takeoverUntil, holdOffMs,
 			};
 			for (const name of pools.keys()) {
 				if (!Object.hasOwn(declarations.upstreams, name)) {
