--- a/packages/chivestream-entry/src/job-router.ts
+++ b/packages/chivestream-entry/src/job-router.ts
@@ -10,16 +10,15 @@
 	noneRun,
 	parseHome,
 	type Clock,
-	type FailureCode,
 	type Home,
 	type Job,
 	type JobAnswer,
 	type KeyStatus,
 	type Limits,
 } from 'chivestream-core';
-import {validate as isUuid, version as uuidVersion} from 'uuid';
 import {isSameRun, type Claimant, type Claims} from './claims.js';
 import {type Epochs} from './epochs.js';
+import {checkNewJob, keyCreatedAt, type Refusal} from './job-checks.js';
 import {type JobRecord, type JobRegistry} from './job-registry.js';
 
 /** What another entry host did with a request; undefined where it could not be reached or its answer was lost. */
@@ -66,22 +65,6 @@
 	ownerOf: (key: string) => Claimant | undefined;
 };
 
-type Refusal = {code: FailureCode; message: string};
-
-const uuidVersionWithTime = 7;
-const timestampDigits = 12;
-const hexadecimal = 16;
-
-/** Time at which an opaque key was made: its own if it is a UUIDv7, else the one that the job states. */
-export const keyCreatedAt = (job: Pick<Job, 'key' | 'createdAt'>): number | undefined => {
-	if (isUuid(job.key) && uuidVersion(job.key) === uuidVersionWithTime) {
-		const digits = job.key.replaceAll('-', '').slice(0, timestampDigits);
-		return Number.parseInt(digits, hexadecimal);
-	}
-
-	return job.createdAt;
-};
-
 /** A router over this host's registry and the other hosts. */
 export const createJobRouter = (options: JobRouterOptions): JobRouter => {
 	const {
@@ -96,34 +79,8 @@
 		return createFailedAnswer(job.key, failure, notRun, counts);
 	};
 
-	const checkNewJob = (job: Job): Refusal | undefined => {
-		const limits = options.limits();
-		if (!limits) {
-			return {code: failureCode.notReady, message: 'this host has no configuration yet'};
-		}
-
-		if (!options.takesNewJobs()) {
-			return {code: failureCode.draining, message: 'this host is leaving; make a new key with another home'};
-		}
-
-		const now = clock.now();
-		if (job.deadline <= now) {
-			return {code: failureCode.deadlinePassed, message: 'deadline: already passed; give a later one'};
-		}
-
-		if (job.deadline > now + limits.maxDeadlineMs) {
-			return {code: failureCode.badRequest, message: `deadline: more than ${limits.maxDeadlineMs} ms ahead; give an earlier one`};
-		}
-
-		if (job.tasks.length > limits.maxTasksPerJob) {
-			return {code: failureCode.badRequest, message: `tasks: more than ${limits.maxTasksPerJob}; split the job`};
-		}
-
-		return undefined;
-	};
-
 	const runRecord = async (record: JobRecord, job: Job): Promise<JobAnswer> => {
-		const refusal = checkNewJob(job);
+		const refusal = checkNewJob(job, {limits: options.limits(), takesNewJobs: options.takesNewJobs(), now: clock.now()});
 		// The refusal is kept like any answer, so that a late copy can't run what a caller was told did not.
 		const answer = refusal
 			? fail(job, refusal, 'check-job', true)
@@ -199,7 +156,11 @@
 	const submitOpaque = async (job: Job): Promise<JobAnswer> => {
 		const createdAt = keyCreatedAt(job);
 		if (createdAt === undefined) {
-			return fail(job, {code: failureCode.badRequest, message: 'createdAt: needed with a key that is neither a home key nor a UUIDv7; give the time at which the key was made'}, 'open-key', true);
+			const refusal = {
+				code: failureCode.badRequest,
+				message: 'createdAt: needed with a key that is neither a home key nor a UUIDv7; give the time at which the key was made',
+			};
+			return fail(job, refusal, 'open-key', true);
 		}
 
 		const known = registry.get(job.key);
