Count heartbeats in the replay as the product sends them

Cause: the replay's model sent a heartbeat and a reply in each direction, while membership has one exchange for each pair of hosts and interval, carrying the same both ways; wasted messages were overstated. Change: the model does the same, in a module of its own.

--- a/packages/chivestream-entry/src/entry-process.ts
+++ b/packages/chivestream-entry/src/entry-process.ts
@@ -153,7 +153,7 @@
 		checkDeclarations: text => readDeclarations(text, 'declarations', host.follower.held.configuration.declarations.drains)
 			.mapErr(failure => [failure.message]),
 		logger,
-		...(tls && {certificate: {key: tls.key, certificate: tls.cert}}),
+		...(tls && {certificate: {key: tls.key, certificate: tls.cert, authority: tls.ca}}),
 	});
 	const operatorPort = await operatorService.listen(operatorListen.port, operatorListen.host);
 	const operatorAddress = `${operatorListen.host}:${operatorPort}`;
--- a/packages/chivestream-operator/src/service/service.ts
+++ b/packages/chivestream-operator/src/service/service.ts
@@ -26,6 +26,8 @@
 export type ServiceCertificate = {
 	key: string;
 	certificate: string;
+	/** Authority of clients' certificates; where it is given, each client must show one. */
+	authority?: string;
 };
 
 /** The operators' service. */
@@ -36,6 +38,12 @@
 	close: () => Promise<void>;
 };
 
+const toTlsOptions = ({key, certificate, authority}: ServiceCertificate) => ({
+	key,
+	cert: certificate,
+	...(authority !== undefined && {ca: authority, requestCert: true, rejectUnauthorized: true}),
+});
+
 /** How the operators' service runs. */
 export type OperatorServiceOptions = {
 	/** Bearer token that every request must carry. */
@@ -79,7 +87,7 @@
 		maxBodyBytes = defaults.maxBodyBytes,
 	} = options;
 	const {host} = source.self;
-	const server = certificate ? createSecureServer({key: certificate.key, cert: certificate.certificate}) : createServer();
+	const server = certificate ? createSecureServer(toTlsOptions(certificate)) : createServer();
 	server.requestTimeout = requestMs;
 	server.headersTimeout = requestMs;
 
--- a/packages/chivestream-replay/src/profile/entry-model.ts
+++ b/packages/chivestream-replay/src/profile/entry-model.ts
@@ -5,6 +5,7 @@
 import {
 	type Assignment, createLenderChoice, defaultLendingTerms, type Scheduler, type Sharers, type SlotGrant, type SlotRequest,
 } from 'chivestream-placement';
+import {createHeartbeatModel, type HeartbeatContent} from './heartbeat-model.js';
 import {type MessageCounts} from './messages.js';
 import {minionAnswer, type MinionAnswer, type MinionModel} from './minion-model.js';
 import {type Deployment, type JobEvent} from './trace.js';
@@ -61,6 +62,8 @@
 	cancel: (key: string) => void;
 	/** Sends heartbeats with what this host learned and has idle. */
 	heartbeat: () => void;
+	/** Takes a heartbeat of another host of the zone; the reply carries the same the other way. */
+	receiveHeartbeat: (senderId: string, message: HeartbeatContent) => HeartbeatContent;
 	noteIdle: (lenderId: string, zone: string, count: number) => void;
 	/** Binds what can be bound and asks for slots where they are short. */
 	pump: () => void;
@@ -96,6 +99,18 @@
 		clock.at(clock.now() + delayMs, run);
 	};
 
+	const heartbeats = createHeartbeatModel({
+		hostId: host.id,
+		clock,
+		scheduler,
+		lenders,
+		messages,
+		oneWayMs: withinZone,
+		peerIds: () => sharers?.hostIds.filter(id => id !== host.id) ?? [],
+		reach: peerId => reach(host.zone, peerId),
+		isAlive: () => isAlive,
+	});
+
 	const end = (job: RunningJob, jobEnded: JobEnd) => {
 		if (jobs.delete(job.event.key)) {
 			scheduler.cancel(job.event.key);
@@ -335,25 +350,8 @@
 				pump();
 			}
 		},
-		heartbeat() {
-			const observations = scheduler.observations();
-			const idle = scheduler.idleSlots();
-			for (const peerId of sharers?.hostIds.filter(id => id !== host.id) ?? []) {
-				messages.heartbeats++;
-				later(withinZone, () => {
-					const peer = reach(host.zone, peerId);
-					if (!peer) {
-						return;
-					}
-
-					messages.heartbeats++;
-					peer.scheduler.observe(observations);
-					for (const {count} of idle) {
-						peer.noteIdle(host.id, host.zone, count);
-					}
-				});
-			}
-		},
+		heartbeat: heartbeats.send,
+		receiveHeartbeat: heartbeats.receive,
 		noteIdle(lenderId, zone, count) {
 			lenders.noteIdle({id: lenderId, isInZone: zone === host.zone}, upstreamName, count);
 		},
