--- a/jest.config.js
+++ b/jest.config.js
@@ -1,7 +1,7 @@
 /** Runs every `__tests__/*.test.ts` beside the code it covers; TypeScript is stripped by SWC. */
 const config = {
 	testEnvironment: 'node',
-	roots: ['<rootDir>/packages'],
+	roots: ['<rootDir>/packages', '<rootDir>/platform'],
 	testMatch: ['**/__tests__/**/*.test.ts'],
 	testPathIgnorePatterns: ['/node_modules/', '/dist/'],
 	modulePathIgnorePatterns: ['/dist/'],
@@ -14,6 +14,7 @@
 	},
 	moduleNameMapper: {
 		'^(\\.{1,2}/.*)\\.js$': '$1',
+		'^chivestream-platform$': '<rootDir>/platform/src/index.ts',
 		'^chivestream-([a-z-]+)$': '<rootDir>/packages/chivestream-$1/src/index.ts',
 	},
 	// Some tests start processes of their own.
--- a/packages/chivestream-capacity/src/measurements/claims.ts
+++ b/packages/chivestream-capacity/src/measurements/claims.ts
@@ -3,7 +3,7 @@
 	createRandom, failureCode, Failure, randomInteger, silentLogger, type Clock, type Random,
 } from 'chivestream-core';
 import {createClaims} from 'chivestream-entry';
-import {type Stream, type StreamRecord} from 'chivestream-platform';
+import {type Stream, type StreamRecord} from 'chivestream-log';
 import {createFakeClock, createMemoryStream} from 'chivestream-stand-ins';
 import {Err, Ok} from 'ts-results-es';
 import {measureSlopes, type Sampling, type Slope} from '../slope.js';
--- a/packages/chivestream-configuration/src/__fixtures__/cluster-run.ts
+++ b/packages/chivestream-configuration/src/__fixtures__/cluster-run.ts
@@ -5,7 +5,7 @@
 import {
 	type Clock, createRandom, digestText, type Random, randomInteger,
 } from 'chivestream-core';
-import {type Stream} from 'chivestream-platform';
+import {type Stream} from 'chivestream-log';
 import {createFakeClock, createMemoryStream} from 'chivestream-stand-ins';
 import {waitUntil} from 'chivestream-core';
 import {Follower, type FollowerOptions} from '../follower.js';
--- a/packages/chivestream-configuration/src/__fixtures__/fake-stream.ts
+++ b/packages/chivestream-configuration/src/__fixtures__/fake-stream.ts
@@ -1,6 +1,6 @@
 /** One stream of a log in memory, with the log's faults at the caller's will. */
 import {Failure, failureCode} from 'chivestream-core';
-import {type Stream, type StreamPage, type StreamRecord} from 'chivestream-platform';
+import {type Stream, type StreamPage, type StreamRecord} from 'chivestream-log';
 import {Err, Ok} from 'ts-results-es';
 
 const unavailable = (step: string) =>
--- a/packages/chivestream-configuration/src/__fixtures__/scenario.ts
+++ b/packages/chivestream-configuration/src/__fixtures__/scenario.ts
@@ -1,5 +1,5 @@
 /** Plays racing operators, lost answers, snapshots and retention on one stream and lists what went wrong. */
-import {type StreamRecord} from 'chivestream-platform';
+import {type StreamRecord} from 'chivestream-log';
 import {type Change} from '../command.js';
 import {
 	applyPage, heldOffset, initialReader, nextOffset, type Reader, readerRules, type ReaderRules,
--- a/packages/chivestream-configuration/src/__fixtures__/test-follower.ts
+++ b/packages/chivestream-configuration/src/__fixtures__/test-follower.ts
@@ -1,6 +1,6 @@
 /** Followers with short waits, for tests. */
 import {type Configuration, createRandom, systemClock} from 'chivestream-core';
-import {type Stream} from 'chivestream-platform';
+import {type Stream} from 'chivestream-log';
 import {Follower, type FollowerOptions} from '../follower.js';
 
 const patienceMs = 10_000;
--- a/packages/chivestream-configuration/src/__tests__/log.test.ts
+++ b/packages/chivestream-configuration/src/__tests__/log.test.ts
@@ -2,7 +2,7 @@
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
-import {type Log, createLog} from 'chivestream-platform';
+import {type Log, createLog} from 'chivestream-log';
 import {type LogFaults, type LogStandIn, startLogStandIn} from 'chivestream-stand-ins';
 import {createCommand, sampleCommand} from '../__fixtures__/declarations.js';
 import {createFollowers, soon} from '../__fixtures__/test-follower.js';
--- a/packages/chivestream-configuration/src/fold.ts
+++ b/packages/chivestream-configuration/src/fold.ts
@@ -1,6 +1,6 @@
 /** The fold over the configuration stream: the same on every host that reads the same records. */
 import {digestText} from 'chivestream-core';
-import {type StreamRecord} from 'chivestream-platform';
+import {type StreamRecord} from 'chivestream-log';
 import {type z} from 'zod';
 import {applyChange, parseChange, summarizeChange} from './change.js';
 import {commandSchema} from './command.js';
--- a/packages/chivestream-configuration/src/follower.ts
+++ b/packages/chivestream-configuration/src/follower.ts
@@ -2,7 +2,7 @@
 import {
 	type Clock, type Configuration, type Failure, type Logger, type Random, silentLogger, toFailure, waitUntil,
 } from 'chivestream-core';
-import {type Stream, type StreamPage, type StreamRecord} from 'chivestream-platform';
+import {type Stream, type StreamPage, type StreamRecord} from 'chivestream-log';
 import {retryDeadline} from './backoff.js';
 import {initialLogView, type LogView, viewPage} from './log-view.js';
 import {isProven, type PeerState, type Proof} from './proof.js';
--- a/packages/chivestream-configuration/src/history.ts
+++ b/packages/chivestream-configuration/src/history.ts
@@ -2,7 +2,7 @@
 import {
 	type Configuration, Failure, failureCode,
 } from 'chivestream-core';
-import {type Stream} from 'chivestream-platform';
+import {type Stream} from 'chivestream-log';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {applyRecord, type Fold} from './fold.js';
 import {
--- a/packages/chivestream-configuration/src/log-view.ts
+++ b/packages/chivestream-configuration/src/log-view.ts
@@ -1,5 +1,5 @@
 /** The log's bounds and newest snapshot, as a host saw them last. */
-import {type StreamPage, type StreamRecord} from 'chivestream-platform';
+import {type StreamPage, type StreamRecord} from 'chivestream-log';
 import {parseSnapshotPart} from './snapshot.js';
 
 /** The log's bounds and newest snapshot, as far as this host has read. */
--- a/packages/chivestream-configuration/src/reader.ts
+++ b/packages/chivestream-configuration/src/reader.ts
@@ -1,5 +1,5 @@
 /** Reads pages of the configuration stream into a state and crosses gaps left by retention with the help of snapshots. */
-import {type StreamPage, type StreamRecord} from 'chivestream-platform';
+import {type StreamPage, type StreamRecord} from 'chivestream-log';
 import {applyRecord, type Fold} from './fold.js';
 import {
 	addSnapshotPart, parseSnapshotPart, type PendingSnapshots, restoreSnapshot,
--- a/packages/chivestream-configuration/src/recent-records.ts
+++ b/packages/chivestream-configuration/src/recent-records.ts
@@ -1,5 +1,5 @@
 /** Records that a host read since the version in force, kept so that it can offer them to other hosts. */
-import {type StreamRecord} from 'chivestream-platform';
+import {type StreamRecord} from 'chivestream-log';
 import {parseSnapshotPart} from './snapshot.js';
 
 const maxRecords = 256;
--- a/packages/chivestream-configuration/src/snapshot-writer.ts
+++ b/packages/chivestream-configuration/src/snapshot-writer.ts
@@ -2,7 +2,7 @@
 import {
 	type Clock, type Failure, type Logger, rankByRendezvous, silentLogger, waitUntil,
 } from 'chivestream-core';
-import {type Stream} from 'chivestream-platform';
+import {type Stream} from 'chivestream-log';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {type Follower} from './follower.js';
 import {type LogView} from './log-view.js';
--- a/packages/chivestream-configuration/src/snapshot.ts
+++ b/packages/chivestream-configuration/src/snapshot.ts
@@ -3,7 +3,7 @@
 a digest of its text, so parts of the same state that two hosts wrote fit together.
 */
 import {digestText} from 'chivestream-core';
-import {type StreamRecord} from 'chivestream-platform';
+import {type StreamRecord} from 'chivestream-log';
 import {z} from 'zod';
 import {recordKind} from './command.js';
 import {type State, stateSchema} from './state.js';
--- a/packages/chivestream-configuration/src/submit.ts
+++ b/packages/chivestream-configuration/src/submit.ts
@@ -2,7 +2,7 @@
 import {
 	type Clock, Failure, failureCode, type Random,
 } from 'chivestream-core';
-import {type Stream} from 'chivestream-platform';
+import {type Stream} from 'chivestream-log';
 import {retryDeadline} from './backoff.js';
 import {parseChange} from './change.js';
 import {type Command, commandSchema} from './command.js';
--- a/packages/chivestream-entry/src/claims.ts
+++ b/packages/chivestream-entry/src/claims.ts
@@ -9,7 +9,7 @@
 	type Clock,
 	type Logger,
 } from 'chivestream-core';
-import {type Stream, type StreamRecord} from 'chivestream-platform';
+import {type Stream, type StreamRecord} from 'chivestream-log';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {z} from 'zod';
 
--- a/packages/chivestream-entry/src/entry-process.ts
+++ b/packages/chivestream-entry/src/entry-process.ts
@@ -14,7 +14,7 @@
 import {createMinionClient} from 'chivestream-minion';
 import {createOperatorService} from 'chivestream-operator';
 import {createPeerClients, startPeerService, type PeerHandlers} from 'chivestream-peer';
-import {createHostList, createLog, streamName} from 'chivestream-platform';
+import {createHostList, createLog, streamName} from 'chivestream-log';
 import {loadTls, type EntrySettings} from 'chivestream-settings';
 import {createWorkerClient} from 'chivestream-worker';
 import {declareTargets, createAttempts} from './attempts.js';
--- a/packages/chivestream-entry/src/host-links.ts
+++ b/packages/chivestream-entry/src/host-links.ts
@@ -5,7 +5,7 @@
 import {type PeerClients} from 'chivestream-peer';
 import {type FollowerOptions} from 'chivestream-configuration';
 import {type Assignment, type createScheduler} from 'chivestream-placement';
-import {type HostList, type Stream} from 'chivestream-platform';
+import {type HostList, type Stream} from 'chivestream-log';
 import {type Claimant, type createClaims} from './claims.js';
 import {type createDispatcher} from './dispatcher.js';
 import {type createEpochs} from './epochs.js';
--- a/packages/chivestream-entry/src/operator-source.ts
+++ b/packages/chivestream-entry/src/operator-source.ts
@@ -26,7 +26,7 @@
 import {
 	memberState, type Member, type Membership,
 } from 'chivestream-peer';
-import {type Stream} from 'chivestream-platform';
+import {type Stream} from 'chivestream-log';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {type HostState, readRows} from './host-rows.js';
 import {type JobRouter} from './job-router.js';
--- a/packages/chivestream-entry/src/peer-calls.ts
+++ b/packages/chivestream-entry/src/peer-calls.ts
@@ -7,7 +7,7 @@
 	isLive, type Member, type Membership, type PeerClients,
 } from 'chivestream-peer';
 import {type SlotDemand, type SlotGrant} from 'chivestream-placement';
-import {type StreamRecord} from 'chivestream-platform';
+import {type StreamRecord} from 'chivestream-log';
 import {isSameRun, type Claimant} from './claims.js';
 import {type Relay} from './job-router.js';
 import {parseGrants} from './lending.js';
--- a/packages/chivestream-entry/src/peer-request.ts
+++ b/packages/chivestream-entry/src/peer-request.ts
@@ -1,7 +1,7 @@
 /** Requests between entry hosts that travel as JSON in the peer service's `Query` call. */
 import {type KeyStatus} from 'chivestream-core';
 import {type PeerState, stateSchema} from 'chivestream-configuration';
-import {type StreamRecord} from 'chivestream-platform';
+import {type StreamRecord} from 'chivestream-log';
 import {type SlotGrant} from 'chivestream-placement';
 import {z} from 'zod';
 import {grantSchema} from './lending.js';
--- /dev/null
+++ b/packages/chivestream-host/bin/chivestream-host.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/chivestream-host/src/caller-service.ts
@@ -0,0 +1,251 @@
+/** The HTTP service for callers. */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {
+	longestChainMs, outcomeKind, type JobRequest, type Outcome,
+} from 'chivestream-dispatch';
+import {
+	callerPatienceMs, decodeJob, encodeJobState, encodeQueue, jobStateText, type DeclaredJob, type Declarations, type Route,
+} from 'chivestream-platform';
+import polka from 'polka';
+import {type Report} from './host-log.js';
+import {type PendingJob} from './job-client.js';
+
+/** What the service needs. */
+export type CallerServiceOptions = {
+	now: () => number;
+	report: Report;
+	declarations: () => Declarations | undefined;
+	runJob: (job: JobRequest) => PendingJob;
+	/** Jobs of a route that have not begun, as far as this host knows. */
+	pendingJobs: (route: string) => number;
+	/** Whether connections should end with their next answer. */
+	isLeaving: () => boolean;
+	/** Reports how a request was answered: its status and how long it took, in milliseconds. */
+	noteAnswer: (status: number, tookMs: number) => void;
+};
+
+/** The service. */
+export type CallerService = {
+	server: Server;
+	/** Requests that are being answered. */
+	inProgress: () => number;
+};
+
+const status = {
+	ok: 200, badRequest: 400, notFound: 404, methodNotAllowed: 405, gone: 410, tooLarge: 413, unavailable: 503, timedOut: 504,
+} as const;
+
+/** Idle connections of callers stay open for so long, in milliseconds. */
+const keepAliveMs = 75_000;
+
+/** Seconds after which a caller may come back to a host that isn't ready. */
+const notReadyRetrySeconds = 1;
+
+const msPerSecond = 1000;
+
+const jobIdPattern = /^[0-9a-f]{16}$/iv;
+
+/** The route of a request: the longest prefix of its path under its host name. */
+export const findRoute = (declarations: Declarations, hostHeader: string, path: string): Route | undefined => {
+	const host = hostHeader.replace(/:\d+$/v, '').toLowerCase();
+	let best: Route | undefined;
+	for (const route of declarations.routes) {
+		if (route.host === host && path.startsWith(route.pathPrefix) && route.pathPrefix.length > (best?.pathPrefix.length ?? -1)) {
+			best = route;
+		}
+	}
+
+	return best;
+};
+
+const readBody = async (request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> => {
+	const chunks: Buffer[] = [];
+	let bytes = 0;
+	for await (const chunk of request as AsyncIterable<Buffer>) {
+		bytes += chunk.length;
+		if (bytes > maxBytes) {
+			return undefined;
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks);
+};
+
+/** The job with the declarations that apply to it. */
+export const toJobRequest = (id: string, job: DeclaredJob, route: Route, times: {arrivedAt: number; patienceMs: number | undefined}): JobRequest => {
+	const {arrivedAt, patienceMs = Infinity} = times;
+	return {
+		id,
+		payload: job.payload,
+		steps: job.steps,
+		route: route.name,
+		upstream: route.upstream,
+		priority: route.priority,
+		maxAttempts: route.maxAttempts,
+		objectiveDeadline: arrivedAt + (route.stretch * longestChainMs(job.steps)) + route.targetLatencyMs,
+		deadline: arrivedAt + Math.min(patienceMs, route.timeoutMs),
+		submission: 0,
+		mayHaveRun: false,
+	};
+};
+
+/** Creates the service; it doesn't listen yet. */
+export const createCallerService = (options: CallerServiceOptions): CallerService => {
+	let inProgress = 0;
+
+	const answer = (response: ServerResponse, code: number, body: string, retryAfterSeconds?: number) => {
+		if (response.headersSent || response.destroyed) {
+			return;
+		}
+
+		response.statusCode = code;
+		response.setHeader('content-type', 'application/json');
+		response.setHeader('content-length', Buffer.byteLength(body));
+		if (retryAfterSeconds !== undefined) {
+			response.setHeader('retry-after', String(retryAfterSeconds));
+		}
+
+		if (options.isLeaving()) {
+			response.setHeader('connection', 'close');
+		}
+
+		response.end(body);
+	};
+
+	const answerError = (response: ServerResponse, code: number, message: string, retryAfterSeconds?: number) => {
+		answer(response, code, JSON.stringify({error: message}), retryAfterSeconds);
+	};
+
+	const answerOutcome = (response: ServerResponse, outcome: Outcome) => {
+		switch (outcome.kind) {
+			case outcomeKind.completed: {
+				answer(response, status.ok, encodeJobState(jobStateText.completed));
+				break;
+			}
+
+			case outcomeKind.failed: {
+				answer(response, status.ok, encodeJobState(jobStateText.failed));
+				break;
+			}
+
+			case outcomeKind.refused: {
+				const seconds = Math.max(1, Math.ceil(outcome.retryAfterMs / msPerSecond));
+				answerError(response, status.unavailable, `not run: ${outcome.reason}`, seconds);
+				break;
+			}
+
+			case outcomeKind.abandoned: {
+				answerError(response, status.timedOut, `given up, may have run: ${outcome.reason}`);
+				break;
+			}
+
+			default: {
+				answerError(response, status.timedOut, 'given up, may have run');
+			}
+		}
+	};
+
+	const submit = async (request: IncomingMessage, response: ServerResponse, route: Route, id: string) => {
+		const arrivedAt = options.now();
+		const body = await readBody(request, options.declarations()?.maxBodyBytes ?? 0);
+		if (body === undefined) {
+			answerError(response, status.tooLarge, 'the body is too large');
+			return;
+		}
+
+		const job = decodeJob(body);
+		if (job === undefined) {
+			answerError(response, status.badRequest, 'the body is no job');
+			return;
+		}
+
+		const unsupported = route.needsAdvice ? 'a queue whose minions an outside service chooses' : job.unsupported;
+		if (unsupported !== undefined) {
+			answerError(response, status.unavailable, `not run: ${unsupported} can't be carried out`, notReadyRetrySeconds);
+			return;
+		}
+
+		const patienceMs = callerPatienceMs(request.headers);
+		const jobRequest = toJobRequest(id, job, route, {arrivedAt, patienceMs});
+		const pending = options.runJob(jobRequest);
+		response.on('close', () => {
+			if (!response.writableEnded) {
+				options.report('caller-left', {job: id, afterMs: Math.round(options.now() - arrivedAt)});
+				pending.cancel();
+			}
+		});
+		const outcome = await pending.outcome;
+		const tookMs = options.now() - arrivedAt;
+		options.report('job-answered', {
+			job: id,
+			route: route.name,
+			version: options.declarations()?.version,
+			outcome: outcome.kind,
+			...('reason' in outcome && {reason: outcome.reason}),
+			tookMs: Math.round(tookMs),
+			objectiveMs: Math.round(jobRequest.objectiveDeadline - arrivedAt),
+			deadlineMs: Math.round(jobRequest.deadline - arrivedAt),
+			tasks: job.steps.reduce((sum, step) => sum + step.count, 0),
+		});
+		answerOutcome(response, outcome);
+		options.noteAnswer(response.statusCode, tookMs);
+	};
+
+	const handle = async (request: IncomingMessage, response: ServerResponse) => {
+		const declarations = options.declarations();
+		if (declarations === undefined) {
+			answerError(response, status.unavailable, 'not run: no declarations yet', notReadyRetrySeconds);
+			return;
+		}
+
+		const path = (request.url ?? '/').replace(/\?.*$/v, '');
+		const route = findRoute(declarations, request.headers.host ?? '', path);
+		if (route === undefined) {
+			answerError(response, status.notFound, 'no such route');
+			return;
+		}
+
+		const rest = path.slice(route.pathPrefix.length);
+		if (request.method === 'GET' && rest === '') {
+			answer(response, status.ok, encodeQueue(options.pendingJobs(route.name)));
+			return;
+		}
+
+		if (!jobIdPattern.test(rest)) {
+			answerError(response, status.notFound, 'no such job');
+			return;
+		}
+
+		if (request.method === 'POST') {
+			await submit(request, response, route, rest);
+		} else if (request.method === 'GET' || request.method === 'DELETE') {
+			// Transient jobs are told to their own caller only, and end with its connection.
+			answerError(response, status.gone, 'no such job');
+		} else {
+			answerError(response, status.methodNotAllowed, 'no such method');
+		}
+	};
+
+	const server = createServer({keepAliveTimeout: keepAliveMs, requestTimeout: 0, noDelay: true});
+	const app = polka({server});
+	app.use((request, response) => {
+		inProgress += 1;
+		response.once('close', () => {
+			inProgress -= 1;
+		});
+		handle(request, response).catch((error: unknown) => {
+			// The caller's connection broke while its request was read.
+			options.report('request-broken', {reason: String(error)});
+			response.destroy();
+		});
+	});
+	server.on('request', (request, response) => {
+		app.handler(request as never, response);
+	});
+	return {server, inProgress: () => inProgress};
+};
--- /dev/null
+++ b/packages/chivestream-host/src/job-client.ts
@@ -0,0 +1,149 @@
+/** Hands jobs of this host's callers to a dispatcher, and to the next one where a dispatcher is lost or leaves. */
+import {outcomeKind, type JobRequest, type Outcome} from 'chivestream-dispatch';
+import {type Report} from './host-log.js';
+import {type JobMessage} from './messages.js';
+import {type RemoteOutcome} from './peer-link.js';
+import {hostTiming} from './timing.js';
+
+/** A dispatcher to hand a job to. */
+export type DispatcherContact = {
+	name: string;
+	zone: string;
+	submit: (job: JobRequest, settle: (outcome: RemoteOutcome) => void) => void;
+	cancel: (id: string) => void;
+};
+
+/** What the client of the dispatchers needs. */
+export type JobClientOptions = {
+	now: () => number;
+	report: Report;
+	/** The dispatcher of a zone, if one is in reach; without a zone, that of the own or else of the nearest zone. */
+	find: (zone?: string) => DispatcherContact | undefined;
+	/** Resolves when the dispatchers in reach have changed, or at a time. */
+	untilChange: (deadline: number) => Promise<void>;
+};
+
+/** A job in progress that its caller may leave. */
+export type PendingJob = {
+	outcome: Promise<Outcome>;
+	cancel: () => void;
+};
+
+/** What a caller is told to wait where no dispatcher is in reach, in milliseconds. */
+const retryAfterMs = 1000;
+
+/** The job as it travels, with times counted from now. */
+export const toMessage = (job: JobRequest, now: number): JobMessage => ({
+	id: job.id,
+	payload: job.payload,
+	steps: [...job.steps],
+	route: job.route,
+	upstream: job.upstream,
+	priority: job.priority,
+	maxAttempts: job.maxAttempts,
+	objectiveInMs: job.objectiveDeadline - now,
+	deadlineInMs: job.deadline - now,
+	submission: job.submission,
+	mayHaveRun: job.mayHaveRun,
+	...(job.doneTasks !== undefined && {doneTasks: [...job.doneTasks]}),
+});
+
+/** The job as its dispatcher keeps it, with times on the own clock. */
+export const fromMessage = ({objectiveInMs, deadlineInMs, ...message}: JobMessage, now: number): JobRequest => ({
+	...message,
+	objectiveDeadline: now + objectiveInMs,
+	deadline: now + deadlineInMs,
+});
+
+/** Runs a job to its end. */
+export const runJob = (options: JobClientOptions, request: JobRequest): PendingJob => {
+	const {now, report} = options;
+	let isCancelled = false;
+	let current: DispatcherContact | undefined;
+	let job = request;
+	let zone: string | undefined;
+	/** Where and until when another run of the job may be alive. */
+	let lost: {zone: string; until: number} | undefined;
+
+	const findContact = async (): Promise<DispatcherContact | undefined> => {
+		const giveUpAt = Math.min(job.deadline, now() + hostTiming.findDispatcherMs + (lost === undefined ? 0 : hostTiming.elsewhereMs));
+		while (!isCancelled) {
+			const found = (zone === undefined ? undefined : options.find(zone)) ?? options.find();
+			const isSafe = lost === undefined || found?.zone === lost.zone || now() >= lost.until;
+			if (found !== undefined && isSafe) {
+				return found;
+			}
+
+			if (now() >= giveUpAt) {
+				return undefined;
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- waits for another dispatcher
+			await options.untilChange(Math.min(giveUpAt, lost?.until ?? giveUpAt));
+		}
+
+		return undefined;
+	};
+
+	const unserved = (reason: string): Outcome => job.mayHaveRun
+		? {kind: outcomeKind.abandoned, reason}
+		: {kind: outcomeKind.refused, reason, retryAfterMs};
+
+	const run = async (): Promise<Outcome> => {
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop -- one dispatcher after the other
+			const found = await findContact();
+			if (found === undefined) {
+				return unserved('no dispatcher is in reach');
+			}
+
+			current = found;
+			const submitted = job;
+			// eslint-disable-next-line no-await-in-loop -- one dispatcher after the other
+			const outcome = await new Promise<RemoteOutcome>(resolve => {
+				found.submit(submitted, resolve);
+			});
+			current = undefined;
+			if (isCancelled) {
+				return {kind: outcomeKind.abandoned, reason: 'the caller has left'};
+			}
+
+			switch (outcome.kind) {
+				case 'lost': {
+					report('dispatcher-lost', {job: job.id, dispatcher: found.name, submission: job.submission});
+					lost = {zone: found.zone, until: now() + hostTiming.elsewhereMs};
+					zone = undefined;
+					job = {...job, submission: job.submission + 1, mayHaveRun: true};
+					break;
+				}
+
+				case outcomeKind.released: {
+					lost = {zone: found.zone, until: now() + hostTiming.elsewhereMs};
+					zone = undefined;
+					job = {
+						...job, submission: job.submission + 1, mayHaveRun: true, doneTasks: [...job.doneTasks ?? [], ...outcome.doneTasks],
+					};
+					break;
+				}
+
+				case outcomeKind.redirected: {
+					zone = outcome.zone;
+					job = {...job, submission: job.submission + 1};
+					break;
+				}
+
+				default: {
+					return outcome;
+				}
+			}
+		}
+	};
+
+	return {
+		outcome: run(),
+		cancel() {
+			isCancelled = true;
+			current?.cancel(job.id);
+		},
+	};
+};
--- /dev/null
+++ b/packages/chivestream-host/src/main.ts
@@ -0,0 +1,76 @@
+/** The program `chivestream-host`: one entry host on the users' platform. */
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {readSettingsFile} from 'chivestream-settings';
+import meow from 'meow';
+import {EntryHost} from './host.js';
+import {createReport} from './host-log.js';
+import {hostSettings, settingsVariable} from './settings.js';
+
+const exitCode = {ok: 0, failed: 1, badSettings: 2} as const;
+
+const cli = meow(`
+	Usage
+	  $ chivestream-host [--settings FILE]
+
+	Options
+	  --settings FILE  Settings in JSON with comments; the file named by ${settingsVariable} otherwise
+	  --check          Check the settings and exit
+	  --version        Print the version
+	  --help           Print this text
+
+	Exit codes
+	  0  planned stop, or settings without fault with --check
+	  1  could not start
+	  2  the settings have faults; all are listed
+
+	SIGTERM and SIGINT begin a planned stop: work in progress is finished first.
+`, {
+	importMeta: import.meta,
+	// The bundled program has no package file beside it.
+	pkg: {name: 'chivestream-host', version: '0.1.0'},
+	flags: {
+		settings: {type: 'string', default: process.env[settingsVariable] ?? ''},
+		check: {type: 'boolean', default: false},
+	},
+});
+
+const settings = await readSettingsFile(cli.flags.settings, hostSettings);
+if (settings.isErr()) {
+	console.error(settings.error.message);
+	process.exit(exitCode.badSettings);
+}
+
+if (cli.flags.check) {
+	process.exit(exitCode.ok);
+}
+
+const {host, logLevel} = settings.value;
+const report = createReport({host: host.name}, logLevel, () => performance.now());
+
+try {
+	const entryHost = new EntryHost(settings.value, report);
+	let isStopping = false;
+	const stop = async () => {
+		if (!isStopping) {
+			isStopping = true;
+			await entryHost.stop();
+			process.exit(exitCode.ok);
+		}
+	};
+
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			void stop();
+		});
+	}
+
+	process.on('SIGHUP', () => {
+		// Addresses and bounds are fixed for the life of a process; a changed file takes effect with the next start.
+		report('settings-changed', {applied: false});
+	});
+	await entryHost.start();
+} catch (error) {
+	report('could-not-start', {reason: error instanceof Error ? error.message : String(error)});
+	process.exitCode = exitCode.failed;
+}
--- /dev/null
+++ b/packages/chivestream-host/src/minion-task.ts
@@ -0,0 +1,208 @@
+/** The task for one minion: renews its lease, takes in what has ended there, and carries orders to it. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	startAnswer, type Dispatcher, type Minion, type Run, type Task,
+} from 'chivestream-dispatch';
+import {openMinion, refusal, type MinionClient} from 'chivestream-platform';
+import {type Report} from './host-log.js';
+
+/** What a minion's task needs. */
+export type MinionTaskOptions = {
+	minion: Minion;
+	dispatcher: Dispatcher;
+	token: number;
+	/** Longest lease that a minion grants, in milliseconds. */
+	leaseMs: number;
+	/** The steady clock, in milliseconds. */
+	now: () => number;
+	report: Report;
+	/** Another dispatcher has shown the minion a higher token. */
+	noteFenced: () => void;
+	signal: AbortSignal;
+};
+
+/** Orders for one minion. */
+export type MinionTask = {
+	start: (run: Run, task: Task) => void;
+	stop: (run: Run) => void;
+	/** The address at which it reaches the minion. */
+	address: string;
+};
+
+/** How long a minion waits for an end before it answers, in milliseconds: leases are renewed several times in their length. */
+const holdWaitMs = 300;
+
+/** How long an answer may take beyond that, in milliseconds: many round trips, and well within the lease. */
+const answerMs = 300;
+
+/** Pause after a call without success, in milliseconds. */
+const retryPauseMs = 100;
+
+/** How long an idle minion is left alone, in milliseconds. */
+const idleLookMs = 1500;
+
+/** A minion's clock may run slow by 2%; twice that is allowed for. */
+const leaseDrift = 1.04;
+
+/** Time for an order on its way, in milliseconds. */
+const flightMs = 50;
+
+/** Starts the task; it ends with the signal. */
+export const runMinionTask = (options: MinionTaskOptions): MinionTask => {
+	const {minion, dispatcher, token, leaseMs, now, report, signal} = options;
+	const {id, address} = minion.record;
+	const client: MinionClient = openMinion(id, address);
+	let minionClock: {at: number; time: number} | undefined;
+	let bornAt = minion.record.bornAt;
+	let endCursor = 0;
+	let leaseSentAt = Number.NEGATIVE_INFINITY;
+	let wake: (() => void) | undefined;
+
+	const leaseDeadline = (): number | undefined =>
+		minionClock === undefined ? undefined : Math.round(minionClock.time + (now() - minionClock.at) + leaseMs);
+
+	const beginLifetime = (newBornAt: number) => {
+		report('minion-reborn', {minion: id, bornAt: newBornAt});
+		bornAt = newBornAt;
+		endCursor = 0;
+		minionClock = undefined;
+		dispatcher.noteNewLifetime(minion);
+	};
+
+	/** Asks once; whether the minion answered. */
+	const look = async (waitMs: number, isRenewal: boolean): Promise<boolean> => {
+		const askedAt = now();
+		const deadline = isRenewal ? leaseDeadline() : undefined;
+		if (deadline !== undefined) {
+			leaseSentAt = askedAt;
+		}
+
+		const result = await client.hold({
+			token, endCursor, waitMs, leaseDeadline: deadline,
+		}, waitMs + answerMs);
+		if (signal.aborted) {
+			return false;
+		}
+
+		if (result.isErr()) {
+			if (result.error === refusal.fenced) {
+				options.noteFenced();
+			} else if (minion.isReachable) {
+				const reason = result.error instanceof Error ? result.error.message : result.error;
+				report('minion-unreachable', {minion: id, reason});
+			}
+
+			dispatcher.noteUnreachable(minion);
+			return false;
+		}
+
+		const held = result.value;
+		if (held.bornAt > bornAt) {
+			if (bornAt > 0) {
+				beginLifetime(held.bornAt);
+				return true;
+			}
+
+			bornAt = held.bornAt;
+		}
+
+		if (!minion.isReachable) {
+			report('minion-reached', {minion: id});
+		}
+
+		minionClock = {at: now(), time: held.minionTime};
+		dispatcher.noteReport(minion, {askedAt, running: held.running, ended: held.ended});
+		endCursor = Math.max(endCursor, ...held.ended.map(end => end.cursor));
+		return true;
+	};
+
+	const rest = async (ms: number) => new Promise<void>(resolve => {
+		const timer = setTimeout(resolve, ms);
+		wake = () => {
+			clearTimeout(timer);
+			resolve();
+		};
+	});
+
+	const watch = async () => {
+		let acknowledged = 0;
+		while (!signal.aborted) {
+			const isBusy = minion.runs.size > 0;
+			if (minion.isSynced && !isBusy && acknowledged === endCursor) {
+				await rest(idleLookMs);
+				acknowledged = -1;
+				continue;
+			}
+
+			acknowledged = endCursor;
+			const isAnswered = await look(minion.isSynced && isBusy ? holdWaitMs : 0, minion.isReachable);
+			if (!isAnswered && !signal.aborted) {
+				if (now() > leaseSentAt + (leaseMs * leaseDrift) + flightMs) {
+					dispatcher.noteLapsed(minion);
+				}
+
+				await sleep(retryPauseMs);
+			}
+		}
+
+		client.close();
+	};
+
+	const sendStart = async (run: Run, task: Task) => {
+		const deadline = leaseDeadline();
+		if (deadline === undefined) {
+			dispatcher.noteStart(run, startAnswer.refused);
+			return;
+		}
+
+		leaseSentAt = now();
+		wake?.();
+		const result = await client.start({
+			task: run.task, number: run.number, payload: task.job.request.payload, token, leaseDeadline: deadline,
+		}, answerMs);
+		if (signal.aborted) {
+			return;
+		}
+
+		if (result.answer !== startAnswer.started) {
+			report('start-not-taken', {
+				task: run.task, run: run.number, minion: id, answer: result.answer, detail: result.detail,
+			});
+		}
+
+		if (result.refusal === refusal.fenced) {
+			options.noteFenced();
+		}
+
+		dispatcher.noteStart(run, result.answer);
+	};
+
+	const sendStop = async (run: Run) => {
+		while (!signal.aborted && minion.runs.has(`${run.task}/${run.number}`)) {
+			const result = await client.stop(run.task, run.number, token, answerMs);
+			if (result.isOk()) {
+				dispatcher.noteStop(run);
+				// A minion takes a moment to stop a run; the look after it tells whether its room is free.
+				await sleep(flightMs);
+				if (!signal.aborted && minion.runs.has(`${run.task}/${run.number}`)) {
+					await look(0, minion.isReachable);
+				}
+
+				return;
+			}
+
+			await sleep(retryPauseMs);
+		}
+	};
+
+	void watch();
+	return {
+		address,
+		start(run, task) {
+			void sendStart(run, task);
+		},
+		stop(run) {
+			void sendStop(run);
+		},
+	};
+};
--- /dev/null
+++ b/packages/chivestream-host/src/peer-service.ts
@@ -0,0 +1,85 @@
+/** The gRPC service between entry hosts: one stream of messages in each direction. */
+import {Buffer} from 'node:buffer';
+import {
+	Client, credentials, makeGenericClientConstructor, Server, ServerCredentials, type ChannelOptions,
+	type ClientDuplexStream, type ServerDuplexStream, type ServiceDefinition,
+} from '@grpc/grpc-js';
+import {type Reply, type Request} from './messages.js';
+
+const encode = (message: unknown): Buffer => Buffer.from(JSON.stringify(message));
+
+// Both ends are of the same build; a message of another shape can only come from a fault, which ends the stream.
+const decode = <Message>(bytes: Buffer): Message => JSON.parse(bytes.toString('utf8')) as Message;
+
+const definition = {
+	attach: {
+		path: '/chivestream.Peer/Attach',
+		requestStream: true,
+		responseStream: true,
+		requestSerialize: encode,
+		requestDeserialize: decode<Request>,
+		responseSerialize: encode,
+		responseDeserialize: decode<Reply>,
+	},
+} satisfies ServiceDefinition;
+
+/** Largest message: declarations with thousands of routes. */
+const maxMessageBytes = 16 * 1024 * 1024;
+
+const isOn = 1;
+const isOff = 0;
+
+/** Each link has its own connection, so that one that has gone silent is left for good with its link. */
+const clientOptions: ChannelOptions = Object.fromEntries([
+	['grpc.use_local_subchannel_pool', isOn],
+	['grpc.enable_retries', isOff],
+	['grpc.service_config_disable_resolution', isOn],
+	['grpc.enable_http_proxy', isOff],
+	['grpc.enable_channelz', isOff],
+	['grpc.max_receive_message_length', maxMessageBytes],
+]);
+
+const serverOptions: ChannelOptions = Object.fromEntries([
+	['grpc.enable_channelz', isOff],
+	['grpc.max_receive_message_length', maxMessageBytes],
+]);
+
+/** The end of a stream at the host that opened it. */
+export type RequestStream = ClientDuplexStream<Request, Reply>;
+
+/** The end of a stream at the host that took it. */
+export type ReplyStream = ServerDuplexStream<Request, Reply>;
+
+const PeerClient = makeGenericClientConstructor(definition, 'Peer');
+
+/** Opens a stream to the host at an address; `close` ends its connection as well. */
+export const openStream = (address: string): {stream: RequestStream; close: () => void} => {
+	const client = new PeerClient(address, credentials.createInsecure(), clientOptions);
+	const attach = client['attach'] as unknown as () => RequestStream;
+	const stream = attach.call(client);
+	return {
+		stream,
+		close() {
+			stream.cancel();
+			if (client instanceof Client) {
+				client.close();
+			}
+		},
+	};
+};
+
+/** Takes streams of other hosts at an address. */
+export const serveStreams = async (address: string, take: (stream: ReplyStream) => void): Promise<Server> => {
+	const server = new Server(serverOptions);
+	server.addService(definition, {attach: take});
+	await new Promise<void>((resolve, reject) => {
+		server.bindAsync(address, ServerCredentials.createInsecure(), error => {
+			if (error === null) {
+				resolve();
+			} else {
+				reject(error);
+			}
+		});
+	});
+	return server;
+};
--- /dev/null
+++ b/packages/chivestream-host/src/peers.ts
@@ -0,0 +1,260 @@
+/** The other entry hosts: who they are, what they last told, and which of them dispatch. */
+import {type MinionRecord} from 'chivestream-dispatch';
+import {type Declarations} from 'chivestream-platform';
+import {contact, type Candidate} from './election.js';
+import {type Report} from './host-log.js';
+import {type HostRecord, type HostStatus, type Reply} from './messages.js';
+import {PeerLink} from './peer-link.js';
+import {hostTiming} from './timing.js';
+
+/** What the table of peers needs, and what it tells. */
+export type PeersOptions = {
+	self: HostRecord;
+	now: () => number;
+	report: Report;
+	describeSelf: () => HostStatus;
+	noteChange: () => void;
+	noteDeclarations: (declarations: Declarations) => void;
+	noteMinions: (from: HostRecord, minions: MinionRecord[]) => void;
+};
+
+/** The name under which the link to a seed is kept until its host has told its own. */
+const seedName = (address: string): string => `seed ${address}`;
+
+/** Links to all hosts of the own zone, and to one host of each other zone: its dispatcher as soon as it is known. */
+export class Peers {
+	private readonly options: PeersOptions;
+	private readonly known = new Map<string, HostRecord>();
+	private readonly links = new Map<string, PeerLink>();
+	private readonly dispatchers = new Map<string, HostRecord>();
+	private readonly tries = new Map<string, number>();
+
+	constructor(options: PeersOptions) {
+		this.options = options;
+	}
+
+	/** Looks for hosts at the addresses that the settings name. */
+	addSeeds(addresses: readonly string[]): void {
+		for (const address of addresses) {
+			if (address !== this.options.self.address) {
+				this.open({
+					name: seedName(address), zone: '', address, bornAt: 0, cpuShare: 0,
+				});
+			}
+		}
+	}
+
+	/** Takes in hosts that others or the store have named; newer lifetimes replace older ones. */
+	add(records: readonly HostRecord[]): void {
+		for (const record of records) {
+			const before = this.known.get(record.name);
+			if (record.name === this.options.self.name || (before !== undefined && before.bornAt >= record.bornAt)) {
+				continue;
+			}
+
+			this.known.set(record.name, record);
+			const link = this.links.get(record.name);
+			if (link !== undefined && link.record.address !== record.address) {
+				link.close();
+				this.links.delete(record.name);
+			}
+
+			this.options.report('host-known', {peer: record.name, zone: record.zone, address: record.address, bornAt: record.bornAt});
+		}
+
+		this.refresh();
+	}
+
+	/** All known hosts with this one. */
+	all(): HostRecord[] {
+		return [this.options.self, ...this.known.values()];
+	}
+
+	/** The other hosts of the own zone. */
+	candidates(): Candidate[] {
+		const now = this.options.now();
+		const candidates: Candidate[] = [];
+		for (const record of this.known.values()) {
+			const link = this.links.get(record.name);
+			if (record.zone !== this.options.self.zone || link === undefined) {
+				continue;
+			}
+
+			const way = link.contact();
+			if (way === contact.silent && now - link.heardAt() > hostTiming.forgetMs) {
+				continue;
+			}
+
+			candidates.push({
+				record, contact: way, claim: link.status?.claim ?? 0, isLeaving: link.status?.isLeaving ?? false,
+			});
+		}
+
+		return candidates;
+	}
+
+	/** Whether all known hosts of the zone have been reached or have refused. */
+	hasHeardZone(): boolean {
+		for (const record of this.known.values()) {
+			const link = this.links.get(record.name);
+			if (record.zone === this.options.self.zone && (link === undefined || link.contact() === contact.silent)) {
+				return false;
+			}
+		}
+
+		return this.known.size > 0;
+	}
+
+	/** The open link to a host. */
+	link(name: string): PeerLink | undefined {
+		const link = this.links.get(name);
+		return link?.isOpen() ? link : undefined;
+	}
+
+	/** Open links to the dispatchers of other zones. */
+	otherDispatchers(): PeerLink[] {
+		const found: PeerLink[] = [];
+		for (const [zone, record] of this.dispatchers) {
+			const link = this.link(record.name);
+			if (zone !== this.options.self.zone && link?.status !== undefined && link.status.claim > 0 && !link.status.isLeaving) {
+				found.push(link);
+			}
+		}
+
+		return found;
+	}
+
+	/** Dispatchers of other zones as this host knows them. */
+	dispatcherRecords(): HostRecord[] {
+		return this.otherDispatchers().map(link => link.record);
+	}
+
+	/** Sends the host's status on every link. */
+	tell(status: HostStatus): void {
+		for (const link of this.links.values()) {
+			link.tell(status);
+		}
+	}
+
+	/** Opens the links that are missing and closes those that are not needed any more. */
+	refresh(): void {
+		const wanted = new Set<string>();
+		const byZone = new Map<string, HostRecord[]>();
+		for (const record of this.known.values()) {
+			if (record.zone === this.options.self.zone) {
+				wanted.add(record.name);
+			} else {
+				byZone.set(record.zone, [...byZone.get(record.zone) ?? [], record]);
+			}
+		}
+
+		for (const [zone, records] of byZone) {
+			wanted.add(this.representative(zone, records).name);
+		}
+
+		for (const name of wanted) {
+			const record = this.known.get(name);
+			if (record !== undefined && !this.links.has(name)) {
+				this.open(record);
+			}
+		}
+
+		for (const [name, link] of this.links) {
+			const isNamedSeed = link.record.name !== name && this.known.has(link.record.name);
+			if ((this.known.has(name) && !wanted.has(name)) || isNamedSeed) {
+				link.close();
+				this.links.delete(name);
+			}
+		}
+	}
+
+	close(): void {
+		for (const link of this.links.values()) {
+			link.close();
+		}
+	}
+
+	/** The host of another zone to stay in touch with: its dispatcher, or one after the other until one answers. */
+	private representative(zone: string, records: HostRecord[]): HostRecord {
+		const dispatcher = this.dispatchers.get(zone);
+		if (dispatcher !== undefined && this.known.has(dispatcher.name)) {
+			return dispatcher;
+		}
+
+		records.sort((one, other) => other.cpuShare - one.cpuShare || (one.name < other.name ? -1 : 1));
+		return records[(this.tries.get(zone) ?? 0) % records.length]!;
+	}
+
+	private open(record: HostRecord): void {
+		this.links.set(record.name, new PeerLink({
+			record,
+			now: this.options.now,
+			describeSelf: () => ({host: this.options.self, status: this.options.describeSelf()}),
+			noteReply: (link, reply) => {
+				this.noteReply(link, reply);
+			},
+			noteChange: (link, change) => {
+				this.noteLinkChange(record, link, change);
+			},
+		}));
+	}
+
+	private noteReply(link: PeerLink, reply: Reply): void {
+		switch (reply.type) {
+			case 'hello': {
+				this.add([reply.host, ...reply.hosts]);
+				break;
+			}
+
+			case 'dispatchers': {
+				this.noteDispatchers(link, reply.hosts);
+				break;
+			}
+
+			case 'declarations': {
+				this.options.noteDeclarations(reply.declarations);
+				break;
+			}
+
+			case 'minions': {
+				this.options.noteMinions(link.record, reply.minions);
+				break;
+			}
+
+			default:
+		}
+	}
+
+	private noteDispatchers(link: PeerLink, hosts: readonly HostRecord[]): void {
+		this.add(hosts);
+		for (const host of hosts) {
+			const isOwnZoneOfSender = host.zone === link.record.zone;
+			const isBetterKnown = this.dispatchers.get(host.zone) !== undefined && !isOwnZoneOfSender;
+			if (host.zone !== this.options.self.zone && host.name !== this.options.self.name && !isBetterKnown) {
+				this.dispatchers.set(host.zone, this.known.get(host.name) ?? host);
+			}
+		}
+
+		this.refresh();
+		this.options.noteChange();
+	}
+
+	private noteLinkChange(record: HostRecord, link: PeerLink, change: string): void {
+		if (change === 'up' || change === 'status') {
+			if (link.record.zone !== this.options.self.zone && link.status !== undefined && link.status.claim > 0) {
+				this.dispatchers.set(link.record.zone, link.record);
+			}
+		} else if (link.record.zone !== this.options.self.zone) {
+			// Another host of that zone may know better.
+			this.dispatchers.delete(link.record.zone);
+			this.tries.set(link.record.zone, (this.tries.get(link.record.zone) ?? 0) + 1);
+		}
+
+		if (change !== 'status') {
+			this.options.report('link', {peer: record.name, change});
+		}
+
+		this.refresh();
+		this.options.noteChange();
+	}
+}
--- a/packages/chivestream-replay/src/faults/cluster.ts
+++ b/packages/chivestream-replay/src/faults/cluster.ts
@@ -3,7 +3,7 @@
 	createIncarnation, createRandom, silentLogger, type Clock, type Host, type Random,
 } from 'chivestream-core';
 import {createEntryHost, type EntryHost, type HostParts} from 'chivestream-entry';
-import {type Stream} from 'chivestream-platform';
+import {type Stream} from 'chivestream-log';
 import {type MemoryStream} from 'chivestream-stand-ins';
 import {Ok, type Result} from 'ts-results-es';
 import {createHostRun, type HostRun} from './host-run.js';
--- a/packages/chivestream-stand-ins/src/memory-stream.ts
+++ b/packages/chivestream-stand-ins/src/memory-stream.ts
@@ -2,7 +2,7 @@
 import {
 	Failure, failureCode, waitUntil, type Clock,
 } from 'chivestream-core';
-import {type Stream, type StreamPage, type StreamRecord} from 'chivestream-platform';
+import {type Stream, type StreamPage, type StreamRecord} from 'chivestream-log';
 import {Err, Ok, type Result} from 'ts-results-es';
 
 /** Faults of the log; each may change while it runs. */
