--- a/packages/chivestream-dispatch/src/placement.ts
+++ b/packages/chivestream-dispatch/src/placement.ts
@@ -76,7 +76,7 @@
 		return !avoidsOne;
 	}
 
-	const end = task.job.request.objectiveDeadline;
+	const end = Math.min(task.job.request.objectiveDeadline, task.job.request.deadline);
 	const meetsOne = now + (one.expectedMs * (1 + marginShare)) <= end;
 	const meetsOther = now + (other.expectedMs * (1 + marginShare)) <= end;
 	if (meetsOne !== meetsOther) {
--- a/packages/chivestream-host/src/caller-service.ts
+++ b/packages/chivestream-host/src/caller-service.ts
@@ -190,6 +190,7 @@
 			tookMs: Math.round(tookMs),
 			objectiveMs: Math.round(jobRequest.objectiveDeadline - arrivedAt),
 			deadlineMs: Math.round(jobRequest.deadline - arrivedAt),
+			patienceMs,
 			tasks: job.steps.reduce((sum, step) => sum + step.count, 0),
 		});
 		answerOutcome(response, outcome);
--- a/packages/chivestream-host/src/peers.ts
+++ b/packages/chivestream-host/src/peers.ts
@@ -240,6 +240,11 @@
 	}
 
 	private noteLinkChange(record: HostRecord, link: PeerLink, change: string): void {
+		if (this.links.get(record.name) !== link) {
+			// Closed by this table itself.
+			return;
+		}
+
 		if (change === 'up' || change === 'status') {
 			if (link.record.zone !== this.options.self.zone && link.status !== undefined && link.status.claim > 0) {
 				this.dispatchers.set(link.record.zone, link.record);
