Let callers' patience, not the route's time-out, end a job; fewer heartbeats

Cause: jobs were given up at the route's 1,500 ms while their callers waited 1.8 to 7 s (14 of 90 lens-read, 504).

--- a/packages/chivestream-host/src/caller-service.ts
+++ b/packages/chivestream-host/src/caller-service.ts
@@ -78,7 +78,7 @@
 
 /** The job with the declarations that apply to it. */
 export const toJobRequest = (id: string, job: DeclaredJob, route: Route, times: {arrivedAt: number; patienceMs: number | undefined}): JobRequest => {
-	const {arrivedAt, patienceMs = Infinity} = times;
+	const {arrivedAt, patienceMs = route.timeoutMs} = times;
 	return {
 		id,
 		payload: job.payload,
@@ -88,7 +88,7 @@
 		priority: route.priority,
 		maxAttempts: route.maxAttempts,
 		objectiveDeadline: arrivedAt + (route.stretch * longestChainMs(job.steps)) + route.targetLatencyMs,
-		deadline: arrivedAt + Math.min(patienceMs, route.timeoutMs),
+		deadline: arrivedAt + patienceMs,
 		submission: 0,
 		mayHaveRun: false,
 	};
@@ -190,7 +190,6 @@
 			tookMs: Math.round(tookMs),
 			objectiveMs: Math.round(jobRequest.objectiveDeadline - arrivedAt),
 			deadlineMs: Math.round(jobRequest.deadline - arrivedAt),
-			patienceMs,
 			tasks: job.steps.reduce((sum, step) => sum + step.count, 0),
 		});
 		answerOutcome(response, outcome);
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -81,11 +81,11 @@
 		}
 	}
 
-	/** Drops streams that have gone silent. */
+	/** Drops streams that have gone silent while jobs came by them. */
 	tick(): void {
 		const now = this.options.now();
 		for (const attachment of this.attachments) {
-			if (now - attachment.heardAt > hostTiming.originSilenceMs) {
+			if (attachment.jobs.size > 0 && now - attachment.heardAt > hostTiming.originSilenceMs) {
 				attachment.stream.destroy();
 				this.finish(attachment, 0);
 			}
--- a/packages/chivestream-host/src/peers.ts
+++ b/packages/chivestream-host/src/peers.ts
@@ -129,10 +129,12 @@
 		return this.otherDispatchers().map(link => link.record);
 	}
 
-	/** Sends the host's status on every link. */
+	/** Sends the host's status to the dispatchers, which drop the jobs of hosts that say nothing. */
 	tell(status: HostStatus): void {
 		for (const link of this.links.values()) {
-			link.tell(status);
+			if ((link.status?.claim ?? 0) > 0) {
+				link.tell(status);
+			}
 		}
 	}
 
--- a/packages/chivestream-host/src/timing.ts
+++ b/packages/chivestream-host/src/timing.ts
@@ -3,8 +3,8 @@
 /** The intervals. `silenceMs` stays below the time in which callers send a job again, so that two homes never overlap. */
 export const hostTiming = {
 	/** Between two messages of status on a stream. */
-	heartbeatMs: 150,
-	/** A host that has said nothing for so long is taken to be out of reach: four heartbeats. */
+	heartbeatMs: 200,
+	/** A host that has said nothing for so long is taken to be out of reach: three heartbeats. */
 	silenceMs: 600,
 	/** A dispatcher drops the jobs of a host that has said nothing, or has been away, for so long. */
 	originSilenceMs: 700,
