Refuse what can't meet its objective, finish what has begun, priority before slack

Change: begun jobs first, then priority, then latest start; refused as soon as predicted late; begun jobs that are hopeless are given up; deadline margin 0.5.

--- a/packages/chivestream-dispatch/src/__fixtures__/simulation.ts
+++ b/packages/chivestream-dispatch/src/__fixtures__/simulation.ts
@@ -2,7 +2,7 @@
 import {createRandom, type Random} from 'chivestream-core';
 import {
 	Dispatcher, endKind, longestChainMs, outcomeKind, runKey, startAnswer, type JobRequest, type MinionRecord, type Outcome,
-	type Run, type RunEnd, type Step,
+	type DispatchPolicy, type Run, type RunEnd, type Step,
 } from '../index.js';
 
 /** A kind of job, as the sheets of the users describe them. */
@@ -28,6 +28,7 @@
 	estimateSpread: number;
 	/** How long a caller waits, as a multiple of the objective, and at least. */
 	patienceFactor?: number;
+	policy?: DispatchPolicy;
 };
 
 /** A minion with the factor by which its tasks take longer than nominal, which may change with time. */
@@ -177,7 +178,7 @@
 		report() {
 			// The replay looks at outcomes only.
 		},
-	}, {leaseMs: 1000, farFactor: 3});
+	}, {leaseMs: 1000, farFactor: 3}, load.policy);
 	dispatcher.setMinions(load.minions.map(minion => minion.record));
 	for (const minion of dispatcher.book.minions.values()) {
 		dispatcher.noteReport(minion, {askedAt: 0, running: [], ended: []});
--- a/packages/chivestream-dispatch/src/admission.ts
+++ b/packages/chivestream-dispatch/src/admission.ts
@@ -20,9 +20,9 @@
 	return Math.min(job.request.deadline, job.arrivedAt + (lateFactor * objectiveMs));
 };
 
-/** Whether a job that begins now can no longer end in time to be of use. */
-export const isHopeless = (job: Job, now: number, bestFactor: number): boolean =>
-	now + (longestChainMs(job.request.steps) * bestFactor) > lastUsefulEnd(job);
+/** Whether a job whose waiting tasks begin at a time can no longer end in time to be of use. */
+export const isHopeless = (job: Job, beginAt: number): boolean =>
+	beginAt + longestChainMs(job.request.steps) > lastUsefulEnd(job);
 
 /** When a refused caller should come back: once the work ahead is done, spread so that callers don't return together. */
 export const retryAfterMs = (backlogMs: number, draw: number): number =>
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -84,6 +84,20 @@
 	report: (event: string, fields: Record<string, unknown>) => void;
 };
 
+/** The parts of a dispatcher's decisions that may vary. */
+export type DispatchPolicy = {
+	/** Orders the jobs that wait at a time. */
+	compare: (now: number) => (one: Job, other: Job) => number;
+	/** Whether a job that can begin at a time, and not before, is refused. */
+	isTooLate: (job: Job, beginAt: number) => boolean;
+};
+
+/** The product's policy: a job that is predicted to miss its objective is refused while it has not begun. */
+export const defaultPolicy: DispatchPolicy = {
+	compare: compareWaiting,
+	isTooLate: (job, beginAt) => beginAt > latestStart(job),
+};
+
 /** Failures in a row on one minion that put it aside. */
 const quarantineFailures = 2;
 
@@ -114,13 +128,15 @@
 	readonly jobs = new Map<string, Job>();
 	private readonly ports: DispatchPorts;
 	private readonly bounds: DispatchBounds;
+	private readonly policy: DispatchPolicy;
 	private readonly foreignDone = new Set<string>();
 	private readonly tookOverAt: number;
 	private taskMillicores = 0;
 	private isLeaving = false;
 
-	constructor(ports: DispatchPorts, bounds: DispatchBounds) {
+	constructor(ports: DispatchPorts, bounds: DispatchBounds, policy: DispatchPolicy = defaultPolicy) {
 		this.ports = ports;
+		this.policy = policy;
 		this.bounds = bounds;
 		this.tookOverAt = ports.now();
 	}
@@ -176,7 +192,7 @@
 
 		this.noteSize(job);
 		this.schedule();
-		if (!job.isSettled && !this.hasBegun(job)) {
+		if (!job.isSettled && !job.hasBegun) {
 			this.redirectOrRefuse(job);
 		}
 	}
@@ -355,10 +371,6 @@
 		}
 	}
 
-	private hasBegun(job: Job): boolean {
-		return job.tasks.some(task => task.state === taskState.running || task.state === taskState.done);
-	}
-
 	/** Runs and ends of earlier dispatchers that belong to a job which comes back. */
 	private adopt(job: Job): void {
 		for (const task of job.tasks) {
@@ -408,7 +420,7 @@
 		const knowsEarlier = this.knowsEarlierRuns(now);
 		const waiting = [...this.jobs.values()]
 			.filter(job => (knowsEarlier || !job.request.mayHaveRun) && job.tasks.some(task => task.state === taskState.waiting))
-			.sort(compareWaiting(now));
+			.sort(this.policy.compare(now));
 		const view: PoolView = {now, farFactor: this.bounds.farFactor, factorOf: minion => factorOf(this.book, minion)};
 		for (const job of waiting) {
 			for (const task of job.tasks) {
@@ -428,6 +440,7 @@
 		task.lastRun += 1;
 		task.state = taskState.running;
 		task.job.mayHaveRun = true;
+		task.job.hasBegun = true;
 		const run = enterRun(this.book, placement.minion, {
 			task: task.name,
 			number: task.lastRun,
@@ -599,8 +612,10 @@
 			return;
 		}
 
-		if (!this.hasBegun(job) && latestStart(job) < now) {
+		if (!job.hasBegun) {
 			this.redirectOrRefuse(job);
+		} else if (isHopeless(job, now) && job.tasks.some(task => task.state === taskState.waiting)) {
+			this.giveUp(job, 'its waiting tasks can\'t end in time');
 		}
 	}
 
@@ -619,22 +634,22 @@
 		}
 
 		const count = job.tasks.length;
-		const zone = this.ports.otherZones().find(other => other.freeTasks >= count);
-		if (zone !== undefined && job.request.submission === 0) {
+		const zone = job.request.submission === 0 ? this.ports.otherZones().find(other => other.freeTasks >= count) : undefined;
+		if (zone !== undefined) {
 			zone.freeTasks -= count;
 			this.end(job, {kind: outcomeKind.redirected, zone: zone.zone});
 			return;
 		}
 
 		const now = this.ports.now();
-		if (isHopeless(job, now + this.aheadMs(job, now), 1)) {
+		if (this.policy.isTooLate(job, now + this.aheadMs(job, now))) {
 			this.giveUp(job, 'no room in time');
 		}
 	}
 
 	/** How long the pool needs for the tasks that wait ahead of a job, in milliseconds. */
 	private aheadMs(job: Job, now: number): number {
-		const compare = compareWaiting(now);
+		const compare = this.policy.compare(now);
 		let workMs = 0;
 		for (const other of this.jobs.values()) {
 			if (other !== job && compare(other, job) < 0) {
--- a/packages/chivestream-dispatch/src/job.ts
+++ b/packages/chivestream-dispatch/src/job.ts
@@ -83,6 +83,8 @@
 	tasks: Task[];
 	/** Whether an order was sent that a minion may have carried out. */
 	mayHaveRun: boolean;
+	/** Whether a task of the job has been placed. */
+	hasBegun: boolean;
 	/** Set once the job has its outcome. */
 	isSettled: boolean;
 	/** Reports the outcome to whoever submitted the job. */
@@ -101,7 +103,7 @@
 /** Creates the job with all its tasks. */
 export const createJob = (request: JobRequest, arrivedAt: number, settle: (outcome: Outcome) => void): Job => {
 	const job: Job = {
-		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, isSettled: false, settle,
+		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasBegun: false, isSettled: false, settle,
 	};
 	for (const [stepIndex, step] of request.steps.entries()) {
 		for (let index = 0; index < step.count; index += 1) {
--- a/packages/chivestream-dispatch/src/placement.ts
+++ b/packages/chivestream-dispatch/src/placement.ts
@@ -24,8 +24,8 @@
 	expectedMs: number;
 };
 
-/** Part of the expected run time that is kept free before the objective ends. */
-const marginShare = 0.2;
+/** Part of the expected run time that is kept free before the objective ends: estimates are off by 40%. */
+const marginShare = 0.5;
 
 /** The room that a task takes. */
 export const roomOf = (task: Task): Room => ({
--- a/packages/chivestream-host/src/timing.ts
+++ b/packages/chivestream-host/src/timing.ts
@@ -14,7 +14,7 @@
 	/** Pause before another connection to a host that can't be reached. */
 	reconnectMs: 150,
 	/** Between two looks at what has changed. */
-	tickMs: 25,
+	tickMs: 50,
 	/** A gap between two looks after which the host takes itself to have been frozen. */
 	frozenMs: 600,
 	/** How long a job waits for a dispatcher to be found. */
