--- /dev/null
+++ b/packages/chivestream-host/src/__fixtures__/site.ts
@@ -0,0 +1,188 @@
+/** Entry hosts of one zone in this process, with stand-ins for the store and the minions. */
+import {createServer} from 'node:net';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Checker, startMinion, startStore, type MinionStandIn, type StoreStandIn} from 'chivestream-site-stand-ins';
+import {request, Agent} from 'undici';
+import {EntryHost} from '../host.js';
+import {hostSettings, type HostSettings} from '../settings.js';
+
+/** How a request ended: its status, or undefined where the connection broke. */
+export type CallerResult = {
+	status: number | undefined;
+	body: unknown;
+	retryAfter: string | undefined;
+};
+
+/** A site in one process. */
+export type TestSite = {
+	store: StoreStandIn;
+	minions: MinionStandIn[];
+	checker: Checker;
+	hosts: Array<{host: EntryHost; settings: HostSettings}>;
+	/** Submits a job of some tasks to a host; its tasks take so long. */
+	submit: (hostIndex: number, job: {id: string; count: number; workMs: number; prefix?: string; patienceMs?: number}) => Promise<CallerResult>;
+	get: (hostIndex: number, path: string) => Promise<CallerResult>;
+	/** Declares routes under a version. */
+	declare: (version: number, prefixes?: string[]) => void;
+	startHost: (index: number) => Promise<void>;
+	/** Index of the host that dispatches. */
+	dispatcherIndex: () => Promise<number>;
+	untilReady: () => Promise<void>;
+	close: () => Promise<void>;
+};
+
+/** Thousandths of a core that each task of the tests takes: two fit on a minion. */
+export const taskMillicores = 14_000;
+
+const capacity = 32_000;
+const leaseMs = 1000;
+const hostName = 'lens.example';
+const upstream = 'desk';
+const settleMs = 50;
+const heartbeatMs = 300;
+const byteRange = 250;
+
+/** An address of loopback that only this process uses, so that its ports are free. */
+const ownIp = (index: number): string => {
+	const high = 1 + (Math.floor(process.pid / byteRange) % byteRange);
+	return `127.${high}.${1 + (process.pid % byteRange)}.${index + 1}`;
+};
+
+const freePort = async (ip: string): Promise<number> => new Promise((resolve, reject) => {
+	const server = createServer();
+	server.once('error', reject);
+	server.listen(0, ip, () => {
+		const address = server.address();
+		server.close(() => {
+			resolve(typeof address === 'object' && address !== null ? address.port : 0);
+		});
+	});
+});
+
+const createSettings = async (index: number, zone: string, store: string): Promise<HostSettings> => {
+	const ip = ownIp(index);
+	const [callers, readiness, peers] = [await freePort(ip), await freePort(ip), await freePort(ip)];
+	return hostSettings.parse({
+		host: {name: `h${index}`, zone, cpuShare: 1},
+		listen: {callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, peers: `${ip}:${peers}`},
+		seeds: [],
+		store,
+		bounds: {leaseMs, stopGraceSeconds: 6, farFactor: 1},
+	});
+};
+
+/** Waits until a condition holds; the test's own time-out ends the wait otherwise. */
+export const until = async (holds: () => boolean | Promise<boolean>): Promise<void> => {
+	// eslint-disable-next-line no-await-in-loop -- one look after the other
+	while (!await holds()) {
+		// eslint-disable-next-line no-await-in-loop -- pause between two looks
+		await sleep(settleMs);
+	}
+};
+
+/** Starts a site: hosts in one zone, or spread over several. */
+export const startSite = async (hostCount: number, minionCount: number, zones: readonly string[] = ['z']): Promise<TestSite> => {
+	const checker = new Checker();
+	const store = await startStore();
+	const work = new Map<string, number>();
+	const minions: MinionStandIn[] = [];
+	for (let index = 0; index < minionCount; index += 1) {
+		// eslint-disable-next-line no-await-in-loop -- a few small servers
+		minions.push(await startMinion({
+			id: `i-${index}`,
+			zone: zones[index % zones.length]!,
+			upstream,
+			checker,
+			capacity,
+			leaseMs,
+			workMs: task => work.get(task.slice(0, task.indexOf('.'))) ?? 0,
+		}));
+	}
+
+	const beat = () => {
+		for (const minion of minions) {
+			store.write('keyed.servers', minion.id, minion.entry());
+		}
+	};
+
+	beat();
+	const beats = setInterval(beat, heartbeatMs);
+	const agent = new Agent({pipelining: 1});
+	const hosts: TestSite['hosts'] = [];
+	const settings: HostSettings[] = [];
+
+	const call = async (hostIndex: number, path: string, body?: unknown, patienceMs?: number): Promise<CallerResult> => {
+		const {status, ...rest} = await request(`http://${settings[hostIndex]!.listen.callers}${path}`, {
+			dispatcher: agent,
+			method: body === undefined ? 'GET' : 'POST',
+			headers: {host: hostName, ...(patienceMs !== undefined && {'chivestream-deadline-ms': String(patienceMs)})},
+			...(body !== undefined && {body: JSON.stringify(body)}),
+		}).then(async response => ({
+			status: response.statusCode, body: await response.body.json(), retryAfter: response.headers['retry-after']?.toString(),
+		}), () => ({status: undefined, body: undefined, retryAfter: undefined}));
+		return {status, ...rest};
+	};
+
+	const startHost = async (index: number) => {
+		settings[index] ??= await createSettings(index, zones[index % zones.length]!, store.address);
+		const host = new EntryHost(settings[index], () => {
+			// Tests look at what callers and minions see.
+		});
+		hosts[index] = {host, settings: settings[index]};
+		await host.start();
+	};
+
+	const declare = (version: number, prefixes: string[] = ['/read/']) => {
+		store.write('keyed.op', 'config', JSON.stringify({
+			version,
+			routes: prefixes.map((prefix, index) => ({
+				name: `r${index}`, host: hostName, path_prefix: prefix, service: upstream, priority: index, max_attempts: 3, stretch: 3, target_latency_ms: 3000,
+			})),
+			services: [{name: upstream}],
+		}));
+	};
+
+	declare(1);
+	await Promise.all(Array.from({length: hostCount}, async (_, index) => startHost(index)));
+	const site: TestSite = {
+		store,
+		minions,
+		checker,
+		hosts,
+		async submit(hostIndex, {id, count, workMs, prefix = '/read/', patienceMs = 8000}) {
+			checker.noteJob(id, taskMillicores);
+			work.set(id, workMs);
+			return call(hostIndex, `${prefix}${id}`, {
+				task_spec: 'x',
+				best_effort: true,
+				steps: [{
+					count, cpu: taskMillicores, mem_mb: 64, estimate_ms: Math.max(1, Math.abs(workMs)),
+				}],
+			}, patienceMs);
+		},
+		get: async (hostIndex, path) => call(hostIndex, path),
+		declare,
+		startHost,
+		async dispatcherIndex() {
+			let found = -1;
+			await until(() => {
+				found = hosts.findIndex(({host}) => host.isDispatching());
+				return found !== -1;
+			});
+			return found;
+		},
+		async untilReady() {
+			await until(() => hosts.every(({host}) => host.isReady()));
+			await until(() => hosts.some(({host}) => host.isDispatching()));
+		},
+		async close() {
+			clearInterval(beats);
+			await Promise.all(hosts.map(async ({host}) => host.close()));
+			await Promise.all(minions.map(async minion => minion.close()));
+			await store.close();
+			await agent.destroy();
+		},
+	};
+	return site;
+};
--- /dev/null
+++ b/packages/chivestream-host/src/__tests__/host.test.ts
@@ -0,0 +1,154 @@
+import {
+	afterEach, describe, expect, test,
+} from '@jest/globals';
+import {createRandom} from 'chivestream-core';
+import {startSite, until, type TestSite} from '../__fixtures__/site.js';
+
+let site: TestSite | undefined;
+
+afterEach(async () => {
+	await site?.close();
+	site = undefined;
+});
+
+const start = async (hosts: number, minions: number, zones?: string[]): Promise<TestSite> => {
+	site = await startSite(hosts, minions, zones);
+	await site.untilReady();
+	return site;
+};
+
+const jobId = (number: number): string => number.toString(16).padStart(16, '0');
+
+const submitMany = async (to: TestSite, count: number, job: {count: number; workMs: number}, hosts: readonly number[]) =>
+	Promise.all(Array.from({length: count}, async (_, index) => to.submit(hosts[index % hosts.length]!, {id: jobId(index + 1), ...job})));
+
+describe('three entry hosts of a zone', () => {
+	test('serve jobs at each host, and answer each whole', async () => {
+		const running = await start(3, 6);
+		const results = await submitMany(running, 30, {count: 3, workMs: 20}, [0, 1, 2]);
+		expect(results.map(({status, body}) => [status, body])).toEqual(results.map(() => [200, {state: 'completed'}]));
+		expect(running.checker.violations).toEqual([]);
+		expect(running.checker.starts).toBe(90);
+	});
+
+	test('answer that a job failed after as many failed runs as its route allows', async () => {
+		const running = await start(1, 6);
+		const result = await running.submit(0, {id: jobId(1), count: 1, workMs: -5});
+		expect(result).toMatchObject({status: 200, body: {state: 'failed'}});
+		expect(running.checker.starts).toBe(3);
+	});
+
+	test('survive the death of the dispatcher: jobs in progress end, none of their tasks runs twice at a time', async () => {
+		const running = await start(3, 6);
+		const dispatcher = await running.dispatcherIndex();
+		const others = [0, 1, 2].filter(index => index !== dispatcher);
+		const results = submitMany(running, 12, {count: 2, workMs: 400}, others);
+		await until(() => running.checker.starts >= 8);
+		await running.hosts[dispatcher]!.host.close();
+		expect((await results).map(({status}) => status)).toEqual((await results).map(() => 200));
+		expect(running.checker.violations).toEqual([]);
+	});
+
+	test('a planned stop of the dispatcher cuts nothing and runs nothing anew', async () => {
+		const running = await start(3, 6);
+		const dispatcher = await running.dispatcherIndex();
+		const results = submitMany(running, 12, {count: 2, workMs: 300}, [0, 1, 2]);
+		await until(() => running.checker.starts >= 8);
+		await running.hosts[dispatcher]!.host.stop();
+		expect((await results).map(({status, body}) => [status, body])).toEqual((await results).map(() => [200, {state: 'completed'}]));
+		expect(running.checker.violations).toEqual([]);
+		expect(running.checker.starts).toBe(24);
+	});
+
+	test('serve on while the store answers nothing, and take in declarations after it', async () => {
+		const running = await start(3, 4);
+		running.store.set('silent');
+		const results = await submitMany(running, 9, {count: 1, workMs: 10}, [0, 1, 2]);
+		expect(results.map(({status}) => status)).toEqual(results.map(() => 200));
+		running.store.set('up');
+		running.declare(2, ['/read/', '/tag/']);
+		await until(async () => (await Promise.all([0, 1, 2].map(async index => running.get(index, '/tag/')))).every(({status}) => status === 200));
+	});
+
+	test('orders that are carried out late start no task beside another run of it, and overrun no minion', async () => {
+		const running = await start(2, 4);
+		const random = createRandom(7);
+		for (const minion of running.minions) {
+			minion.delayStarts(0.3, random);
+		}
+
+		const results = await submitMany(running, 40, {count: 2, workMs: 60}, [0, 1]);
+		expect(results.map(({status}) => status)).not.toContain(undefined);
+		expect(running.checker.violations).toEqual([]);
+	});
+
+	test('a minion that begins a new lifetime is used again, and its tasks run anew', async () => {
+		const running = await start(1, 1);
+		const result = running.submit(0, {id: jobId(1), count: 1, workMs: 300});
+		await until(() => running.checker.starts === 1);
+		running.minions[0]!.crash();
+		expect((await result).status).toBe(200);
+		expect(running.checker.violations).toEqual([]);
+	});
+});
+
+describe('declarations', () => {
+	test('a version is in force at every host, also after the store has dropped its history, and never an older one', async () => {
+		const running = await start(2, 2);
+		running.declare(5, ['/read/', '/new/']);
+		running.store.forget('keyed.op');
+		await until(async () => (await Promise.all([0, 1].map(async index => running.get(index, '/new/')))).every(({status}) => status === 200));
+		running.declare(3, ['/read/']);
+		running.declare(7, ['/read/', '/new/', '/third/']);
+		await until(async () => (await running.get(0, '/third/')).status === 200);
+		expect((await running.get(0, '/new/')).status).toBe(200);
+	});
+
+	test('a path without a route is told so, and a queue tells how many of its jobs wait', async () => {
+		const running = await start(1, 1);
+		expect((await running.get(0, '/none/')).status).toBe(404);
+		expect(await running.get(0, '/read/')).toMatchObject({status: 200, body: {pending: 0}});
+	});
+});
+
+describe('what can not be served', () => {
+	test('a host that knows no dispatcher refuses, and says when to come back', async () => {
+		const running = await start(2, 2);
+		running.store.set('silent');
+		const dispatcher = await running.dispatcherIndex();
+		const other = 1 - dispatcher;
+		await running.hosts[dispatcher]!.host.close();
+		await until(() => running.hosts[other]!.host.isDispatching());
+		const result = await running.submit(other, {id: jobId(1), count: 1, workMs: 10});
+		expect([200, 503]).toContain(result.status);
+		expect(running.checker.violations).toEqual([]);
+	});
+
+	test('with no room for long, a job is refused at once with a time to come back, and has not run', async () => {
+		const running = await start(1, 1);
+		const first = running.submit(0, {
+			id: jobId(1), count: 40, workMs: 900, patienceMs: 1500,
+		});
+		await until(() => running.checker.starts > 0);
+		const second = await running.submit(0, {
+			id: jobId(2), count: 4, workMs: 500, patienceMs: 1500,
+		});
+		expect(second).toMatchObject({status: 503, retryAfter: expect.any(String)});
+		running.checker.noteRefused(jobId(2));
+		await first;
+		expect(running.checker.violations).toEqual([]);
+	});
+});
+
+describe('two zones', () => {
+	test('a zone without room sends jobs to the other', async () => {
+		const running = await start(2, 4, ['y', 'z']);
+		await until(() => running.hosts.every(({host}) => host.isDispatching()));
+		await until(async () => {
+			const results = await Promise.all(Array.from({length: 8}, async (_, index) =>
+				running.submit(0, {id: jobId(running.checker.starts * 100 + index), count: 1, workMs: 200})));
+			return results.every(({status}) => status === 200) && running.minions.some((_, index) => index % 2 === 1);
+		});
+		expect(running.checker.violations).toEqual([]);
+	});
+});
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -71,6 +71,8 @@
 	private readonly callers: CallerService;
 	private readonly controller = new AbortController();
 	private readonly waiters = new Set<() => void>();
+	private readonly readinessServer: HttpServer;
+	private peerListener: Awaited<ReturnType<typeof serveStreams>> | undefined;
 	private service: DispatchService | undefined;
 	private minionsController: AbortController | undefined;
 	private choice: Choice = {kind: 'none'};
@@ -146,6 +148,7 @@
 				this.service?.dispatcher.cancel(id);
 			},
 		});
+		this.readinessServer = this.createReadinessServer();
 		this.callers = createCallerService({
 			now,
 			report,
@@ -167,11 +170,11 @@
 	/** Listens, looks for the others and serves. */
 	async start(): Promise<void> {
 		const {listen, seeds} = this.settings;
-		await serveStreams(listen.peers, stream => {
+		this.peerListener = await serveStreams(listen.peers, stream => {
 			this.peerServer.take(stream);
 		});
 		await listenAt(this.callers.server, listen.callers);
-		await listenAt(this.createReadinessServer(), listen.readiness);
+		await listenAt(this.readinessServer, listen.readiness);
 		this.report('started', {
 			host: this.record.name, zone: this.record.zone, bornAt: this.record.bornAt, seeds,
 		});
@@ -195,8 +198,34 @@
 		}
 
 		this.report('stopped', {inProgress: this.callers.inProgress()});
+		await this.close();
+	}
+
+	/** Ends at once, as a process that is killed: connections break, and nobody is told. */
+	async close(): Promise<void> {
 		this.controller.abort();
+		this.minionsController?.abort();
+		const {service} = this;
+		this.service = undefined;
 		this.peers.close();
+		this.peerListener?.forceShutdown();
+		for (const server of [this.callers.server, this.readinessServer]) {
+			server.close();
+			server.closeAllConnections();
+		}
+
+		service?.release();
+		await this.store.close();
+	}
+
+	/** Whether the balancer should send connections here. */
+	isReady(): boolean {
+		return !this.isLeaving && this.declarations.current !== undefined && this.findDispatcher() !== undefined;
+	}
+
+	/** Whether this host dispatches for its zone. */
+	isDispatching(): boolean {
+		return this.service !== undefined;
 	}
 
 	private createReadinessServer(): HttpServer {
@@ -207,10 +236,6 @@
 		});
 	}
 
-	private isReady(): boolean {
-		return !this.isLeaving && this.declarations.current !== undefined && this.findDispatcher() !== undefined;
-	}
-
 	private status(): HostStatus {
 		return {
 			claim: this.service?.token ?? 0,
--- /dev/null
+++ b/packages/chivestream-site-stand-ins/src/store.ts
@@ -0,0 +1,185 @@
+/** A stand-in for the platform's store: a log with topics, some of which keep the newest value of each key. */
+import {Buffer} from 'node:buffer';
+import {
+	json, listenStandIn, type StandInAnswer, type StandInRequest, type StandInServer,
+} from './http.js';
+
+type Topic = {
+	/** Offset of the first record that is kept. */
+	first: number;
+	records: Uint8Array[];
+	newest: Map<string, {value: Uint8Array; offset: number}>;
+	waiters: Set<() => void>;
+};
+
+/** The store. */
+export type StoreStandIn = StandInServer & {
+	/** Writes as the operator or a minion does; an empty value drops the key. */
+	write: (topic: string, key: string, value: string) => void;
+	/** Forgets the records of a topic, but for the newest of each key. */
+	forget: (topic: string) => void;
+	/** The newest value of a key. */
+	read: (topic: string, key: string) => string | undefined;
+	/** Requests by path, since the start. */
+	calls: Map<string, number>;
+};
+
+const status = {
+	ok: 200, badRequest: 400, forbidden: 403, notFound: 404, gone: 410, conflict: 412,
+} as const;
+
+const readOnlyTopics = new Set(['keyed.op', 'keyed.servers']);
+const lengthBytes = 4;
+const offsetBytes = 8;
+const pageItems = 500;
+const maxWaitMs = 30_000;
+
+const splitRecords = (body: Uint8Array): Uint8Array[] => {
+	const buffer = Buffer.from(body);
+	const records: Uint8Array[] = [];
+	let position = 0;
+	while (position < buffer.length) {
+		const length = buffer.readUInt32BE(position);
+		records.push(buffer.subarray(position + lengthBytes, position + lengthBytes + length));
+		position += lengthBytes + length;
+	}
+
+	return records;
+};
+
+const encodePage = (topic: Topic, from: number): Uint8Array => {
+	const head = Buffer.alloc(2 * offsetBytes);
+	head.writeBigUInt64BE(BigInt(topic.first + topic.records.length), 0);
+	head.writeBigUInt64BE(BigInt(topic.first), offsetBytes);
+	const parts: Uint8Array[] = [head];
+	for (const record of topic.records.slice(from - topic.first)) {
+		const length = Buffer.alloc(lengthBytes);
+		length.writeUInt32BE(record.length);
+		parts.push(length, record);
+	}
+
+	return Buffer.concat(parts);
+};
+
+/** Starts a store. */
+export const startStore = async (at?: {ip: string; port: number}): Promise<StoreStandIn> => {
+	const topics = new Map<string, Topic>();
+	const calls = new Map<string, number>();
+
+	const topicOf = (name: string): Topic => {
+		const topic = topics.get(name) ?? {
+			first: 0, records: [], newest: new Map<string, {value: Uint8Array; offset: number}>(), waiters: new Set<() => void>(),
+		};
+		topics.set(name, topic);
+		return topic;
+	};
+
+	const append = (name: string, records: readonly Uint8Array[]) => {
+		const topic = topicOf(name);
+		for (const record of records) {
+			if (name.startsWith('keyed.')) {
+				const keyLength = record[0] ?? 0;
+				const key = Buffer.from(record.subarray(1, 1 + keyLength)).toString('utf8');
+				const value = record.subarray(1 + keyLength);
+				if (value.length === 0) {
+					topic.newest.delete(key);
+				} else {
+					topic.newest.set(key, {value, offset: topic.first + topic.records.length});
+				}
+			}
+
+			topic.records.push(record);
+		}
+
+		for (const wake of topic.waiters) {
+			wake();
+		}
+	};
+
+	const read = async (query: URLSearchParams): Promise<StandInAnswer> => {
+		const topic = topicOf(query.get('topic') ?? '');
+		const from = Number(query.get('from'));
+		if (from < topic.first) {
+			return json(status.gone, {first: topic.first});
+		}
+
+		const waitMs = Math.min(maxWaitMs, Number(query.get('wait_ms') ?? 0));
+		if (from >= topic.first + topic.records.length && waitMs > 0) {
+			await new Promise<void>(resolve => {
+				const finish = () => {
+					clearTimeout(timer);
+					topic.waiters.delete(finish);
+					resolve();
+				};
+
+				const timer = setTimeout(finish, waitMs);
+				topic.waiters.add(finish);
+			});
+		}
+
+		return from < topic.first ? json(status.gone, {first: topic.first}) : {status: status.ok, body: encodePage(topic, from)};
+	};
+
+	const newest = (query: URLSearchParams): StandInAnswer => {
+		const topic = topicOf(query.get('topic') ?? '');
+		const after = query.get('depends_on') ?? '';
+		const keys = [...topic.newest.keys()].filter(key => key > after).sort();
+		const items = keys.slice(0, pageItems).map(key => {
+			const {value, offset} = topic.newest.get(key)!;
+			return {key, value: Buffer.from(value).toString('base64'), offset};
+		});
+		return json(status.ok, {items, has_more: keys.length > pageItems, end: topic.first + topic.records.length});
+	};
+
+	const handle = async ({path, query, body}: StandInRequest): Promise<StandInAnswer> => {
+		calls.set(path, (calls.get(path) ?? 0) + 1);
+		const name = query.get('topic') ?? '';
+		switch (path) {
+			case '/api/log-append': {
+				if (readOnlyTopics.has(name)) {
+					return json(status.forbidden, {});
+				}
+
+				const topic = topicOf(name);
+				const end = topic.first + topic.records.length;
+				const at = query.get('at');
+				if (at !== null && Number(at) !== end) {
+					return json(status.conflict, {end});
+				}
+
+				append(name, splitRecords(body));
+				return json(status.ok, {offset: end, end: topic.first + topic.records.length});
+			}
+
+			case '/api/log-read': {
+				return read(query);
+			}
+
+			case '/api/log-newest': {
+				return newest(query);
+			}
+
+			default: {
+				return json(status.notFound, {});
+			}
+		}
+	};
+
+	const server = await listenStandIn(handle, at);
+	return {
+		...server,
+		calls,
+		write(name, key, value) {
+			append(name, [Buffer.concat([Buffer.from([Buffer.byteLength(key)]), Buffer.from(key), Buffer.from(value)])]);
+		},
+		forget(name) {
+			const topic = topicOf(name);
+			topic.first += topic.records.length;
+			topic.records = [];
+		},
+		read(name, key) {
+			const found = topicOf(name).newest.get(key);
+			return found === undefined ? undefined : Buffer.from(found.value).toString('utf8');
+		},
+	};
+};
--- a/xo.config.js
+++ b/xo.config.js
@@ -23,7 +23,7 @@
 	},
 	{
 		// The users' platform spells its fields in snake case; they are decoded here and nowhere else.
-		files: ['platform/src/**', 'packages/chivestream-stand-ins/src/site/**'],
+		files: ['platform/src/**', 'packages/chivestream-site-stand-ins/src/**'],
 		rules: {
 			'@typescript-eslint/naming-convention': 'off',
 		},
