--- /dev/null
+++ b/packages/chivestream-site-stand-ins/bin/chivestream-soak.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/soak/main.js';
--- a/packages/chivestream-site-stand-ins/src/index.ts
+++ b/packages/chivestream-site-stand-ins/src/index.ts
@@ -3,3 +3,4 @@
 export * from './http.js';
 export * from './minion.js';
 export * from './store.js';
+export * from './soak/soak.js';
--- /dev/null
+++ b/packages/chivestream-site-stand-ins/src/soak/soak.ts
@@ -0,0 +1,367 @@
+/** A randomized soak: real host processes, faults from outside them, and checks of what callers and minions see. */
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	createRandom, pickRandom, randomInteger, type Random,
+} from 'chivestream-core';
+import {request} from 'undici';
+import {Checker} from '../checker.js';
+import {availability} from '../http.js';
+import {startMinion, type MinionStandIn} from '../minion.js';
+import {startStore, type StoreStandIn} from '../store.js';
+import {
+	createCallers, soakRoute, type CallerTally, type Callers,
+} from './callers.js';
+import {HostProcess, hostPorts} from './host-process.js';
+import {passage, startProxy, type Proxy} from './proxy.js';
+
+/** What to run. */
+export type SoakOptions = {
+	seed: number;
+	/** How long faults and load go on, in milliseconds. */
+	lengthMs: number;
+	hosts: number;
+	minions: number;
+	zones: number;
+	/** Path of the host's program. */
+	program: string;
+	say: (line: string) => void;
+};
+
+/** What a soak found. */
+export type SoakResult = {
+	seed: number;
+	tally: CallerTally;
+	starts: number;
+	violations: string[];
+	/** Folder with the logs of the hosts. */
+	folder: string;
+};
+
+type Site = {
+	random: Random;
+	store: StoreStandIn;
+	proxies: Proxy[];
+	hosts: HostProcess[];
+	minions: MinionStandIn[];
+	callers: Callers;
+	violations: string[];
+	version: number;
+	/** When an unplanned fault last struck or ended. */
+	disturbedAt: number;
+	say: (line: string) => void;
+};
+
+type Fault = {name: string; isPlanned: boolean; strike: (site: Site) => Promise<void>};
+
+const upstream = 'soak';
+const leaseMs = 1000;
+const capacity = 32_000;
+const heartbeatMs = 500;
+const calmMs = 4000;
+const versionPollMs = 200;
+const okStatus = 200;
+const byteRange = 250;
+
+const pause = (random: Random, least: number, most: number) => least + (random() * (most - least));
+
+const declare = (site: Pick<Site, 'store'>, version: number) => {
+	const route = (name: string, prefix: string) => ({
+		name, host: soakRoute.host, path_prefix: prefix, service: upstream, priority: 0, max_attempts: 3, stretch: 2, target_latency_ms: 1000, timeout_ms: 4000,
+	});
+	site.store.write('keyed.op', 'config', JSON.stringify({
+		version, routes: [route('run', soakRoute.prefix), route('version', `/v${version}/`)], services: [{name: upstream}],
+	}));
+};
+
+const faults: readonly Fault[] = [
+	{
+		name: 'kill',
+		isPlanned: false,
+		async strike({random, hosts}) {
+			const host = pickRandom(random, hosts);
+			host.signal('SIGKILL');
+			await host.ended();
+			await sleep(pause(random, 0, 1500));
+			host.start();
+		},
+	},
+	{
+		name: 'stop',
+		isPlanned: true,
+		async strike(site) {
+			const host = pickRandom(site.random, site.hosts);
+			const stoppedAt = performance.now();
+			const requests = [...site.callers.inProgress(host)];
+			host.signal('SIGTERM');
+			await host.ended();
+			if (site.disturbedAt < stoppedAt - calmMs) {
+				const broken = requests.filter(({isBroken}) => isBroken).length;
+				if (broken > 0) {
+					site.violations.push(`lost: ${broken} requests broke at the planned stop of ${host.options.name}`);
+				}
+			}
+
+			host.start();
+		},
+	},
+	{
+		name: 'freeze',
+		isPlanned: false,
+		async strike({random, hosts}) {
+			const host = pickRandom(random, hosts);
+			host.signal('SIGSTOP');
+			await sleep(pause(random, 200, 3000));
+			host.signal('SIGCONT');
+		},
+	},
+	{
+		name: 'store of one host',
+		isPlanned: false,
+		async strike({random, proxies}) {
+			const proxy = pickRandom(random, proxies);
+			proxy.set(pickRandom(random, [passage.delayed, passage.silent, passage.oneWay, passage.reset]));
+			await sleep(pause(random, 500, 4000));
+			proxy.set(passage.open);
+		},
+	},
+	{
+		name: 'store',
+		isPlanned: false,
+		async strike({random, store}) {
+			store.set(pickRandom(random, [availability.silent, availability.busy, availability.reset]));
+			await sleep(pause(random, 500, 4000));
+			store.set(availability.up);
+		},
+	},
+	{
+		name: 'dropped history',
+		isPlanned: false,
+		async strike({store}) {
+			store.forget('keyed.op');
+			store.forget('keyed.servers');
+		},
+	},
+	{
+		name: 'minion out of reach',
+		isPlanned: false,
+		async strike({random, minions}) {
+			const minion = pickRandom(random, minions);
+			minion.set(pickRandom(random, [availability.silent, availability.busy, availability.reset]));
+			await sleep(pause(random, 500, 3000));
+			minion.set(availability.up);
+		},
+	},
+	{
+		name: 'minion reborn',
+		isPlanned: false,
+		async strike({random, minions, store}) {
+			const minion = pickRandom(random, minions);
+			minion.crash();
+			store.write('keyed.servers', minion.id, minion.entry());
+		},
+	},
+	{
+		name: 'late orders',
+		isPlanned: false,
+		async strike({random, minions}) {
+			for (const minion of minions) {
+				minion.delayStarts(0.1, random);
+			}
+
+			await sleep(pause(random, 1000, 3000));
+			for (const minion of minions) {
+				minion.delayStarts(0, random);
+			}
+		},
+	},
+	{
+		name: 'declarations',
+		isPlanned: true,
+		async strike(site) {
+			site.version += 1 + randomInteger(site.random, 3);
+			declare(site, site.version);
+		},
+	},
+];
+
+const strikeAlong = async (site: Site, until: number) => {
+	while (performance.now() < until) {
+		const fault = pickRandom(site.random, faults);
+		site.say(`${fault.name} (version ${site.version})`);
+		if (!fault.isPlanned) {
+			site.disturbedAt = performance.now();
+		}
+
+		const struck = fault.strike(site).then(() => {
+			if (!fault.isPlanned) {
+				site.disturbedAt = performance.now();
+			}
+		});
+		// Half of the faults overlap the next one.
+		// eslint-disable-next-line no-await-in-loop -- faults come in series
+		await (site.random() < 0.5 ? struck : sleep(pause(site.random, 100, 1500)));
+	}
+};
+
+/** Asks a host for the route of the newest version, then for the one that it had before: in one lifetime that must not come back. */
+const watchVersions = async (site: Site, host: HostProcess, signal: AbortSignal) => {
+	let lifetime = 0;
+	let seen = 0;
+	const isServed = async (version: number) => request(`http://${host.address}/v${version}/`, {
+		headers: {host: soakRoute.host}, signal: AbortSignal.timeout(1000),
+	}).then(async ({statusCode, body}) => {
+		await body.dump();
+		return statusCode === okStatus;
+	}, () => false);
+	while (!signal.aborted) {
+		if (lifetime !== host.lifetime) {
+			({lifetime} = host);
+			seen = 0;
+		}
+
+		const before = seen;
+		const asked = site.version;
+		// eslint-disable-next-line no-await-in-loop -- one question after the other
+		if (await isServed(asked)) {
+			seen = asked;
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- one question after the other
+		if (before > 0 && before < seen && await isServed(before) && lifetime === host.lifetime) {
+			site.violations.push(`config: ${host.options.name} serves version ${before} after ${seen}`);
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- pause between two questions
+		await sleep(versionPollMs);
+	}
+};
+
+const load = async (site: Site, until: number) => {
+	const open = new Set<Promise<unknown>>();
+	while (performance.now() < until) {
+		const workMs = Math.round(pause(site.random, 10, site.random() < 0.1 ? 1500 : 200));
+		const job = site.callers.submit(randomInteger(site.random, site.hosts.length), workMs);
+		open.add(job);
+		void job.finally(() => {
+			open.delete(job);
+		});
+		// eslint-disable-next-line no-await-in-loop -- jobs come one after the other
+		await sleep(pause(site.random, 10, 80));
+	}
+
+	await Promise.all(open);
+};
+
+const checkRecovery = async (site: Site, checker: Checker) => {
+	await sleep(calmMs);
+	for (const [index, host] of site.hosts.entries()) {
+		// eslint-disable-next-line no-await-in-loop -- one host after the other
+		const answer = await site.callers.submit(index, 10);
+		if (answer !== okStatus) {
+			site.violations.push(`recovery: ${host.options.name} answered ${answer} after ${calmMs} ms without faults`);
+		}
+	}
+
+	for (const id of site.callers.refusedIds) {
+		checker.noteRefused(id);
+	}
+};
+
+const createSite = async (options: SoakOptions, checker: Checker, folder: string): Promise<Site> => {
+	const random = createRandom(options.seed);
+	const store = await startStore();
+	const work = new Map<string, number>();
+	const ips = Array.from({length: options.hosts}, (_, index) =>
+		`127.${1 + (Math.floor(process.pid / byteRange) % byteRange)}.${1 + (process.pid % byteRange)}.${index + 1}`);
+	const proxies = await Promise.all(ips.map(async () => startProxy(store.address)));
+	const hosts = ips.map((ip, index) => new HostProcess({
+		name: `h${index}`,
+		zone: `z${index % options.zones}`,
+		ip,
+		store: proxies[index]!.address,
+		seeds: ips.slice(0, 3).map(seed => `${seed}:${hostPorts.peers}`),
+		folder,
+		program: options.program,
+		leaseMs,
+	}));
+	const minions = await Promise.all(Array.from({length: options.minions}, async (_, index) => startMinion({
+		id: `i-${index}`,
+		zone: `z${index % options.zones}`,
+		upstream,
+		checker,
+		capacity,
+		leaseMs,
+		workMs: task => work.get(task.slice(0, task.indexOf('.'))) ?? 0,
+	})));
+	return {
+		random,
+		store,
+		proxies,
+		hosts,
+		minions,
+		callers: createCallers({
+			random, checker, hosts, work,
+		}),
+		violations: [],
+		version: 1,
+		disturbedAt: Number.NEGATIVE_INFINITY,
+		say: options.say,
+	};
+};
+
+/** Runs one soak. Only processes that it started itself are ended, by their ids. */
+export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
+	const checker = new Checker();
+	const folder = mkdtempSync(path.join(tmpdir(), `chivestream-soak-${options.seed}-`));
+	const site = await createSite(options, checker, folder);
+	const beat = () => {
+		for (const minion of site.minions) {
+			site.store.write('keyed.servers', minion.id, minion.entry());
+		}
+	};
+
+	beat();
+	declare(site, site.version);
+	const beats = setInterval(beat, heartbeatMs);
+	for (const host of site.hosts) {
+		host.start();
+	}
+
+	const controller = new AbortController();
+	try {
+		await sleep(calmMs);
+		const watches = site.hosts.map(async host => watchVersions(site, host, controller.signal));
+		const until = performance.now() + options.lengthMs;
+		await Promise.all([load(site, until), strikeAlong(site, until)]);
+		await checkRecovery(site, checker);
+		controller.abort();
+		await Promise.all(watches);
+	} finally {
+		controller.abort();
+		clearInterval(beats);
+		for (const host of site.hosts) {
+			host.signal('SIGCONT');
+			host.signal('SIGKILL');
+		}
+
+		for (const proxy of site.proxies) {
+			proxy.close();
+		}
+
+		await site.callers.close();
+		await Promise.all(site.minions.map(async minion => minion.close()));
+		await site.store.close();
+	}
+
+	return {
+		seed: options.seed,
+		tally: site.callers.tally,
+		starts: checker.starts,
+		violations: [...checker.violations.map(({rule, detail}) => `${rule}: ${detail}`), ...site.violations],
+		folder,
+	};
+};
