Refuse no late job while a new dispatcher gets to know its minions; read their table at the start

Change: for 0.6 s after a takeover, until every minion has told, only hopeless jobs are refused; each host reads the table of minions once at its start.

--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -113,6 +113,9 @@
 /** How long runs of an earlier dispatcher may go on before they are stopped, in milliseconds. */
 const adoptionMs = 600;
 
+/** How long a new dispatcher gets to know its minions, in milliseconds; it refuses only hopeless jobs meanwhile. */
+const gatheringMs = 600;
+
 /** Ends of earlier dispatchers' runs kept for jobs that come back. */
 const maxForeignEnds = 2000;
 
@@ -644,11 +647,27 @@
 		}
 
 		const now = this.ports.now();
-		if (this.policy.isTooLate(job, now + this.aheadMs(job, now))) {
+		const isTooLate = this.isGathering(now) ? isHopeless(job, now) : this.policy.isTooLate(job, now + this.aheadMs(job, now));
+		if (isTooLate) {
 			this.giveUp(job, 'no room in time');
 		}
 	}
 
+	/** Whether this dispatcher has only begun, and some minions have not told yet what runs on them. */
+	private isGathering(now: number): boolean {
+		if (now > this.tookOverAt + gatheringMs) {
+			return false;
+		}
+
+		for (const minion of this.book.minions.values()) {
+			if (!minion.isSynced) {
+				return true;
+			}
+		}
+
+		return this.book.minions.size === 0;
+	}
+
 	/** How long the pool needs for the tasks that wait ahead of a job, in milliseconds. */
 	private aheadMs(job: Job, now: number): number {
 		const compare = this.policy.compare(now);
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -180,6 +180,7 @@
 		});
 		this.peers.addSeeds(seeds);
 		void this.declarations.follow(this.controller.signal);
+		void this.minions.prepare(this.controller.signal);
 		void this.followDirectory();
 		void this.tickAlong();
 	}
--- a/packages/chivestream-host/src/minion-follower.ts
+++ b/packages/chivestream-host/src/minion-follower.ts
@@ -47,6 +47,11 @@
 		}
 	}
 
+	/** Reads the table once, so that a host which comes to dispatch has it at hand. */
+	async prepare(signal: AbortSignal): Promise<void> {
+		await this.readAll(signal);
+	}
+
 	/** Follows until the signal aborts. */
 	async follow(signal: AbortSignal): Promise<void> {
 		let offset: number | undefined;
