Tell a minion's lifetimes apart by one record; keep unanswered orders over a new lifetime; serve metrics

Cause: a minion's new lifetime was taken for another one when its registered entry told of it after its own answers had. The runs that had begun in between were dropped from the book: their tasks began elsewhere beside them, and room was given away twice. Change: one record of the latest lifetime, whichever source tells first; only confirmed runs end with a lifetime. Tests: 'a new lifetime ...', failing before.

--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -61,6 +61,7 @@
 		const recorded = createRecorded([minionRecord('m')]);
 		recorded.report('m');
 		recorded.submit(jobRequest(jobId, {objectiveDeadline: 9000, deadline: 9000}));
+		recorded.dispatcher.noteStart(recorded.starts[0]!, startAnswer.started);
 		recorded.dispatcher.setMinions([minionRecord('m', {bornAt: 2})]);
 		expect(recorded.minion('m').runs.size).toBe(0);
 		expect(recorded.starts).toHaveLength(1);
@@ -69,6 +70,35 @@
 	});
 });
 
+describe('a new lifetime', () => {
+	test('that a look has told of is not taken for another when the registry tells of it later', () => {
+		const recorded = createRecorded([minionRecord('m')]);
+		recorded.report('m');
+		recorded.dispatcher.noteLifetime(recorded.minion('m'), 2);
+		recorded.report('m');
+		recorded.submit(jobRequest(jobId, {objectiveDeadline: 9000, deadline: 9000}));
+		recorded.dispatcher.noteStart(recorded.starts[0]!, startAnswer.started);
+		recorded.dispatcher.setMinions([minionRecord('m', {bornAt: 2})]);
+		expect(recorded.minion('m').runs.size).toBe(1);
+		expect(recorded.starts).toHaveLength(1);
+	});
+
+	test('may still carry out an order that was not answered before', () => {
+		const recorded = createRecorded([minionRecord('m', {capacity: {millicores: 14_000, memoryMb: 1024, accelerators: 0}})]);
+		recorded.report('m');
+		recorded.submit(jobRequest(jobId, {objectiveDeadline: 9000, deadline: 9000}));
+		recorded.dispatcher.noteStart(recorded.starts[0]!, startAnswer.unknown);
+		recorded.dispatcher.noteLifetime(recorded.minion('m'), 2);
+		recorded.pass(10);
+		recorded.report('m');
+		expect(recorded.starts).toHaveLength(1);
+		recorded.dispatcher.noteStop(recorded.stops[0]!);
+		recorded.pass(10);
+		recorded.report('m');
+		expect(recorded.starts).toHaveLength(2);
+	});
+});
+
 describe('one run of a task at a time', () => {
 	test('a copy of a job joins it, and both callers get the outcome', () => {
 		const recorded = createRecorded([minionRecord('m')]);
--- a/packages/chivestream-dispatch/src/book.ts
+++ b/packages/chivestream-dispatch/src/book.ts
@@ -25,6 +25,7 @@
 
 const createMinion = (record: MinionRecord): Minion => ({
 	record,
+	bornAt: record.bornAt,
 	isSynced: false,
 	isReachable: true,
 	reportedAt: Number.NEGATIVE_INFINITY,
@@ -74,19 +75,13 @@
 	}
 };
 
-/** Enters a newly registered minion or takes in what changed; a new lifetime has to tell anew what runs on it. */
-export const registerMinion = (book: Book, record: MinionRecord): {minion: Minion; isNewLifetime: boolean} => {
-	const minion = book.minions.get(record.id);
-	if (minion === undefined) {
-		const created = createMinion(record);
-		book.minions.set(record.id, created);
-		return {minion: created, isNewLifetime: false};
-	}
-
-	const isNewLifetime = record.bornAt > minion.record.bornAt && minion.record.bornAt > 0;
+/** Enters a newly registered minion, or takes in what has changed of it. */
+export const registerMinion = (book: Book, record: MinionRecord): Minion => {
+	const minion = book.minions.get(record.id) ?? createMinion(record);
+	book.minions.set(record.id, minion);
 	minion.record = record;
 	minion.isGone = false;
-	return {minion, isNewLifetime};
+	return minion;
 };
 
 /** The slowness to expect of a minion, from its own tasks and those of its kind. */
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -148,10 +148,7 @@
 	setMinions(records: readonly MinionRecord[]): void {
 		const ids = new Set(records.map(record => record.id));
 		for (const record of records) {
-			const {minion, isNewLifetime} = registerMinion(this.book, record);
-			if (isNewLifetime) {
-				this.noteNewLifetime(minion);
-			}
+			this.noteLifetime(registerMinion(this.book, record), record.bornAt);
 		}
 
 		for (const minion of this.book.minions.values()) {
@@ -301,14 +298,39 @@
 		this.schedule();
 	}
 
-	/** The minion has begun a new lifetime, in which nothing of before runs. */
-	noteNewLifetime(minion: Minion): void {
+	/**
+	 * A minion's entry or answer has told when its lifetime began. In a new one nothing of before runs, but an order without
+	 * an answer may still be carried out there. The two sources tell of one lifetime at different times.
+	 */
+	noteLifetime(minion: Minion, bornAt: number): void {
+		if (bornAt <= minion.bornAt) {
+			return;
+		}
+
+		const isFirst = minion.bornAt === 0;
+		minion.bornAt = bornAt;
+		if (isFirst) {
+			return;
+		}
+
+		this.ports.report('minion-reborn', {minion: minion.record.id, bornAt});
 		minion.isSynced = false;
 		minion.failuresInRow = 0;
 		minion.quarantinedUntil = 0;
+		for (const run of minion.runs.values()) {
+			if (run.confirmedAt !== undefined) {
+				this.interrupt(run);
+			}
+		}
+	}
+
+	/** A minion that has been gone for long is forgotten with all that ran there. */
+	forget(minion: Minion): void {
 		for (const run of minion.runs.values()) {
 			this.interrupt(run);
 		}
+
+		this.book.minions.delete(minion.record.id);
 	}
 
 	/** Looks for jobs that can't be served any more, runs that stand still and runs that nobody asks for. */
--- a/packages/chivestream-dispatch/src/minion.ts
+++ b/packages/chivestream-dispatch/src/minion.ts
@@ -60,6 +60,8 @@
 /** A minion in the hands of a dispatcher. */
 export type Minion = {
 	record: MinionRecord;
+	/** The latest lifetime that its entry or its own answers have told of. */
+	bornAt: number;
 	/** Whether it has told what runs on it under this dispatcher's token. */
 	isSynced: boolean;
 	/** Whether it answered the last call. */
--- a/packages/chivestream-host/src/__fixtures__/site.ts
+++ b/packages/chivestream-host/src/__fixtures__/site.ts
@@ -23,6 +23,8 @@
 	/** Submits a job of some tasks to a host; its tasks take so long. */
 	submit: (hostIndex: number, job: {id: string; count: number; workMs: number; prefix?: string; patienceMs?: number}) => Promise<CallerResult>;
 	get: (hostIndex: number, path: string) => Promise<CallerResult>;
+	/** The text of a host's metrics. */
+	metrics: (hostIndex: number) => Promise<string>;
 	/** Declares routes under a version. */
 	declare: (version: number, prefixes?: string[]) => void;
 	startHost: (index: number) => Promise<void>;
@@ -62,10 +64,10 @@
 
 const createSettings = async (index: number, zone: string, store: string): Promise<HostSettings> => {
 	const ip = ownIp(index);
-	const [callers, readiness, peers] = [await freePort(ip), await freePort(ip), await freePort(ip)];
+	const [callers, readiness, peers, metrics] = [await freePort(ip), await freePort(ip), await freePort(ip), await freePort(ip)];
 	return hostSettings.parse({
 		host: {name: `h${index}`, zone, cpuShare: 1},
-		listen: {callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, peers: `${ip}:${peers}`},
+		listen: {callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, peers: `${ip}:${peers}`, metrics: `${ip}:${metrics}`},
 		seeds: [],
 		store,
 		bounds: {leaseMs, stopGraceSeconds: 6, farFactor: 1},
@@ -162,6 +164,10 @@
 			}, patienceMs);
 		},
 		get: async (hostIndex, path) => call(hostIndex, path),
+		async metrics(hostIndex) {
+			const {body} = await request(`http://${settings[hostIndex]!.listen.metrics}/metrics`, {dispatcher: agent});
+			return body.text();
+		},
 		declare,
 		startHost,
 		async dispatcherIndex() {
--- a/packages/chivestream-host/src/__tests__/host.test.ts
+++ b/packages/chivestream-host/src/__tests__/host.test.ts
@@ -119,6 +119,18 @@
 	});
 });
 
+describe('metrics', () => {
+	test('answers, events and response times are served as text', async () => {
+		const running = await start(1, 2);
+		await running.submit(0, {id: jobId(1), count: 1, workMs: 10});
+		const text = await running.metrics(0);
+		expect(text).toContain('chivestream_answers_total{status="200"} 1');
+		expect(text).toContain('chivestream_events_total{event="job-answered"} 1');
+		expect(text).toMatch(/chivestream_response_ms\{percentile="99"\} \d+/v);
+		expect(text).toContain('chivestream_declarations_version 1');
+	});
+});
+
 describe('what can not be served', () => {
 	test('a host that knows no dispatcher refuses, and says when to come back', async () => {
 		const running = await start(2, 2);
--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -70,7 +70,7 @@
 				task.controller.abort();
 				this.tasks.delete(id);
 				if (minion !== undefined) {
-					this.dispatcher.noteNewLifetime(minion);
+					this.dispatcher.forget(minion);
 				}
 			}
 		}
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -18,6 +18,7 @@
 	fromMessage, runJob, toMessage, type DispatcherContact,
 } from './job-client.js';
 import {type HostRecord, type HostStatus, type Reply} from './messages.js';
+import {createHostMetrics, type HostMetrics} from './metrics.js';
 import {MinionFollower} from './minion-follower.js';
 import {PeerServer} from './peer-server.js';
 import {serveStreams} from './peer-service.js';
@@ -60,6 +61,7 @@
 export class EntryHost {
 	private readonly settings: HostSettings;
 	private readonly report: Report;
+	private readonly metrics: HostMetrics;
 	private readonly record: HostRecord;
 	private readonly random = createRandom(Date.now() % (2 ** 31));
 	private readonly startedAt = performance.now();
@@ -85,10 +87,20 @@
 	private lastDispatchers = '';
 	private readonly now: () => number;
 
-	constructor(settings: HostSettings, report: Report) {
+	constructor(settings: HostSettings, writeLine: Report) {
 		const now = () => performance.now();
 		this.now = now;
 		this.settings = settings;
+		this.metrics = createHostMetrics({
+			jobs: () => this.service?.dispatcher.jobs.size ?? 0,
+			waitingTasks: () => this.service?.dispatcher.waitingTasks() ?? 0,
+			declarationsVersion: () => this.declarations.current?.version ?? 0,
+		});
+		const report: Report = (event, fields) => {
+			this.metrics.noteEvent(event);
+			writeLine(event, fields);
+		};
+
 		this.report = report;
 		this.record = {
 			name: settings.host.name,
@@ -161,8 +173,8 @@
 			}, job),
 			pendingJobs: route => this.pendingJobs(route),
 			isLeaving: () => this.isLeaving,
-			noteAnswer() {
-				// Counted by the log for now.
+			noteAnswer: (status, tookMs) => {
+				this.metrics.noteAnswer(status, tookMs);
 			},
 		});
 	}
@@ -175,6 +187,10 @@
 		});
 		await listenAt(this.callers.server, listen.callers);
 		await listenAt(this.readinessServer, listen.readiness);
+		if (listen.metrics !== undefined) {
+			await listenAt(this.metrics.server, listen.metrics);
+		}
+
 		this.report('started', {
 			host: this.record.name, zone: this.record.zone, bornAt: this.record.bornAt, seeds,
 		});
@@ -211,7 +227,7 @@
 		this.service = undefined;
 		this.peers.close();
 		this.peerListener?.forceShutdown();
-		for (const server of [this.callers.server, this.readinessServer]) {
+		for (const server of [this.callers.server, this.readinessServer, this.metrics.server]) {
 			server.close();
 			server.closeAllConnections();
 		}
--- a/packages/chivestream-host/src/minion-task.ts
+++ b/packages/chivestream-host/src/minion-task.ts
@@ -62,14 +62,6 @@
 	const leaseDeadline = (): number | undefined =>
 		minionClock === undefined ? undefined : Math.round(minionClock.time + (now() - minionClock.at) + leaseMs);
 
-	const beginLifetime = (newBornAt: number) => {
-		report('minion-reborn', {minion: id, bornAt: newBornAt});
-		bornAt = newBornAt;
-		endCursor = 0;
-		minionClock = undefined;
-		dispatcher.noteNewLifetime(minion);
-	};
-
 	/** Asks once; whether the minion answered. */
 	const ask = async (waitMs: number, isRenewal: boolean, isRepeated: boolean): Promise<boolean> => {
 		const askedAt = now();
@@ -100,13 +92,12 @@
 		}
 
 		const held = result.value;
-		if (held.bornAt > bornAt) {
-			if (bornAt > 0) {
-				beginLifetime(held.bornAt);
-				return true;
-			}
-
+		if (held.bornAt !== bornAt) {
+			// The ends of a new lifetime are numbered anew, and its clock has begun anew.
 			bornAt = held.bornAt;
+			endCursor = 0;
+			minionClock = undefined;
+			dispatcher.noteLifetime(minion, bornAt);
 		}
 
 		if (!minion.isReachable) {
--- a/packages/chivestream-host/src/settings.ts
+++ b/packages/chivestream-host/src/settings.ts
@@ -18,6 +18,8 @@
 		readiness: listenAddressSchema,
 		/** Other hosts connect here, so the address has to be reachable. */
 		peers: reachableAddressSchema,
+		/** Where counters and latencies are served as text; nowhere if it is left out. */
+		metrics: listenAddressSchema.optional(),
 	}),
 	/** Peer addresses of some other hosts; they may be out of date. */
 	seeds: z.array(reachableAddressSchema),
--- a/packages/chivestream-site-stand-ins/src/soak/soak.ts
+++ b/packages/chivestream-site-stand-ins/src/soak/soak.ts
@@ -189,6 +189,7 @@
 ];
 
 const strikeAlong = async (site: Site, until: number) => {
+	const open: Array<Promise<void>> = [];
 	while (performance.now() < until) {
 		const fault = pickRandom(site.random, faults);
 		site.say(`${fault.name} (version ${site.version})`);
@@ -201,10 +202,14 @@
 				site.disturbedAt = performance.now();
 			}
 		});
+		open.push(struck);
 		// Half of the faults overlap the next one.
 		// eslint-disable-next-line no-await-in-loop -- faults come in series
 		await (site.random() < 0.5 ? struck : sleep(pause(site.random, 100, 1500)));
 	}
+
+	// A fault that is still on may start a process again.
+	await Promise.all(open);
 };
 
 /** Asks a host for the route of the newest version, then for the one that it had before: in one lifetime that must not come back. */
@@ -348,6 +353,7 @@
 			host.signal('SIGKILL');
 		}
 
+		await Promise.all(site.hosts.map(async host => host.ended()));
 		for (const proxy of site.proxies) {
 			proxy.close();
 		}
