--- a/packages/chivestream-site-stand-ins/src/soak/main.ts
+++ b/packages/chivestream-site-stand-ins/src/soak/main.ts
@@ -2,7 +2,8 @@
 import path from 'node:path';
 import process from 'node:process';
 import meow from 'meow';
-import {runSoak} from './soak.js';
+import {regressions} from './regressions.js';
+import {runSoak, type SoakOptions} from './soak.js';
 
 const cli = meow(`
 	Usage
@@ -16,6 +17,7 @@
 	  --minions N  Minions (12)
 	  --zones N    Availability zones (2)
 	  --program F  The host's program (the built one)
+	  --regressions  The seeds that once failed, in place of the others
 
 	Exit codes
 	  0  no promise was broken
@@ -29,16 +31,26 @@
 		hosts: {type: 'number', default: 6},
 		minions: {type: 'number', default: 12},
 		zones: {type: 'number', default: 2},
+		regressions: {type: 'boolean', default: false},
 		program: {type: 'string', default: path.join(import.meta.dirname, '../../../chivestream-host/bin/chivestream-host.js')},
 	},
 });
 
 const msPerSecond = 1000;
-const {seed: firstSeed, seeds, seconds, ...flags} = cli.flags;
-for (let seed = firstSeed; seed < firstSeed + seeds; seed += 1) {
+const {seed: firstSeed, seeds, seconds, program, hosts, minions, zones} = cli.flags;
+const sizes: Array<Pick<SoakOptions, 'seed' | 'hosts' | 'minions' | 'zones'>> = cli.flags.regressions
+	? [...regressions]
+	: Array.from({length: seeds}, (_, index) => ({
+		seed: firstSeed + index, hosts, minions, zones,
+	}));
+for (const size of sizes) {
+	const {seed} = size;
 	// eslint-disable-next-line no-await-in-loop -- one soak after the other
 	const result = await runSoak({
-		...flags, seed, lengthMs: seconds * msPerSecond, say(line) {
+		...size,
+		program,
+		lengthMs: seconds * msPerSecond,
+		say(line) {
 			console.error(`${seed}: ${line}`);
 		},
 	});
--- /dev/null
+++ b/packages/chivestream-site-stand-ins/src/soak/regressions.ts
@@ -0,0 +1,21 @@
+/** Seeds that once failed, each with its cause; `chivestream-soak --regressions` runs them again. */
+
+/** A seed with what it found. */
+export type Regression = {
+	seed: number;
+	/** Hosts, minions and zones of the run that failed. */
+	hosts: number;
+	minions: number;
+	zones: number;
+	cause: string;
+};
+
+const usual = {hosts: 6, minions: 12, zones: 2} as const;
+
+/** The seeds, oldest first. */
+export const regressions: readonly Regression[] = [
+	{...usual, seed: 105, cause: 'a lifetime that a minion had told of was taken for another when its entry told of it: tasks ran twice'},
+	{...usual, seed: 127, cause: 'the soak itself: a fault that was still on started a host again after the end'},
+	{...usual, seed: 144, cause: 'an order without answer was dropped at a new lifetime of its minion, and carried out in it: over capacity'},
+	{...usual, seed: 145, cause: 'as seed 105'},
+];
