Take in what an earlier dispatcher's runs ended with, also for jobs that have come back already

Cause: a job that came back before its minion had told what ended there did not learn of it, and ran those tasks anew: 34 starts in place of 24 at a planned stop (test 'a planned stop ...', traced on a busy machine: all 12 tasks whose ends came between the two dispatchers). The first report of a minion was also read as if it were synced. Ruled out: lapsed leases (no run lapsed in the trace).

--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -5,7 +5,7 @@
 	createBook, enterRun, factorOf, freeTasks, kindOf, registerMinion, removeRun, type Book,
 } from './book.js';
 import {
-	createJob, isComplete, taskState, unblockTasks, type Job, type JobRequest, type Task,
+	createJob, isComplete, jobIdOfTask, taskState, unblockTasks, type Job, type JobRequest, type Task,
 } from './job.js';
 import {
 	runKey, runState, type Minion, type MinionRecord, type Run,
@@ -208,14 +208,14 @@
 
 	/** Takes in what a minion told under this dispatcher's token. */
 	noteReport(minion: Minion, report: MinionReport): void {
-		const isFirst = !minion.isSynced;
-		minion.isSynced = true;
-		minion.isReachable = true;
-		minion.reportedAt = this.ports.now();
 		for (const end of report.ended) {
 			this.noteEnd(minion, end);
 		}
 
+		minion.isSynced = true;
+		minion.isReachable = true;
+		minion.reportedAt = this.ports.now();
+
 		const listed = new Set<string>();
 		for (const {task, number, progress} of report.running) {
 			const key = runKey(task, number);
@@ -229,7 +229,7 @@
 		}
 
 		for (const [key, run] of minion.runs) {
-			if (!listed.has(key) && this.isOver(run, report.askedAt, isFirst)) {
+			if (!listed.has(key) && this.isOver(run, report.askedAt)) {
 				this.interrupt(run);
 			}
 		}
@@ -299,8 +299,8 @@
 	}
 
 	/**
-	 * A minion's entry or answer has told when its lifetime began. In a new one nothing of before runs, but an order without
-	 * an answer may still be carried out there. The two sources tell of one lifetime at different times.
+	 * A minion's entry or answer has told when its lifetime began; the two tell of one lifetime at different times. Nothing of
+	 * before runs in a new one, but orders of the last moment may: the minion's next report tells which.
 	 */
 	noteLifetime(minion: Minion, bornAt: number): void {
 		if (bornAt <= minion.bornAt) {
@@ -317,11 +317,6 @@
 		minion.isSynced = false;
 		minion.failuresInRow = 0;
 		minion.quarantinedUntil = 0;
-		for (const run of minion.runs.values()) {
-			if (run.confirmedAt !== undefined) {
-				this.interrupt(run);
-			}
-		}
 	}
 
 	/** A minion that has been gone for long is forgotten with all that ran there. */
@@ -544,21 +539,33 @@
 		this.ports.report('minion-quarantined', {minion: minion.record.id, failures: minion.failuresInRow, forMs: minion.quarantineMs});
 	}
 
-	private noteForeignDone(task: string): void {
-		this.foreignDone.add(task);
+	/** A run of an earlier dispatcher has ended well: its task is done, whether its job has come back already or comes yet. */
+	private noteForeignDone(name: string): void {
+		const task = this.findTask(name);
+		if (task?.state === taskState.waiting) {
+			task.state = taskState.done;
+			unblockTasks(task.job);
+			this.settleIfComplete(task.job);
+			return;
+		}
+
+		this.foreignDone.add(name);
 		if (this.foreignDone.size > maxForeignEnds) {
 			const [oldest] = this.foreignDone;
 			this.foreignDone.delete(oldest!);
 		}
 	}
 
+	private findTask(name: string): Task | undefined {
+		return this.jobs.get(jobIdOfTask(name))?.tasks.find(task => task.name === name);
+	}
+
 	private noteForeignRun(minion: Minion, task: string, number: number): void {
 		const now = this.ports.now();
 		const run = enterRun(this.book, minion, {
 			task, number, owner: undefined, expectedMs: 0, now, state: runState.running,
 		});
-		const job = this.jobs.get(task.slice(0, task.indexOf('.')));
-		const wanted = job?.tasks.find(candidate => candidate.name === task);
+		const wanted = this.findTask(task);
 		if (wanted?.state === taskState.waiting) {
 			run.owner = wanted;
 			run.room = roomOf(wanted);
@@ -583,9 +590,9 @@
 	}
 
 	/** Whether a run that its minion doesn't list has ended for certain. */
-	private isOver(run: Run, askedAt: number, isFirst: boolean): boolean {
+	private isOver(run: Run, askedAt: number): boolean {
 		if (run.state === runState.running) {
-			return run.confirmedAt !== undefined && (isFirst || run.confirmedAt < askedAt);
+			return run.confirmedAt !== undefined && run.confirmedAt < askedAt;
 		}
 
 		return run.stopConfirmedAt !== undefined && run.stopConfirmedAt < askedAt;
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -44,6 +44,9 @@
 /** Values of the random part of a token, which tells hosts apart that claim in the same millisecond. */
 const tokenSalts = 1024;
 
+/** Tokens of one claim: one for each lifetime of a minion that is met. */
+const tokensPerClaim = 64;
+
 /** By how much the next token rises when a minion has seen a higher one, in milliseconds of token time. */
 const tokenStepMs = 10_000;
 
@@ -402,7 +405,7 @@
 
 	private beginService(): void {
 		const tokenTime = Date.now() - tokenEpoch + this.tokenOffsetMs;
-		const token = (tokenTime * tokenSalts) + randomInteger(this.random, tokenSalts);
+		const token = ((tokenTime * tokenSalts) + randomInteger(this.random, tokenSalts)) * tokensPerClaim;
 		const {bounds} = this.settings;
 		const service = new DispatchService({
 			token,
--- a/packages/chivestream-host/src/minion-task.ts
+++ b/packages/chivestream-host/src/minion-task.ts
@@ -11,6 +11,7 @@
 export type MinionTaskOptions = {
 	minion: Minion;
 	dispatcher: Dispatcher;
+	/** Token of the first lifetime; each later one that is met takes the next. */
 	token: number;
 	/** Longest lease that a minion grants, in milliseconds. */
 	leaseMs: number;
@@ -50,11 +51,12 @@
 
 /** Starts the task; it ends with the signal. */
 export const runMinionTask = (options: MinionTaskOptions): MinionTask => {
-	const {minion, dispatcher, token, leaseMs, now, report, signal} = options;
+	const {minion, dispatcher, leaseMs, now, report, signal} = options;
 	const {id, address} = minion.record;
 	const client: MinionClient = openMinion(id, address);
 	let minionClock: {at: number; time: number} | undefined;
 	let {bornAt} = minion.record;
+	let {token} = options;
 	let endCursor = 0;
 	let leaseSentAt = Number.NEGATIVE_INFINITY;
 	let wake: (() => void) | undefined;
@@ -93,7 +95,9 @@
 
 		const held = result.value;
 		if (held.bornAt !== bornAt) {
-			// The ends of a new lifetime are numbered anew, and its clock has begun anew.
+			// The ends of a new lifetime are numbered anew, and its clock has begun anew. A higher token keeps out orders to the
+			// lifetime before that are still on their way.
+			token += bornAt > 0 ? 1 : 0;
 			bornAt = held.bornAt;
 			endCursor = 0;
 			minionClock = undefined;
