Take the ports of a test's host at once, so that no two are the same

Cause: each port was let go before the next was looked for, and the system may give it again: EADDRINUSE in one of eight runs of 'a planned stop ...' beside six busy processes.

--- a/packages/chivestream-host/src/__fixtures__/site.ts
+++ b/packages/chivestream-host/src/__fixtures__/site.ts
@@ -44,6 +44,7 @@
 const settleMs = 50;
 const heartbeatMs = 300;
 const byteRange = 250;
+const portsPerHost = 4;
 
 /** An address of loopback that only this process uses, so that its ports are free. */
 const ownIp = (index: number): string => {
@@ -51,20 +52,25 @@
 	return `127.${high}.${1 + (process.pid % byteRange)}.${index + 1}`;
 };
 
-const freePort = async (ip: string): Promise<number> => new Promise((resolve, reject) => {
-	const server = createServer();
-	server.once('error', reject);
-	server.listen(0, ip, () => {
-		const address = server.address();
-		server.close(() => {
+/** Some ports of an address that are free; all are held until the last is found, so that no two are the same. */
+const freePorts = async (ip: string, count: number): Promise<number[]> => {
+	const servers = Array.from({length: count}, () => createServer());
+	const ports = await Promise.all(servers.map(async server => new Promise<number>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(0, ip, () => {
+			const address = server.address();
 			resolve(typeof address === 'object' && address !== null ? address.port : 0);
 		});
-	});
-});
+	})));
+	await Promise.all(servers.map(async server => new Promise(resolve => {
+		server.close(resolve);
+	})));
+	return ports;
+};
 
 const createSettings = async (index: number, zone: string, store: string): Promise<HostSettings> => {
 	const ip = ownIp(index);
-	const [callers, readiness, peers, metrics] = [await freePort(ip), await freePort(ip), await freePort(ip), await freePort(ip)];
+	const [callers, readiness, peers, metrics] = await freePorts(ip, portsPerHost);
 	return hostSettings.parse({
 		host: {name: `h${index}`, zone, cpuShare: 1},
 		listen: {callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, peers: `${ip}:${peers}`, metrics: `${ip}:${metrics}`},
