Count on minions that miss an answer for a moment when predicting how long work waits

Change: a minion is counted on for 1 s after its last report. Test: 'minions that do not answer for a moment are still counted on', failing before.

--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -214,6 +214,18 @@
 		expect(outcomes).toEqual([{kind: outcomeKind.refused, reason: 'no room in time', retryAfterMs: expect.any(Number)}]);
 	});
 
+	test('minions that do not answer for a moment are still counted on', () => {
+		const ids = ['m1', 'm2', 'm3', 'm4'];
+		const recorded = createRecorded(ids.map(id => minionRecord(id)));
+		for (const id of ids) {
+			recorded.report(id);
+			recorded.dispatcher.noteUnreachable(recorded.minion(id));
+		}
+
+		const outcomes = ['b1', 'b2', 'b3', 'b4', 'b5'].map(id => recorded.submit(jobRequest(`00000000000000${id}`)));
+		expect(outcomes).toEqual([[], [], [], [], []]);
+	});
+
 	test('while a new dispatcher gets to know its minions, a job that is late already waits for them', () => {
 		const recorded = createRecorded([]);
 		recorded.pass(20);
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -12,7 +12,7 @@
 } from './minion.js';
 import {outcomeKind, type Outcome} from './outcome.js';
 import {
-	isUsable, placeTask, roomOf, type PoolView,
+	isCountedOn, isUsable, placeTask, roomOf, type PoolView,
 } from './placement.js';
 import {learn} from './slowness.js';
 import {compareWaiting, latestStart} from './waiting.js';
@@ -719,11 +719,11 @@
 		return workMs / this.parallelism(this.ports.now());
 	}
 
-	/** Tasks of nominal speed that the usable minions run side by side. */
+	/** Tasks of nominal speed that run side by side on the minions that can be counted on. */
 	private parallelism(now: number): number {
 		let tasks = 0;
 		for (const minion of this.book.minions.values()) {
-			if (isUsable(minion, now)) {
+			if (isCountedOn(minion, now)) {
 				tasks += Math.floor(minion.record.capacity.millicores / this.meanTaskMillicores()) / factorOf(this.book, minion);
 			}
 		}
--- a/packages/chivestream-dispatch/src/placement.ts
+++ b/packages/chivestream-dispatch/src/placement.ts
@@ -50,6 +50,14 @@
 	minion.isSynced && minion.isReachable && !minion.isGone && !minion.record.isDraining
 	&& now >= minion.quarantinedUntil && !(minion.isOnProbation && minion.runs.size > 0);
 
+/** A minion that has not answered for so long is no longer counted on, in milliseconds; single answers get lost. */
+const countedOnMs = 1000;
+
+/** Whether a minion will take work soon, though it may not answer at this moment. */
+export const isCountedOn = (minion: Minion, now: number): boolean =>
+	!minion.isGone && !minion.record.isDraining && now >= minion.quarantinedUntil
+	&& (isUsable(minion, now) || now < minion.reportedAt + countedOnMs);
+
 /** Whether a task may run on a minion by its declarations, whatever is free there. */
 export const isAllowed = (minion: Minion, task: Task): boolean => {
 	const {step, job} = task;
