--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -222,7 +222,8 @@
 			recorded.dispatcher.noteUnreachable(recorded.minion(id));
 		}
 
-		const outcomes = ['b1', 'b2', 'b3', 'b4', 'b5'].map(id => recorded.submit(jobRequest(`00000000000000${id}`)));
+		const outcomes = ['b1', 'b2', 'b3', 'b4', 'b5'].map((id, index) =>
+			recorded.submit(jobRequest(`00000000000000${id}`, {objectiveDeadline: 200 + index})));
 		expect(outcomes).toEqual([[], [], [], [], []]);
 	});
 
