Use the run's key function in a minion's task, and drop an assignment that was overwritten at once

Found on reading the change again: the key of a run was spelled out twice beside runKey, and the minion's clock was cleared a few lines before it was set. Behaviour is the same.

--- a/packages/chivestream-host/src/minion-task.ts
+++ b/packages/chivestream-host/src/minion-task.ts
@@ -2,7 +2,7 @@
 /* eslint-disable no-await-in-loop -- a task takes one step after the other */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	startAnswer, type Dispatcher, type Minion, type Run, type Task,
+	runKey, startAnswer, type Dispatcher, type Minion, type Run, type Task,
 } from 'chivestream-dispatch';
 import {openMinion, refusal, type MinionClient} from 'chivestream-platform';
 import {type Report} from './host-log.js';
@@ -95,12 +95,11 @@
 
 		const held = result.value;
 		if (held.bornAt !== bornAt) {
-			// The ends of a new lifetime are numbered anew, and its clock has begun anew. A higher token keeps out orders to the
-			// lifetime before that are still on their way.
+			// The ends of a new lifetime are numbered anew. A higher token keeps out orders to the lifetime before that are still
+			// on their way.
 			token += bornAt > 0 ? 1 : 0;
 			bornAt = held.bornAt;
 			endCursor = 0;
-			minionClock = undefined;
 			dispatcher.noteLifetime(minion, bornAt);
 		}
 
@@ -183,13 +182,13 @@
 	};
 
 	const sendStop = async (run: Run) => {
-		while (!signal.aborted && minion.runs.has(`${run.task}/${run.number}`)) {
+		while (!signal.aborted && minion.runs.has(runKey(run.task, run.number))) {
 			const result = await client.stop(run.task, run.number, token, answerMs);
 			if (result.isOk()) {
 				dispatcher.noteStop(run);
 				// A minion takes a moment to stop a run; the look after it tells whether its room is free.
 				await sleep(flightMs);
-				if (!signal.aborted && minion.runs.has(`${run.task}/${run.number}`)) {
+				if (!signal.aborted && minion.runs.has(runKey(run.task, run.number))) {
 					await look(0, minion.isReachable);
 				}
 
