--- a/packages/chivestream-dispatch/src/__fixtures__/simulation.ts
+++ b/packages/chivestream-dispatch/src/__fixtures__/simulation.ts
@@ -1,7 +1,7 @@
 /** Replays a load against a dispatcher with simulated minions, on a clock of its own. */
 import {createRandom, type Random} from 'chivestream-core';
 import {
-	Dispatcher, endKind, longestChainMs, outcomeKind, runKey, startAnswer, type JobRequest, type MinionRecord, type Outcome,
+	defaultPolicy, Dispatcher, endKind, longestChainMs, outcomeKind, runKey, startAnswer, type JobRequest, type MinionRecord, type Outcome,
 	type DispatchPolicy, type Run, type RunEnd, type Step,
 } from '../index.js';
 
@@ -61,6 +61,11 @@
 	overlaps: number;
 	/** Jobs that were refused although a task of theirs began. */
 	falseRefusals: number;
+	/** Calls of the dispatcher: jobs, reports, answers and ticks. */
+	calls: number;
+	/** How often a minion was looked at for a task, and two jobs were compared. */
+	looks: number;
+	comparisons: number;
 };
 
 type Event = {time: number; order: number; act: () => void};
@@ -117,6 +122,15 @@
 		events.splice(index, 0, event);
 	};
 
+	/** The record, which counts how often a minion is looked at for a task. */
+	const counted = (record: MinionRecord): MinionRecord => ({
+		...record,
+		get upstream() {
+			looks += 1;
+			return record.upstream;
+		},
+	});
+
 	const active = new Map<string, Map<string, Active>>(load.minions.map(minion => [minion.record.id, new Map()]));
 	const simulated = new Map(load.minions.map(minion => [minion.record.id, minion]));
 	const work = new Map<string, number>();
@@ -124,6 +138,10 @@
 	const runsOfTask = new Map<string, number>();
 	let overruns = 0;
 	let overlaps = 0;
+	let calls = 0;
+	let looks = 0;
+	let comparisons = 0;
+	const policy = load.policy ?? defaultPolicy;
 
 	const listed = (id: string) => [...active.get(id)!.values()].map(({run}) => ({task: run.task, number: run.number, progress: 0}));
 
@@ -132,6 +150,7 @@
 			runsOfTask.set(run.task, (runsOfTask.get(run.task) ?? 1) - 1);
 			const askedAt = time;
 			at(time + networkMs, () => {
+				calls += 1;
 				dispatcher.noteReport(run.minion, {askedAt, running: listed(id), ended: [{task: run.task, number: run.number, kind}]});
 			});
 		}
@@ -156,6 +175,7 @@
 			finish(id, run, minion.failsAt?.(time) ? endKind.failed : endKind.done);
 		});
 		at(time + networkMs, () => {
+			calls += 1;
 			dispatcher.noteStart(run, startAnswer.started);
 		});
 	};
@@ -178,8 +198,17 @@
 		report() {
 			// The replay looks at outcomes only.
 		},
-	}, {leaseMs: 1000, farFactor: 3}, load.policy);
-	dispatcher.setMinions(load.minions.map(minion => minion.record));
+	}, {leaseMs: 1000, farFactor: 3}, {
+		...policy,
+		compare(now) {
+			const compare = policy.compare(now);
+			return (one, other) => {
+				comparisons += 1;
+				return compare(one, other);
+			};
+		},
+	});
+	dispatcher.setMinions(load.minions.map(minion => counted(minion.record)));
 	for (const minion of dispatcher.book.minions.values()) {
 		dispatcher.noteReport(minion, {askedAt: 0, running: [], ended: []});
 	}
@@ -230,6 +259,7 @@
 			submission: 0,
 			mayHaveRun: false,
 		};
+		calls += 1;
 		dispatcher.submit(request, (outcome: Outcome) => {
 			const tookMs = time - arrivedAt;
 			if (outcome.kind === outcomeKind.completed && tookMs <= objectiveMs) {
@@ -267,6 +297,7 @@
 
 	for (let when = tickMs; when < load.lengthMs + 10_000; when += tickMs) {
 		at(when, () => {
+			calls += 1;
 			dispatcher.tick();
 		});
 	}
@@ -278,7 +309,7 @@
 	}
 
 	return {
-		tallies, worth: earned / owed, overruns, overlaps, falseRefusals,
+		tallies, worth: earned / owed, overruns, overlaps, falseRefusals, calls, looks, comparisons,
 	};
 };
 
--- a/packages/chivestream-dispatch/src/__tests__/load.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/load.test.ts
@@ -62,6 +62,16 @@
 		}
 	});
 
+	test('at six times the size and twice the usual rate, a call costs about one pass over the minions and the jobs', () => {
+		const load = {
+			...base, seed: 1, lengthMs: 4000, minions: createMinions(82), kinds: lensDesk.map(kind => ({...kind, perSecond: kind.perSecond * 6})), rateAt: () => 2,
+		};
+		const {calls, looks, comparisons} = replay(load);
+		expect(looks / calls).toBeLessThan(load.minions.length);
+		// Sorting 82 jobs takes about 82 times the logarithm of that.
+		expect(comparisons / calls).toBeLessThan(82 * Math.log2(82));
+	});
+
 	test('a minion that fails all it starts is put aside', () => {
 		const minions = createMinions(11).map((minion, index) => index === 3 ? {...minion, failsAt: (time: number) => time > 5000} : minion);
 		const replays = replayAll({...base, minions});
--- a/packages/chivestream-dispatch/src/book.ts
+++ b/packages/chivestream-dispatch/src/book.ts
@@ -11,6 +11,8 @@
 	runsByTask: Map<string, Set<Run>>;
 	/** Learned slowness of each kind of minion, by the first label. */
 	kinds: Map<string, Slowness>;
+	/** Counts the moments at which room may have come: a run has ended, or a minion may take work again. */
+	roomChanges: number;
 };
 
 /** What to enter for a new run. */
@@ -21,7 +23,9 @@
 };
 
 /** Creates an empty book. */
-export const createBook = (): Book => ({minions: new Map(), runsByTask: new Map(), kinds: new Map()});
+export const createBook = (): Book => ({
+	minions: new Map(), runsByTask: new Map(), kinds: new Map(), roomChanges: 0,
+});
 
 const createMinion = (record: MinionRecord): Minion => ({
 	record,
@@ -63,6 +67,7 @@
 
 /** Removes a run that takes no room any more and can't start any more. */
 export const removeRun = (book: Book, run: Run): void => {
+	book.roomChanges += 1;
 	run.minion.runs.delete(runKey(run.task, run.number));
 	const ofTask = book.runsByTask.get(run.task);
 	ofTask?.delete(run);
@@ -81,6 +86,7 @@
 	book.minions.set(record.id, minion);
 	minion.record = record;
 	minion.isGone = false;
+	book.roomChanges += 1;
 	return minion;
 };
 
--- a/packages/chivestream-host/src/minion-task.ts
+++ b/packages/chivestream-host/src/minion-task.ts
@@ -126,17 +126,16 @@
 	});
 
 	const watch = async () => {
-		let acknowledged = 0;
 		while (!signal.aborted) {
-			const isBusy = minion.runs.size > 0;
-			if (minion.isSynced && !isBusy && acknowledged === endCursor) {
+			if (minion.isSynced && minion.isReachable && minion.runs.size === 0) {
+				// The last ends are acknowledged with the look that follows, within the time that the platform allows.
 				await rest(idleLookMs);
-				acknowledged = -1;
-				continue;
+				if (signal.aborted) {
+					break;
+				}
 			}
 
-			acknowledged = endCursor;
-			const isAnswered = await look(minion.isSynced && isBusy ? holdWaitMs : 0, minion.isReachable);
+			const isAnswered = await look(minion.isSynced && minion.runs.size > 0 ? holdWaitMs : 0, minion.isReachable);
 			if (!isAnswered && !signal.aborted) {
 				if (now() > leaseSentAt + (leaseMs * leaseDrift) + flightMs) {
 					dispatcher.noteLapsed(minion);
