Explain a job from the logs of its hosts; refusals keep lines of their own

Cause: grep told the lines of a job, but not the state of its hosts and minions at that time; a refusal shared its budget of 20 lines a second with the jobs that end well and was left out at worst load; the dispatcher did not log what it refused a job by. Ruled out: raising the budget, as lines cost processor time at the worst moment. Change: 'chivestream explain JOB-ID FILE...' orders the lines of several hosts and concludes; job-turned-away tells the work ahead, the parallel tasks and the minions that take work; the budget is for each message and outcome.

--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -311,7 +311,8 @@
 		}
 	}
 
-	private giveUp(job: Job, reason: string): void {
+	private giveUp(job: Job, reason: string, aheadMs?: number): void {
+		this.reportTurnedAway(job, job.mayHaveRun ? outcomeKind.abandoned : outcomeKind.refused, reason, aheadMs);
 		if (job.mayHaveRun) {
 			this.end(job, {kind: outcomeKind.abandoned, reason});
 		} else {
@@ -336,10 +337,31 @@
 
 		const isTooLate = this.isGathering(now) ? isHopeless(job, now) : this.policy.isTooLate(job, now + (aheadMs / this.parallelism()));
 		if (isTooLate) {
-			this.giveUp(job, 'no room in time');
+			this.giveUp(job, 'no room in time', aheadMs);
 		}
 	}
 
+	/** Logs that a job is given up or refused, with what decided it. */
+	private reportTurnedAway(job: Job, outcome: string, reason: string, aheadMs: number | undefined): void {
+		const now = this.ports.now();
+		let usableMinions = 0;
+		for (const minion of this.book.minions.values()) {
+			usableMinions += isUsable(minion, now) ? 1 : 0;
+		}
+
+		this.ports.report('job-turned-away', {
+			job: job.request.id,
+			outcome,
+			reason,
+			heldMs: Math.round(now - job.arrivedAt),
+			objectiveInMs: Math.round(job.request.objectiveDeadline - now),
+			...(aheadMs !== undefined && {aheadMs: Math.round(aheadMs)}),
+			parallelTasks: Math.round(this.parallelism()),
+			usableMinions,
+			minions: this.book.minions.size,
+		});
+	}
+
 	/** Whether this dispatcher has only begun, and some minions have not told yet what runs on them. */
 	private isGathering(now: number): boolean {
 		return now <= this.tookOverAt + gatheringMs && (this.book.minions.size === 0 || this.runs.hasUnsynced());
--- a/packages/chivestream-host/src/host-log.ts
+++ b/packages/chivestream-host/src/host-log.ts
@@ -7,7 +7,8 @@
 /** Writes one line for a decision or a change of what the process believes. */
 export type Report = (event: string, fields?: Record<string, unknown>) => void;
 
-/** Lines of one event that are written in a second; the rest is counted. */
+/** Lines of one event, and of one outcome where it has one, that are written in a second; the rest is counted. Refusals and
+ * failures so have lines of their own, however many jobs end well. */
 const linesPerEventAndSecond = 20;
 
 /** Bytes that may wait for a slow reader before lines are dropped. */
@@ -39,22 +40,22 @@
 	},
 });
 
-/** Creates the log of a host; `now` is its steady clock in milliseconds. */
-export const createReport = (fields: Record<string, string>, level: string, now: () => number): Report => {
+/** Creates the log of a host; `now` is its steady clock in milliseconds, `output` standard output if it is left out. */
+export const createReport = (fields: Record<string, string>, level: string, now: () => number, output?: Writable): Report => {
 	const logger = createLogger({
 		level,
 		defaultMeta: fields,
 		format: format.combine(format.timestamp(), format.json()),
-		transports: [new transports.Stream({stream: createBoundedOutput(openOutput())})],
+		transports: [new transports.Stream({stream: createBoundedOutput(output ?? openOutput())})],
 	});
 	const counts = new Map<string, number>();
 	let windowEnd = now() + windowMs;
 
 	const closeWindow = () => {
 		windowEnd = now() + windowMs;
-		for (const [event, count] of counts) {
+		for (const [kind, count] of counts) {
 			if (count > linesPerEventAndSecond) {
-				logger.info('lines-left-out', {of: event, count: count - linesPerEventAndSecond});
+				logger.info('lines-left-out', {of: kind, count: count - linesPerEventAndSecond});
 			}
 		}
 
@@ -66,8 +67,9 @@
 			closeWindow();
 		}
 
-		const count = (counts.get(event) ?? 0) + 1;
-		counts.set(event, count);
+		const kind = typeof eventFields.outcome === 'string' ? `${event} ${eventFields.outcome}` : event;
+		const count = (counts.get(kind) ?? 0) + 1;
+		counts.set(kind, count);
 		if (count <= linesPerEventAndSecond) {
 			logger.info(event, eventFields);
 		}
--- a/packages/chivestream-operator/src/command-line/arguments.ts
+++ b/packages/chivestream-operator/src/command-line/arguments.ts
@@ -21,6 +21,8 @@
 /** What the command line asks for. */
 export type CommandLine
 	= | StatementCommand
+	/** Explain from log files what became of a job. */
+		| {kind: 'explanation'; id: string; files: string[]; isJson: boolean}
 		| {kind: 'text'; text: string}
 		| {kind: 'fault'; message: string};
 
@@ -32,6 +34,7 @@
 
 	Usage
 	  $ chivestream [query] STATEMENT
+	  $ chivestream explain JOB-ID LOG-FILE...
 	  $ chivestream completion bash|zsh|fish
 
 	Statements
@@ -115,6 +118,18 @@
 		: {kind: 'text', text: script};
 };
 
+const readExplanation = ([name, id, ...files]: string[], isJson: boolean): CommandLine | undefined => {
+	if (name !== 'explain') {
+		return undefined;
+	}
+
+	return id === undefined || files.length === 0
+		? {kind: 'fault', message: 'explain takes the id of a job and the log files of the hosts; see chivestream --help'}
+		: {
+			kind: 'explanation', id, files, isJson,
+		};
+};
+
 /** Reads the command line; faults name what is wrong and how to mend it. */
 export const readCommandLine = async (words: string[], environment: Record<string, string | undefined>): Promise<CommandLine> => {
 	const cli = readArguments(words);
@@ -137,6 +152,11 @@
 		return completion;
 	}
 
+	const explanation = readExplanation(input, flags.json);
+	if (explanation) {
+		return explanation;
+	}
+
 	const statementWords = input[0] === 'query' ? input.slice(1) : input;
 	if (statementWords.length === 0) {
 		return {kind: 'fault', message: 'a statement is missing; see chivestream --help'};
--- a/packages/chivestream-operator/src/command-line/run.ts
+++ b/packages/chivestream-operator/src/command-line/run.ts
@@ -4,6 +4,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {toFailure} from 'chivestream-core';
 import {type Answer, type OperatorRequest} from '../answers.js';
+import {formatStory, readLog, tellStory} from '../explain/index.js';
 import {formatFault} from '../language/fault.js';
 import {parseStatement} from '../language/parse.js';
 import {type Statement} from '../language/syntax.js';
@@ -146,6 +147,24 @@
 	}
 };
 
+/** Explains from log files what became of a job. */
+const explain = async (terminal: Terminal, command: Extract<CommandLine, {kind: 'explanation'}>): Promise<ExitCode> => {
+	const logs = await Promise.all(command.files.map(async file => readLog(await readFile(file, 'utf8'))));
+	const unreadable = logs.reduce((sum, log) => sum + log.unreadable, 0);
+	if (unreadable > 0) {
+		terminal.writeError(`${unreadable} lines are not in the format of the hosts' logs and were passed over`);
+	}
+
+	const story = tellStory(command.id, logs.flatMap(log => log.lines));
+	if (story === undefined) {
+		terminal.writeError(`no line names the job ${command.id}; give the logs of all hosts of its time`);
+		return exitCode.notFound;
+	}
+
+	terminal.write(command.isJson ? JSON.stringify(story) : formatStory(story));
+	return exitCode.done;
+};
+
 const isFileError = (error: unknown): boolean => typeof error === 'object' && error !== null && 'code' in error && 'path' in error;
 
 const runCommand = async (terminal: Terminal, commandLine: CommandLine): Promise<ExitCode> => {
@@ -159,7 +178,7 @@
 		return exitCode.usage;
 	}
 
-	return runStatement(terminal, commandLine);
+	return commandLine.kind === 'explanation' ? explain(terminal, commandLine) : runStatement(terminal, commandLine);
 };
 
 /** Runs the program and gives its exit code. */
