Divide a zone of many minions into cells with a dispatcher each

Ruled out: carrying only the calls to minions on other hosts, as a message between hosts costs about as much as a call. Change: cells of 20 to 40 minions by a hash of the minion's id; a zone is divided when its minions ask for it and never put together again while a host lives; each cell's dispatcher is chosen like the zone's before, the host with the least to do for its size first, and handed over where a host holds too many. A job's cell is a hash of its id, so that copies meet. A zone of less than 40 minions is one cell, as before. Rooms of the other cells of the zone come before those of other zones.

--- a/packages/chivestream-dispatch/src/__fixtures__/ports.ts
+++ b/packages/chivestream-dispatch/src/__fixtures__/ports.ts
@@ -1,7 +1,7 @@
 /** A dispatcher whose orders are recorded, on a clock that the test moves. */
 import {createRandom} from 'chivestream-core';
 import {
-	Dispatcher, type JobRequest, type Minion, type MinionRecord, type Outcome, type Run, type ZoneRoom,
+	Dispatcher, type JobRequest, type Minion, type MinionRecord, type Outcome, type Run, type CellRoom,
 } from '../index.js';
 
 /** A dispatcher with what it has ordered. */
@@ -9,7 +9,7 @@
 	dispatcher: Dispatcher;
 	starts: Run[];
 	stops: Run[];
-	zones: ZoneRoom[];
+	otherCells: CellRoom[];
 	/** Moves the clock by some milliseconds. */
 	pass: (ms: number) => void;
 	now: () => number;
@@ -59,7 +59,7 @@
 	let time = 0;
 	const starts: Run[] = [];
 	const stops: Run[] = [];
-	const zones: ZoneRoom[] = [];
+	const otherCells: CellRoom[] = [];
 	const dispatcher = new Dispatcher({
 		now: () => time,
 		random: createRandom(1),
@@ -69,7 +69,7 @@
 		orderStop(run) {
 			stops.push(run);
 		},
-		otherZones: () => zones,
+		otherCells: () => otherCells,
 		report() {
 			// Tests look at orders and outcomes.
 		},
@@ -80,7 +80,7 @@
 		dispatcher,
 		starts,
 		stops,
-		zones,
+		otherCells,
 		minion,
 		pass(ms) {
 			time += ms;
--- a/packages/chivestream-dispatch/src/__fixtures__/simulation.ts
+++ b/packages/chivestream-dispatch/src/__fixtures__/simulation.ts
@@ -194,7 +194,7 @@
 				finish(run.minion.record.id, run, endKind.interrupted);
 			});
 		},
-		otherZones: () => [],
+		otherCells: () => [],
 		report() {
 			// The replay looks at outcomes only.
 		},
--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -258,10 +258,10 @@
 		expect(outcomes.map(outcome => outcome.kind)).toEqual([outcomeKind.abandoned]);
 	});
 
-	test('a job goes to another zone while that has room for all of it, and is refused once it is late', () => {
+	test('a job goes to another cell while that has room for all of it, and is refused once it is late', () => {
 		const recorded = createRecorded([]);
-		recorded.zones.push({zone: 'y', freeTasks: 3});
-		expect(recorded.submit(jobRequest('00000000000000c1', {}, 2))).toEqual([{kind: outcomeKind.redirected, zone: 'y'}]);
+		recorded.otherCells.push({cell: 'y', freeTasks: 3});
+		expect(recorded.submit(jobRequest('00000000000000c1', {}, 2))).toEqual([{kind: outcomeKind.redirected, cell: 'y'}]);
 		const outcomes = recorded.submit(jobRequest('00000000000000c2', {}, 2));
 		recorded.pass(700);
 		recorded.dispatcher.tick();
--- a/packages/chivestream-dispatch/src/admission.ts
+++ b/packages/chivestream-dispatch/src/admission.ts
@@ -1,5 +1,5 @@
 /**
- * Whether a job is taken, refused at once or sent to another zone.
+ * Whether a job is taken, refused at once or sent to another cell.
  *
  * Answers bursts above capacity: a queue without bound holds every job until its deadline and serves none in time.
  */
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -18,9 +18,10 @@
 } from './runs.js';
 import {compareWaiting} from './waiting.js';
 
-/** Room that another zone has told of. */
-export type ZoneRoom = {
-	zone: string;
+/** Room that another cell has told of. */
+export type CellRoom = {
+	/** Name of the cell among all zones. */
+	cell: string;
 	/** Tasks of ordinary size that can begin at once. */
 	freeTasks: number;
 };
@@ -36,8 +37,8 @@
 /** What a dispatcher needs of the outside. */
 export type DispatchPorts = Pick<RunPorts, 'now' | 'orderStart' | 'orderStop' | 'report'> & {
 	random: Random;
-	/** Other zones that have told of free room, nearest first. */
-	otherZones: () => ZoneRoom[];
+	/** Other cells that have told of free room, nearest first. */
+	otherCells: () => CellRoom[];
 };
 
 /** The parts of a dispatcher's decisions that may vary. */
@@ -63,7 +64,7 @@
 /** Share of each new task's size in the mean size. */
 const sizeShare = 0.05;
 
-/** A dispatcher for the minions of one zone. */
+/** A dispatcher for the minions of one cell. */
 export class Dispatcher {
 	readonly book: Book = createBook();
 	readonly jobs = new Map<string, Job>();
@@ -193,7 +194,7 @@
 		this.checkJobs(now);
 	}
 
-	/** Gives all jobs back: the next dispatcher of the zone takes over what runs. */
+	/** Gives all jobs back: the next dispatcher of the cell takes over what runs. */
 	release(): void {
 		this.isLeaving = true;
 		for (const job of this.jobs.values()) {
@@ -321,17 +322,17 @@
 		}
 	}
 
-	/** Sends a job that has not begun to a zone with room, or refuses it when it can't end in time here; `aheadMs` is the work before it. */
+	/** Sends a job that has not begun to a cell with room, or refuses it when it can't end in time here; `aheadMs` is the work before it. */
 	private redirectOrRefuse(job: Job, now: number, aheadMs: number): void {
 		if (job.mayHaveRun) {
 			return;
 		}
 
 		const count = job.tasks.length;
-		const zone = job.request.submission === 0 ? this.ports.otherZones().find(other => other.freeTasks >= count) : undefined;
-		if (zone !== undefined) {
-			zone.freeTasks -= count;
-			this.end(job, {kind: outcomeKind.redirected, zone: zone.zone});
+		const other = job.request.submission === 0 ? this.ports.otherCells().find(({freeTasks: free}) => free >= count) : undefined;
+		if (other !== undefined) {
+			other.freeTasks -= count;
+			this.end(job, {kind: outcomeKind.redirected, cell: other.cell});
 			return;
 		}
 
--- a/packages/chivestream-dispatch/src/outcome.ts
+++ b/packages/chivestream-dispatch/src/outcome.ts
@@ -8,9 +8,9 @@
 	refused: 'refused',
 	/** The dispatcher gave the job up, and some of its tasks may have run. */
 	abandoned: 'abandoned',
-	/** Nothing has run here; another zone has free minions for the job. */
+	/** Nothing has run here; another cell has free minions for the job. */
 	redirected: 'redirected',
-	/** The dispatcher is leaving; the next one of the zone takes over what runs. */
+	/** The dispatcher is leaving; the next one of the cell takes over what runs. */
 	released: 'released',
 } as const;
 
@@ -20,5 +20,5 @@
 		| {kind: typeof outcomeKind.failed; reason: string}
 		| {kind: typeof outcomeKind.refused; reason: string; retryAfterMs: number}
 		| {kind: typeof outcomeKind.abandoned; reason: string}
-		| {kind: typeof outcomeKind.redirected; zone: string}
+		| {kind: typeof outcomeKind.redirected; cell: string}
 		| {kind: typeof outcomeKind.released; doneTasks: string[]};
--- a/packages/chivestream-host/src/__fixtures__/site.ts
+++ b/packages/chivestream-host/src/__fixtures__/site.ts
@@ -27,6 +27,8 @@
 	metrics: (hostIndex: number) => Promise<string>;
 	/** Declares routes under a version. */
 	declare: (version: number, prefixes?: string[]) => void;
+	/** From now on so many minions are registered. */
+	register: (minionCount: number) => void;
 	startHost: (index: number) => Promise<void>;
 	/** Index of the host that dispatches. */
 	dispatcherIndex: () => Promise<number>;
@@ -89,8 +91,8 @@
 	}
 };
 
-/** Starts a site: hosts in one zone, or spread over several. */
-export const startSite = async (hostCount: number, minionCount: number, zones: readonly string[] = ['z']): Promise<TestSite> => {
+/** Starts a site: hosts in one zone, or spread over several; some of the minions may be registered later. */
+export const startSite = async (hostCount: number, minionCount: number, zones: readonly string[] = ['z'], registeredAtFirst = minionCount): Promise<TestSite> => {
 	const checker = new Checker();
 	const store = await startStore();
 	const work = new Map<string, number>();
@@ -108,8 +110,9 @@
 		}));
 	}
 
+	let registered = registeredAtFirst;
 	const beat = () => {
-		for (const minion of minions) {
+		for (const minion of minions.slice(0, registered)) {
 			store.write('keyed.servers', minion.id, minion.entry());
 		}
 	};
@@ -175,6 +178,10 @@
 			return body.text();
 		},
 		declare,
+		register(count) {
+			registered = count;
+			beat();
+		},
 		startHost,
 		async dispatcherIndex() {
 			let found = -1;
--- a/packages/chivestream-host/src/__tests__/election.test.ts
+++ b/packages/chivestream-host/src/__tests__/election.test.ts
@@ -1,39 +1,79 @@
 import {describe, expect, test} from '@jest/globals';
-import {chooseDispatcher, contact, type Candidate} from '../election.js';
+import {
+	chooseDispatchers, contact, shouldHandOver, type Candidate,
+} from '../election.js';
 
 const candidate = (name: string, changes: Partial<Candidate> = {}, cpuShare = 1): Candidate => ({
 	record: {
 		name, zone: 'z', address: '10.0.0.1:1', bornAt: 1, cpuShare,
 	},
-	claim: 0,
+	claims: [],
+	cellCount: 1,
 	isLeaving: false,
 	contact: contact.alive,
 	...changes,
 });
 
-describe('the choice of the zone\'s dispatcher', () => {
+const claims = (...tokens: Array<[cell: number, token: number]>): Pick<Candidate, 'claims'> => ({
+	claims: tokens.map(([cell, token]) => ({cell, token, freeTasks: 0})),
+});
+
+const choose = (self: Candidate, others: readonly Candidate[], canReachStore = true, cellCount = 1) =>
+	chooseDispatchers(self, others, canReachStore, cellCount).map(choice => choice.kind === 'follow' ? choice.record.name : choice.kind);
+
+describe('the choice of a cell\'s dispatcher', () => {
 	test('whoever has the highest claim stays, also when a larger host comes', () => {
-		const choice = chooseDispatcher(candidate('a', {}, 2), [candidate('b', {claim: 5}), candidate('c', {claim: 4})], true);
-		expect(choice).toMatchObject({kind: 'follow', record: {name: 'b'}});
+		expect(choose(candidate('a', {}, 2), [candidate('b', claims([0, 5])), candidate('c', claims([0, 4]))])).toEqual(['b']);
 	});
 
 	test('without a claim the largest host that is alive claims', () => {
-		expect(chooseDispatcher(candidate('b', {}, 2), [candidate('a')], false)).toEqual({kind: 'claim'});
-		expect(chooseDispatcher(candidate('a'), [candidate('b', {}, 2)], false)).toMatchObject({kind: 'follow', record: {name: 'b'}});
+		expect(choose(candidate('b', {}, 2), [candidate('a')], false)).toEqual(['claim']);
+		expect(choose(candidate('a'), [candidate('b', {}, 2)], false)).toEqual(['b']);
 	});
 
 	test('a host that is leaving neither claims nor is followed', () => {
-		expect(chooseDispatcher(candidate('a', {isLeaving: true}), [candidate('b', {claim: 3, isLeaving: true})], true)).toEqual({kind: 'none'});
+		expect(choose(candidate('a', {isLeaving: true}), [candidate('b', {...claims([0, 3]), isLeaving: true})])).toEqual(['none']);
 	});
 
 	test('a host that sees neither the others nor the store leaves the minions alone', () => {
 		const silent = [candidate('b', {contact: contact.silent}), candidate('c', {contact: contact.silent})];
-		expect(chooseDispatcher(candidate('a'), silent, false)).toEqual({kind: 'none'});
-		expect(chooseDispatcher(candidate('a'), silent, true)).toEqual({kind: 'claim'});
+		expect(choose(candidate('a'), silent, false)).toEqual(['none']);
+		expect(choose(candidate('a'), silent, true)).toEqual(['claim']);
 	});
 
 	test('hosts whose addresses refuse connections have ended, so the last one claims', () => {
 		const dead = [candidate('b', {contact: contact.dead}), candidate('c', {contact: contact.dead})];
-		expect(chooseDispatcher(candidate('a'), dead, false)).toEqual({kind: 'claim'});
+		expect(choose(candidate('a'), dead, false)).toEqual(['claim']);
+	});
+});
+
+describe('several cells', () => {
+	test('go to the hosts with the least to do for their size, and all hosts choose alike', () => {
+		const hosts = [candidate('a', {}, 1.35), candidate('b', {}, 0.9), candidate('c', {}, 0.7), candidate('d', {}, 0.25)];
+		const choices = hosts.map(self => choose(self, hosts.filter(host => host !== self), true, 4)
+			.map(name => name === 'claim' ? self.record.name : name));
+		expect(choices).toEqual(hosts.map(() => ['a', 'b', 'c', 'a']));
+	});
+
+	test('that have a claimant stay, and the one without goes to the host with the least to do', () => {
+		const others = [candidate('b', claims([0, 7], [1, 8])), candidate('c')];
+		expect(choose(candidate('a', claims([2, 9])), others, true, 4)).toEqual(['b', 'b', 'a', 'c']);
+	});
+
+	test('all go to the last host that is alive', () => {
+		expect(choose(candidate('a'), [candidate('b', {contact: contact.dead})], false, 4)).toEqual(['claim', 'claim', 'claim', 'claim']);
+	});
+});
+
+describe('a cell is handed over', () => {
+	test('to a host with much less to do, not to an equal one', () => {
+		expect(shouldHandOver(candidate('a', claims([0, 1], [1, 2])), [candidate('b')])).toBe(true);
+		expect(shouldHandOver(candidate('a', claims([0, 1])), [candidate('b')])).toBe(false);
+		expect(shouldHandOver(candidate('a', claims([0, 1]), 0.25), [candidate('b', {}, 1.35)])).toBe(true);
+	});
+
+	test('to no host that is leaving or out of reach', () => {
+		const others = [candidate('b', {isLeaving: true}), candidate('c', {contact: contact.silent})];
+		expect(shouldHandOver(candidate('a', claims([0, 1], [1, 2])), others)).toBe(false);
 	});
 });
--- a/packages/chivestream-host/src/__tests__/host.test.ts
+++ b/packages/chivestream-host/src/__tests__/host.test.ts
@@ -11,8 +11,8 @@
 	site = undefined;
 });
 
-const start = async (hosts: number, minions: number, zones?: string[]): Promise<TestSite> => {
-	site = await startSite(hosts, minions, zones);
+const start = async (hosts: number, minions: number, zones?: string[], registeredAtFirst?: number): Promise<TestSite> => {
+	site = await startSite(hosts, minions, zones, registeredAtFirst);
 	await site.untilReady();
 	return site;
 };
@@ -175,3 +175,31 @@
 		expect(running.checker.violations).toEqual([]);
 	});
 });
+
+describe('a zone of many minions', () => {
+	const manyMinions = 44;
+
+	test('is divided into cells with a dispatcher each, whose death cuts no job of the other', async () => {
+		const running = await start(3, manyMinions);
+		await until(() => running.hosts.filter(({host}) => host.isDispatching()).length === 2);
+		const dispatcher = await running.dispatcherIndex();
+		const others = [0, 1, 2].filter(index => index !== dispatcher);
+		const results = submitMany(running, 30, {count: 3, workMs: 300}, others);
+		await until(() => running.checker.starts >= 60);
+		await running.hosts[dispatcher]!.host.close();
+		const ended = await results;
+		expect(ended.map(({status}) => status)).toEqual(ended.map(() => 200));
+		expect(running.checker.violations).toEqual([]);
+	});
+
+	test('is divided anew when more minions come, and what has run is not run beside another run of it', async () => {
+		const running = await start(2, manyMinions, ['z'], 30);
+		const results = submitMany(running, 20, {count: 3, workMs: 400}, [0, 1]);
+		await until(() => running.checker.starts >= 20);
+		running.register(manyMinions);
+		const ended = await results;
+		expect(ended.map(({status}) => status)).toEqual(ended.map(() => 200));
+		await until(() => running.hosts.every(({host}) => host.isDispatching()));
+		expect(running.checker.violations).toEqual([]);
+	});
+});
--- a/packages/chivestream-host/src/__tests__/job-client.test.ts
+++ b/packages/chivestream-host/src/__tests__/job-client.test.ts
@@ -25,7 +25,7 @@
 	const submitted: Array<{name: string; at: number; job: JobRequest}> = [];
 	const toContact = ({answers, ...contact}: Contact): DispatcherContact => ({
 		name: 'd',
-		zone: 'z',
+		cell: 'z/1 of 1',
 		claim: 1,
 		submit(request, settle) {
 			submitted.push({name: contact.name ?? 'd', at: time, job: request});
@@ -42,7 +42,8 @@
 		report() {
 			// Tests look at what is submitted.
 		},
-		findDispatcher: zone => found.find(contact => zone === undefined || contact.zone === zone),
+		dispatcherOf: cell => found.find(contact => contact.cell === cell),
+		dispatcherFor: () => found[0],
 		async untilChange(deadline) {
 			time = Math.max(time + 1, deadline);
 		},
@@ -58,7 +59,7 @@
 		expect(client.submitted).toHaveLength(1);
 	});
 
-	test('goes to the next claim of the zone at once, with what is done', async () => {
+	test('goes to the next claim of the cell at once, with what is done', async () => {
 		const client = createClient([{answers: [{kind: outcomeKind.released, doneTasks: ['t']}]}]);
 		client.options.untilChange = async () => {
 			client.found[0]!.claim = 2;
@@ -68,10 +69,11 @@
 		expect(client.submitted[1]).toMatchObject({at: 0, job: {submission: 1, mayHaveRun: true, doneTasks: ['t']}});
 	});
 
-	test('begins in another zone only when the lost dispatcher can have nothing running any more', async () => {
-		const client = createClient([{name: 'd1', zone: 'y', answers: [{kind: 'lost'}]}, {name: 'd2', zone: 'z', answers: []}]);
+	test('begins in another cell only when the lost dispatcher can have nothing running any more', async () => {
+		const client = createClient([{name: 'd1', cell: 'y/1 of 1', answers: [{kind: 'lost'}]}, {name: 'd2', cell: 'z/1 of 1', answers: []}]);
 		const first = client.found[0]!;
-		client.options.findDispatcher = () => client.submitted.length === 0 ? first : client.found[1];
+		client.options.dispatcherOf = () => undefined;
+		client.options.dispatcherFor = () => client.submitted.length === 0 ? first : client.found[1];
 		expect(await runJob(client.options, job).outcome).toEqual({kind: outcomeKind.completed});
 		expect(client.submitted.map(({name, at}) => [name, at])).toEqual([['d1', 0], ['d2', 1300]]);
 	});
@@ -82,7 +84,7 @@
 	});
 
 	test('goes where it is redirected', async () => {
-		const client = createClient([{name: 'd1', zone: 'y', answers: [{kind: outcomeKind.redirected, zone: 'z'}]}, {name: 'd2', zone: 'z', answers: []}]);
+		const client = createClient([{name: 'd1', cell: 'y/1 of 1', answers: [{kind: outcomeKind.redirected, cell: 'z/1 of 1'}]}, {name: 'd2', cell: 'z/1 of 1', answers: []}]);
 		expect(await runJob(client.options, job).outcome).toEqual({kind: outcomeKind.completed});
 		expect(client.submitted.map(({name}) => name)).toEqual(['d1', 'd2']);
 		expect(client.submitted[1]?.job).toMatchObject({submission: 1, mayHaveRun: false});
--- a/packages/chivestream-host/src/contacts.ts
+++ b/packages/chivestream-host/src/contacts.ts
@@ -1,4 +1,5 @@
 /** The dispatchers to which this host can hand jobs. */
+import {cellName, cellOf} from './cells.js';
 import {type DispatchService} from './dispatch-service.js';
 import {type Choice} from './election.js';
 import {toMessage, type DispatcherContact} from './job-client.js';
@@ -9,10 +10,10 @@
 export type ContactsOptions = {
 	self: HostRecord;
 	now: () => number;
-	/** The own zone's dispatcher as chosen last. */
-	choice: () => Choice;
-	/** The dispatcher on this host, if it is one. */
-	service: () => DispatchService | undefined;
+	/** For each cell of the own zone, its dispatcher as chosen last. */
+	choices: () => readonly Choice[];
+	/** The dispatchers on this host, by cell. */
+	services: () => ReadonlyMap<number, DispatchService>;
 	/** The open link to a host. */
 	link: (name: string) => PeerLink | undefined;
 	/** Open links to the dispatchers of other zones. */
@@ -28,17 +29,52 @@
 		this.options = options;
 	}
 
-	/** A dispatcher to hand jobs to: of a given zone, or the own zone's or else another's. */
-	dispatcher(zone?: string): DispatcherContact | undefined {
-		if (zone === undefined || zone === this.options.self.zone) {
-			const own = this.ownZone();
-			if (own !== undefined || zone !== undefined) {
-				return own;
+	/**
+	 * The dispatcher to which a job belongs: that of its cell of the own zone, which is the same at every host of the zone, so
+	 * that copies of a job meet. Without one, another of the own zone, or else of another zone.
+	 */
+	forJob(id: string): DispatcherContact | undefined {
+		const cellCount = this.options.choices().length;
+		const home = cellOf(id, cellCount);
+		for (let step = 0; step < cellCount; step += 1) {
+			const found = this.ofOwnZone((home + step) % cellCount);
+			if (found !== undefined) {
+				return found;
 			}
 		}
 
-		const link = this.options.otherDispatchers().find(other => zone === undefined || other.record.zone === zone);
-		return link === undefined ? undefined : this.byLink(link.record.name, link.record.zone);
+		for (const link of this.options.otherDispatchers()) {
+			const [claim] = link.status?.claims ?? [];
+			if (claim !== undefined) {
+				return this.byLink(link, claim.cell);
+			}
+		}
+
+		return undefined;
+	}
+
+	/** The dispatcher of a cell by its name. */
+	ofCell(name: string): DispatcherContact | undefined {
+		for (const cell of this.options.choices().keys()) {
+			if (this.ownName(cell) === name) {
+				return this.ofOwnZone(cell);
+			}
+		}
+
+		for (const link of this.options.otherDispatchers()) {
+			for (const {cell} of link.status?.claims ?? []) {
+				if (cellName(link.record.zone, cell, link.status?.cellCount ?? 1) === name) {
+					return this.byLink(link, cell);
+				}
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Whether any dispatcher is in reach. */
+	hasAny(): boolean {
+		return this.forJob('') !== undefined;
 	}
 
 	/** Resolves when the dispatchers in reach may have changed, or at a time. */
@@ -62,13 +98,17 @@
 		}
 	}
 
-	private ownZone(): DispatcherContact | undefined {
+	private ownName(cell: number): string {
+		return cellName(this.options.self.zone, cell, this.options.choices().length);
+	}
+
+	private ofOwnZone(cell: number): DispatcherContact | undefined {
 		const {self} = this.options;
-		const service = this.options.service();
+		const service = this.options.services().get(cell);
 		if (service !== undefined) {
 			return {
 				name: self.name,
-				zone: self.zone,
+				cell: this.ownName(cell),
 				claim: service.token,
 				submit(job, settle) {
 					service.dispatcher.submit(job, settle);
@@ -79,23 +119,26 @@
 			};
 		}
 
-		const choice = this.options.choice();
-		return choice.kind === 'follow' ? this.byLink(choice.record.name, self.zone) : undefined;
+		const choice = this.options.choices()[cell];
+		const link = choice?.kind === 'follow' ? this.options.link(choice.record.name) : undefined;
+		return link === undefined ? undefined : this.byLink(link, cell);
 	}
 
-	/** The dispatcher on the host of an open link; undefined where it doesn't dispatch by its own word. */
-	private byLink(name: string, zone: string): DispatcherContact | undefined {
-		const link = this.options.link(name);
-		if (link?.status === undefined || link.status.claim === 0) {
+	/** The dispatcher of a cell at the end of a link; undefined where that doesn't dispatch for it by its own word. */
+	private byLink(link: PeerLink, cell: number): DispatcherContact | undefined {
+		const {record, status} = link;
+		const claim = status?.claims.find(other => other.cell === cell);
+		if (status === undefined || claim === undefined) {
 			return undefined;
 		}
 
+		const name = cellName(record.zone, cell, status.cellCount);
 		return {
-			name,
-			zone,
-			claim: link.status.claim,
+			name: record.name,
+			cell: name,
+			claim: claim.token,
 			submit: (job, settle) => {
-				link.submit(toMessage(job, this.options.now()), settle);
+				link.submit(toMessage(job, name, this.options.now()), settle);
 			},
 			cancel(id) {
 				link.cancel(id);
--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -1,7 +1,7 @@
-/** The dispatcher of a zone while this host has the claim to it, with a task for each minion. */
+/** The dispatcher of a cell while this host has the claim to it, with a task for each minion. */
 import {type Random} from 'chivestream-core';
 import {
-	Dispatcher, type MinionRecord, type ZoneRoom,
+	Dispatcher, type MinionRecord, type CellRoom,
 } from 'chivestream-dispatch';
 import {type Report} from './host-log.js';
 import {runMinionTask, type MinionTask} from './minion-task.js';
@@ -14,7 +14,7 @@
 	now: () => number;
 	random: Random;
 	report: Report;
-	otherZones: () => ZoneRoom[];
+	otherCells: () => CellRoom[];
 	noteFenced: () => void;
 };
 
@@ -37,7 +37,7 @@
 			now: options.now,
 			random: options.random,
 			report: options.report,
-			otherZones: options.otherZones,
+			otherCells: options.otherCells,
 			orderStart: (run, task) => {
 				this.tasks.get(run.minion.record.id)?.start(run, task);
 			},
@@ -47,7 +47,7 @@
 		}, {leaseMs: options.leaseMs, farFactor: options.farFactor});
 	}
 
-	/** Takes in the registered minions of the zone. */
+	/** Takes in the registered minions of the cell. */
 	setMinions(records: readonly MinionRecord[]): void {
 		this.dispatcher.setMinions(records);
 		for (const [id, minion] of this.dispatcher.book.minions) {
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -9,6 +9,7 @@
 import {DeclarationsFollower} from './declarations-follower.js';
 import {Contacts} from './contacts.js';
 import {followDirectory} from './directory.js';
+import {type DispatchService} from './dispatch-service.js';
 import {type Report} from './host-log.js';
 import {fromMessage, runJob} from './job-client.js';
 import {type HostRecord, type HostStatus, type Reply} from './messages.js';
@@ -63,8 +64,8 @@
 		this.now = now;
 		this.settings = settings;
 		this.metrics = createHostMetrics({
-			jobs: () => this.claim.service?.dispatcher.jobs.size ?? 0,
-			waitingTasks: () => this.claim.service?.dispatcher.waitingTasks() ?? 0,
+			jobs: () => this.sumOfServices(service => service.dispatcher.jobs.size),
+			waitingTasks: () => this.sumOfServices(service => service.dispatcher.waitingTasks()),
 			declarationsVersion: () => this.declarations.current?.version ?? 0,
 		});
 		const report: Report = (event, fields) => {
@@ -109,7 +110,7 @@
 				this.declarations.take(declarations, 'peer');
 			},
 			noteMinions: (from, minions) => {
-				if (this.claim.service === undefined && from.zone === this.record.zone) {
+				if (!this.isDispatching() && from.zone === this.record.zone) {
 					this.minions.replace(minions);
 				}
 			},
@@ -121,7 +122,7 @@
 				this.peers.add([host]);
 			},
 			submit: (message, settle) => {
-				const {service} = this.claim;
+				const service = this.claim.serviceOf(message.cell);
 				if (service === undefined) {
 					settle({kind: 'released', doneTasks: []});
 				} else {
@@ -129,7 +130,7 @@
 				}
 			},
 			cancel: id => {
-				this.claim.service?.dispatcher.cancel(id);
+				this.claim.cancel(id);
 			},
 		});
 		this.claim = new ZoneClaim({
@@ -152,13 +153,13 @@
 			reconsider: () => {
 				this.evaluate();
 			},
-			otherZones: () => this.peers.otherZones(),
+			otherCells: () => this.peers.otherCells(),
 		});
 		this.contacts = new Contacts({
 			self: this.record,
 			now,
-			choice: () => this.claim.choice,
-			service: () => this.claim.service,
+			choices: () => this.claim.choices,
+			services: () => this.claim.services,
 			link: name => this.peers.link(name),
 			otherDispatchers: () => this.peers.otherDispatchers(),
 		});
@@ -170,7 +171,8 @@
 			runJob: job => runJob({
 				now,
 				report,
-				findDispatcher: zone => this.contacts.dispatcher(zone),
+				dispatcherOf: cell => this.contacts.ofCell(cell),
+				dispatcherFor: id => this.contacts.forJob(id),
 				untilChange: async deadline => this.contacts.untilChange(deadline),
 			}, job),
 			pendingJobs: route => this.pendingJobs(route),
@@ -218,7 +220,7 @@
 		const endAt = stopAt + (this.settings.bounds.stopGraceSeconds * msPerSecond) - stopMarginMs;
 		this.report('stopping', {inProgress: this.callers.inProgress()});
 		this.isLeaving = true;
-		this.claim.end('stopping');
+		this.claim.endAll('stopping');
 		this.tellStatus();
 		this.evaluate();
 		while (this.now() < endAt && (this.callers.inProgress() > 0 || this.now() < stopAt + stopServiceMs)) {
@@ -240,23 +242,23 @@
 			server.closeAllConnections();
 		}
 
-		this.claim.end('closed');
+		this.claim.endAll('closed');
 		await this.store.close();
 	}
 
 	/** Whether the balancer should send connections here. */
 	isReady(): boolean {
-		return !this.isLeaving && this.declarations.current !== undefined && this.contacts.dispatcher() !== undefined;
+		return !this.isLeaving && this.declarations.current !== undefined && this.contacts.hasAny();
 	}
 
-	/** Whether this host dispatches for its zone. */
+	/** Whether this host dispatches for a cell of its zone. */
 	isDispatching(): boolean {
-		return this.claim.service !== undefined;
+		return this.claim.services.size > 0;
 	}
 
-	/** Tasks that can begin at once in other zones, as far as this host knows. */
+	/** Tasks that can begin at once in the cells of other hosts, as far as this host knows. */
 	roomElsewhere(): number {
-		return this.peers.otherZones().reduce((sum, zone) => sum + zone.freeTasks, 0);
+		return this.peers.otherCells().reduce((sum, cell) => sum + cell.freeTasks, 0);
 	}
 
 	private createReadinessServer(): HttpServer {
@@ -267,12 +269,16 @@
 		});
 	}
 
+	private sumOfServices(count: (service: DispatchService) => number): number {
+		return [...this.claim.services.values()].reduce((sum, service) => sum + count(service), 0);
+	}
+
 	private status(): HostStatus {
 		return {
-			claim: this.claim.token,
+			claims: this.claim.claims(),
+			cellCount: this.claim.cellCount,
 			isLeaving: this.isLeaving,
 			declarationsVersion: this.declarations.current?.version ?? 0,
-			freeTasks: this.claim.service?.dispatcher.spareTasks() ?? 0,
 		};
 	}
 
@@ -284,7 +290,7 @@
 			},
 			{type: 'dispatchers', hosts: this.knownDispatchers()},
 			...(current === undefined ? [] : [{type: 'declarations', declarations: current} as const]),
-			...(this.claim.service === undefined ? [] : [{type: 'minions', minions: this.zoneMinions()} as const]),
+			...(this.isDispatching() ? [{type: 'minions', minions: this.zoneMinions()} as const] : []),
 		];
 	}
 
@@ -293,15 +299,16 @@
 	}
 
 	private knownDispatchers(): HostRecord[] {
-		const {choice} = this.claim;
-		const own = choice.kind === 'follow' ? [choice.record] : [];
-		return [...own, ...this.peers.dispatcherRecords()];
+		const own = this.claim.choices.flatMap(choice => choice.kind === 'follow' ? [choice.record] : []);
+		return [...new Set(own), ...this.peers.dispatcherRecords()];
 	}
 
 	private pendingJobs(route: string): number {
 		let count = 0;
-		for (const job of this.claim.service?.dispatcher.jobs.values() ?? []) {
-			count += job.request.route === route && job.tasks.every(task => task.run === undefined) ? 1 : 0;
+		for (const service of this.claim.services.values()) {
+			for (const job of service.dispatcher.jobs.values()) {
+				count += job.request.route === route && job.tasks.every(task => task.run === undefined) ? 1 : 0;
+			}
 		}
 
 		return count;
@@ -315,10 +322,9 @@
 	}
 
 	private noteMinions(): void {
-		const {service} = this.claim;
-		if (service !== undefined) {
+		if (this.isDispatching()) {
 			const minions = this.zoneMinions();
-			service.setMinions(minions);
+			this.claim.setMinions(minions);
 			this.peerServer.tellZone(this.record.zone, {type: 'minions', minions});
 		}
 	}
@@ -351,11 +357,11 @@
 			const now = this.now();
 			if (now - this.lastTickAt > hostTiming.frozenMs) {
 				this.report('frozen', {forMs: Math.round(now - this.lastTickAt)});
-				this.claim.end('this host stood still');
+				this.claim.endAll('this host stood still');
 			}
 
 			this.lastTickAt = now;
-			this.claim.service?.tick();
+			this.claim.tick();
 			this.peerServer.tick();
 			if (now - this.lastHeartbeatAt >= hostTiming.heartbeatMs) {
 				this.lastHeartbeatAt = now;
--- a/packages/chivestream-host/src/job-client.ts
+++ b/packages/chivestream-host/src/job-client.ts
@@ -9,7 +9,8 @@
 /** A dispatcher to hand a job to. */
 export type DispatcherContact = {
 	name: string;
-	zone: string;
+	/** Name of the cell for which it dispatches. */
+	cell: string;
 	/** The token under which it dispatches. */
 	claim: number;
 	submit: (job: JobRequest, settle: (outcome: RemoteOutcome) => void) => void;
@@ -20,8 +21,10 @@
 export type JobClientOptions = {
 	now: () => number;
 	report: Report;
-	/** The dispatcher of a zone, if one is in reach; without a zone, that of the own or else of the nearest zone. */
-	findDispatcher: (zone?: string) => DispatcherContact | undefined;
+	/** The dispatcher of a cell by its name, if it is in reach. */
+	dispatcherOf: (cell: string) => DispatcherContact | undefined;
+	/** The dispatcher to which a job of this id belongs, or another where that is out of reach. */
+	dispatcherFor: (id: string) => DispatcherContact | undefined;
 	/** Resolves when the dispatchers in reach have changed, or at a time. */
 	untilChange: (deadline: number) => Promise<void>;
 };
@@ -36,8 +39,9 @@
 const retryAfterMs = 1000;
 
 /** The job as it travels, with times counted from now. */
-export const toMessage = (job: JobRequest, now: number): JobMessage => ({
+export const toMessage = (job: JobRequest, cell: string, now: number): JobMessage => ({
 	id: job.id,
+	cell,
 	payload: job.payload,
 	steps: [...job.steps],
 	route: job.route,
@@ -52,7 +56,7 @@
 });
 
 /** The job as its dispatcher keeps it, with times on the own clock. */
-export const fromMessage = ({objectiveInMs, deadlineInMs, ...message}: JobMessage, now: number): JobRequest => ({
+export const fromMessage = ({objectiveInMs, deadlineInMs, cell, ...message}: JobMessage, now: number): JobRequest => ({
 	...message,
 	objectiveDeadline: now + objectiveInMs,
 	deadline: now + deadlineInMs,
@@ -64,17 +68,17 @@
 	const controller = new AbortController();
 	let current: DispatcherContact | undefined;
 	let job = request;
-	let zone: string | undefined;
+	let cell: string | undefined;
 	/** Where and until when another run of the job may be alive. */
-	let lost: {zone: string; until: number} | undefined;
+	let lost: {cell: string; until: number} | undefined;
 	/** The claim that was given up: whoever still names it has not heard of the next one yet. */
 	let endedClaim = 0;
 
 	const findContact = async (): Promise<DispatcherContact | undefined> => {
 		const giveUpAt = Math.min(job.deadline, now() + hostTiming.findDispatcherMs + (lost === undefined ? 0 : hostTiming.elsewhereMs));
 		while (!controller.signal.aborted) {
-			const found = (zone === undefined ? undefined : options.findDispatcher(zone)) ?? options.findDispatcher();
-			const isSafe = lost === undefined || found?.zone === lost.zone || now() >= lost.until;
+			const found = (cell === undefined ? undefined : options.dispatcherOf(cell)) ?? options.dispatcherFor(job.id);
+			const isSafe = lost === undefined || found?.cell === lost.cell || now() >= lost.until;
 			if (found !== undefined && isSafe && found.claim !== endedClaim) {
 				return found;
 			}
@@ -113,16 +117,16 @@
 			switch (outcome.kind) {
 				case 'lost': {
 					report('dispatcher-lost', {job: job.id, dispatcher: found.name, submission: job.submission});
-					lost = {zone: found.zone, until: now() + hostTiming.elsewhereMs};
-					zone = undefined;
+					lost = {cell: found.cell, until: now() + hostTiming.elsewhereMs};
+					cell = found.cell;
 					job = {...job, submission: job.submission + 1, mayHaveRun: true};
 					break;
 				}
 
 				case outcomeKind.released: {
 					endedClaim = found.claim;
-					lost = {zone: found.zone, until: now() + hostTiming.elsewhereMs};
-					zone = undefined;
+					lost = {cell: found.cell, until: now() + hostTiming.elsewhereMs};
+					cell = found.cell;
 					job = {
 						...job, submission: job.submission + 1, mayHaveRun: true, doneTasks: [...job.doneTasks ?? [], ...outcome.doneTasks],
 					};
@@ -130,7 +134,7 @@
 				}
 
 				case outcomeKind.redirected: {
-					zone = outcome.zone;
+					cell = outcome.cell;
 					job = {...job, submission: job.submission + 1};
 					break;
 				}
--- a/packages/chivestream-host/src/messages.ts
+++ b/packages/chivestream-host/src/messages.ts
@@ -14,20 +14,31 @@
 	cpuShare: number;
 };
 
+/** What a host tells of a cell for which it dispatches. */
+export type CellClaim = {
+	/** Number of the cell in its zone. */
+	cell: number;
+	/** The token under which it dispatches. */
+	token: number;
+	/** Tasks that can begin at once on the cell's minions. */
+	freeTasks: number;
+};
+
 /** What a host tells of itself again and again. */
 export type HostStatus = {
-	/** Token under which it dispatches for its zone; 0 when it doesn't. */
-	claim: number;
+	claims: CellClaim[];
+	/** Into how many cells its zone is divided, as far as it knows; it never falls in a host's lifetime. */
+	cellCount: number;
 	/** Whether it is about to end. */
 	isLeaving: boolean;
 	declarationsVersion: number;
-	/** Tasks that can begin at once on its minions. */
-	freeTasks: number;
 };
 
 /** A job on its way to a dispatcher. Times count from the arrival of the message, in milliseconds. */
 export type JobMessage = {
 	id: string;
+	/** Name of the cell that is to run it. */
+	cell: string;
 	payload: string;
 	steps: Step[];
 	route: string;
--- a/packages/chivestream-host/src/peer-link.ts
+++ b/packages/chivestream-host/src/peer-link.ts
@@ -181,7 +181,7 @@
 		}
 
 		if (reply.type === 'status') {
-			const isNews = this.status?.claim !== reply.status.claim || this.status.isLeaving !== reply.status.isLeaving;
+			const isNews = this.status === undefined || tokensOf(this.status) !== tokensOf(reply.status) || this.status.isLeaving !== reply.status.isLeaving;
 			this.status = reply.status;
 			this.options.noteReply(this, reply);
 			if (isNews) {
@@ -194,3 +194,5 @@
 		this.options.noteReply(this, reply);
 	}
 }
+
+const tokensOf = ({claims, cellCount}: HostStatus): string => `${cellCount} ${claims.map(({cell, token}) => `${cell}:${token}`).join(' ')}`;
--- a/packages/chivestream-host/src/peers.ts
+++ b/packages/chivestream-host/src/peers.ts
@@ -1,6 +1,7 @@
 /** The other entry hosts: who they are, what they last told, and which of them dispatch. */
-import {type MinionRecord, type ZoneRoom} from 'chivestream-dispatch';
+import {type MinionRecord, type CellRoom} from 'chivestream-dispatch';
 import {type Declarations} from 'chivestream-platform';
+import {cellName} from './cells.js';
 import {contact, type Candidate} from './election.js';
 import {type Report} from './host-log.js';
 import {type HostRecord, type HostStatus, type Reply} from './messages.js';
@@ -26,6 +27,7 @@
 	private readonly options: PeersOptions;
 	private readonly known = new Map<string, HostRecord>();
 	private readonly links = new Map<string, PeerLink>();
+	/** Dispatchers of other zones by name, as their zones have told. */
 	private readonly dispatchers = new Map<string, HostRecord>();
 	private readonly tries = new Map<string, number>();
 
@@ -88,7 +90,7 @@
 			}
 
 			candidates.push({
-				record, contact: way, claim: link.status?.claim ?? 0, isLeaving: link.status?.isLeaving ?? false,
+				record, contact: way, claims: link.status?.claims ?? [], cellCount: link.status?.cellCount ?? 1, isLeaving: link.status?.isLeaving ?? false,
 			});
 		}
 
@@ -116,9 +118,9 @@
 	/** Open links to the dispatchers of other zones. */
 	otherDispatchers(): PeerLink[] {
 		const found: PeerLink[] = [];
-		for (const [zone, record] of this.dispatchers) {
+		for (const record of this.dispatchers.values()) {
 			const link = this.link(record.name);
-			if (zone !== this.options.self.zone && link?.status !== undefined && link.status.claim > 0 && !link.status.isLeaving) {
+			if (link?.status !== undefined && link.status.claims.length > 0 && !link.status.isLeaving) {
 				found.push(link);
 			}
 		}
@@ -126,19 +128,19 @@
 		return found;
 	}
 
-	/** The zones of other dispatchers, with the room that they last told of; a job that is sent there takes some of it at once. */
-	otherZones(): ZoneRoom[] {
-		return this.otherDispatchers().flatMap(({record, status}) => status === undefined
-			? []
-			: [{
-				zone: record.zone,
-				get freeTasks() {
-					return status.freeTasks;
-				},
-				set freeTasks(count: number) {
-					status.freeTasks = count;
-				},
-			}]);
+	/** Room of the cells for which other hosts dispatch, as they last told of it; a job that is sent there takes some of it at once. */
+	otherCells(): CellRoom[] {
+		const ownZone = [...this.known.values()].filter(record => record.zone === this.options.self.zone)
+			.flatMap(record => this.link(record.name) ?? []).filter(link => link.status?.isLeaving === false);
+		return [...ownZone, ...this.otherDispatchers()].flatMap(({record, status}) => (status?.claims ?? []).map(claim => ({
+			cell: cellName(record.zone, claim.cell, status?.cellCount ?? 1),
+			get freeTasks() {
+				return claim.freeTasks;
+			},
+			set freeTasks(count: number) {
+				claim.freeTasks = count;
+			},
+		})));
 	}
 
 	/** Dispatchers of other zones as this host knows them. */
@@ -149,7 +151,7 @@
 	/** Sends the host's status to the dispatchers, which drop the jobs of hosts that say nothing. */
 	tell(status: HostStatus): void {
 		for (const link of this.links.values()) {
-			if ((link.status?.claim ?? 0) > 0) {
+			if ((link.status?.claims.length ?? 0) > 0) {
 				link.tell(status);
 			}
 		}
@@ -168,7 +170,9 @@
 		}
 
 		for (const [zone, records] of byZone) {
-			wanted.add(this.representative(zone, records).name);
+			for (const record of this.representatives(zone, records)) {
+				wanted.add(record.name);
+			}
 		}
 
 		for (const name of wanted) {
@@ -193,15 +197,15 @@
 		}
 	}
 
-	/** The host of another zone to stay in touch with: its dispatcher, or one after the other until one answers. */
-	private representative(zone: string, records: HostRecord[]): HostRecord {
-		const dispatcher = this.dispatchers.get(zone);
-		if (dispatcher !== undefined && this.known.has(dispatcher.name)) {
-			return dispatcher;
+	/** The hosts of another zone to stay in touch with: its dispatchers, or one host after the other until one answers. */
+	private representatives(zone: string, records: HostRecord[]): HostRecord[] {
+		const dispatchers = records.filter(record => this.dispatchers.has(record.name));
+		if (dispatchers.length > 0) {
+			return dispatchers;
 		}
 
 		records.sort((one, other) => other.cpuShare - one.cpuShare || (one.name < other.name ? -1 : 1));
-		return records[(this.tries.get(zone) ?? 0) % records.length]!;
+		return [records[(this.tries.get(zone) ?? 0) % records.length]!];
 	}
 
 	private open(record: HostRecord): void {
@@ -245,13 +249,22 @@
 		}
 	}
 
+	/** A host has told of the dispatchers that it knows; of its own zone it knows best. */
 	private noteDispatchers(link: PeerLink, hosts: readonly HostRecord[]): void {
 		this.add(hosts);
+		const told = new Set(hosts.map(host => host.name));
+		for (const [name, record] of this.dispatchers) {
+			const stillDispatches = (this.link(name)?.status?.claims.length ?? 0) > 0;
+			if (record.zone === link.record.zone && !told.has(name) && !stillDispatches) {
+				this.dispatchers.delete(name);
+			}
+		}
+
+		const zonesKnown = new Set([...this.dispatchers.values()].map(record => record.zone));
 		for (const host of hosts) {
-			const isOwnZoneOfSender = host.zone === link.record.zone;
-			const isBetterKnown = this.dispatchers.get(host.zone) !== undefined && !isOwnZoneOfSender;
-			if (host.zone !== this.options.self.zone && host.name !== this.options.self.name && !isBetterKnown) {
-				this.dispatchers.set(host.zone, this.known.get(host.name) ?? host);
+			const isNews = host.zone === link.record.zone || !zonesKnown.has(host.zone);
+			if (host.zone !== this.options.self.zone && isNews) {
+				this.dispatchers.set(host.name, this.known.get(host.name) ?? host);
 			}
 		}
 
@@ -266,12 +279,12 @@
 		}
 
 		if (change === 'up' || change === 'status') {
-			if (link.record.zone !== this.options.self.zone && link.status !== undefined && link.status.claim > 0) {
-				this.dispatchers.set(link.record.zone, link.record);
+			if (link.record.zone !== this.options.self.zone && link.status !== undefined && link.status.claims.length > 0) {
+				this.dispatchers.set(link.record.name, link.record);
 			}
 		} else if (link.record.zone !== this.options.self.zone) {
 			// Another host of that zone may know better.
-			this.dispatchers.delete(link.record.zone);
+			this.dispatchers.delete(link.record.name);
 			this.tries.set(link.record.zone, (this.tries.get(link.record.zone) ?? 0) + 1);
 		}
 
