Apply changed settings on SIGHUP, and say what needs a new start

Cause: a SIGHUP was logged and nothing else, so that a changed seed or bound waited for the next start without a word. Ruled out: applying addresses, names and the store, which are fixed for the life of a process. Change: the file is read and checked again; seeds and the time to stop apply at once, bounds of leases and distance with the next claim; one line names what was applied and what needs a new start, or why the file was refused and the old one stays.

--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -18,6 +18,7 @@
 import {PeerServer} from './peer-server.js';
 import {serveStreams} from './peer-service.js';
 import {Peers} from './peers.js';
+import {applySettings, compareSettings} from './reload.js';
 import {type HostSettings} from './settings.js';
 import {hostTiming} from './timing.js';
 import {ZoneClaim} from './zone-claim.js';
@@ -37,7 +38,7 @@
 
 /** A running entry host. */
 export class EntryHost {
-	private readonly settings: HostSettings;
+	private settings: HostSettings;
 	private readonly report: Report;
 	private readonly metrics: HostMetrics;
 	private readonly record: HostRecord;
@@ -135,8 +136,7 @@
 		});
 		this.claim = new ZoneClaim({
 			self: this.record,
-			leaseMs: settings.bounds.leaseMs,
-			farFactor: settings.bounds.farFactor,
+			bounds: () => this.settings.bounds,
 			now,
 			report,
 			isLeaving: () => this.isLeaving,
@@ -214,6 +214,13 @@
 		void this.tickAlong();
 	}
 
+	/** Takes over what of changed settings can be brought into force without a new start, and logs what can't. */
+	changeSettings(settings: HostSettings): void {
+		this.report('settings-changed', compareSettings(this.settings, settings));
+		this.settings = applySettings(this.settings, settings);
+		this.peers.addSeeds(settings.seeds);
+	}
+
 	/** Finishes what is in progress and ends; new connections are served until the balancer has noticed. */
 	async stop(): Promise<void> {
 		const stopAt = this.now();
--- a/packages/chivestream-host/src/main.ts
+++ b/packages/chivestream-host/src/main.ts
@@ -25,6 +25,7 @@
 	  2  the settings have faults; all are listed
 
 	SIGTERM and SIGINT begin a planned stop: work in progress is finished first.
+	SIGHUP reads the settings again: seeds and bounds take effect, the log names what needs a new start.
 `, {
 	importMeta: import.meta,
 	// The bundled program has no package file beside it.
@@ -67,9 +68,17 @@
 			});
 		}
 
+		const reload = async () => {
+			const changed = await readSettingsFile(cli.flags.settings, hostSettings);
+			if (changed.isErr()) {
+				report('settings-refused', {reason: changed.error.message});
+			} else {
+				entryHost.changeSettings(changed.value);
+			}
+		};
+
 		process.on('SIGHUP', () => {
-			// Addresses and bounds are fixed for the life of a process; a changed file takes effect with the next start.
-			report('settings-changed', {applied: false});
+			void reload();
 		});
 		await entryHost.start();
 	} catch (error) {
--- a/packages/chivestream-host/src/peers.ts
+++ b/packages/chivestream-host/src/peers.ts
@@ -38,7 +38,7 @@
 	/** Looks for hosts at the addresses that the settings name. */
 	addSeeds(addresses: readonly string[]): void {
 		for (const address of addresses) {
-			if (address !== this.options.self.address) {
+			if (address !== this.options.self.address && !this.links.has(seedName(address))) {
 				this.open({
 					name: seedName(address), zone: '', address, bornAt: 0, cpuShare: 0,
 				});
--- a/packages/chivestream-host/src/zone-claim.ts
+++ b/packages/chivestream-host/src/zone-claim.ts
@@ -11,7 +11,9 @@
 import {hostTiming} from './timing.js';
 
 /** What the claim needs, and what it tells. */
-export type ZoneClaimOptions = Pick<DispatchServiceOptions, 'leaseMs' | 'farFactor'> & {
+export type ZoneClaimOptions = {
+	/** Bounds that the platform sets; they count from the next claim on. */
+	bounds: () => Pick<DispatchServiceOptions, 'leaseMs' | 'farFactor'>;
 	self: HostRecord;
 	/** The steady clock, in milliseconds. */
 	now: () => number;
@@ -207,7 +209,8 @@
 	}
 
 	private begin(cell: number): void {
-		const {self, now, report, leaseMs, farFactor} = this.options;
+		const {self, now, report} = this.options;
+		const {leaseMs, farFactor} = this.options.bounds();
 		const tokenTime = Date.now() - tokenEpoch + this.tokenOffsetMs;
 		const token = ((tokenTime * tokenSalts) + randomInteger(this.random, tokenSalts)) * tokensPerClaim;
 		const service = new DispatchService({
