Send statuses where somebody misses them, and check all links by one timer

Ruled out: a longer heartbeat for all, since a lost dispatcher is to be missed within 0.6 s. Change: a status says when the next one comes. Dispatchers tell the hosts of their zone each 0.2 s, all others less often with the size of their zone (0.2 s up to five hosts, as before; 0.6 s with eleven); hosts tell dispatchers only while they have jobs there. Hosts that don't dispatch look around once a heartbeat; silence is checked by that, not by a timer a link.

--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -20,7 +20,7 @@
 import {Peers} from './peers.js';
 import {applySettings, compareSettings} from './reload.js';
 import {type HostSettings} from './settings.js';
-import {hostTiming} from './timing.js';
+import {hostTiming, slowHeartbeatMs} from './timing.js';
 import {ZoneClaim} from './zone-claim.js';
 
 /** The store counts as in reach for so long after its last answer, in milliseconds. */
@@ -118,7 +118,8 @@
 		});
 		this.peerServer = new PeerServer({
 			now,
-			greet: () => this.greetings(),
+			greet: to => this.greetings(to),
+			describe: to => this.status(to),
 			noteHost: host => {
 				this.peers.add([host]);
 			},
@@ -280,20 +281,23 @@
 		return [...this.claim.services.values()].reduce((sum, service) => sum + count(service), 0);
 	}
 
-	private status(): HostStatus {
+	/** What this host tells of itself; dispatchers tell the hosts of their zone more often than others. */
+	private status(to: HostRecord = this.record): HostStatus {
+		const isMissedAtOnce = this.isDispatching() && to.zone === this.record.zone;
 		return {
 			claims: this.claim.claims(),
 			cellCount: this.claim.cellCount,
 			isLeaving: this.isLeaving,
 			declarationsVersion: this.declarations.current?.version ?? 0,
+			nextInMs: isMissedAtOnce ? hostTiming.heartbeatMs : slowHeartbeatMs(this.peers.candidates().length + 1),
 		};
 	}
 
-	private greetings(): Reply[] {
+	private greetings(to: HostRecord): Reply[] {
 		const {current} = this.declarations;
 		return [
 			{
-				type: 'hello', host: this.record, status: this.status(), hosts: this.peers.all(),
+				type: 'hello', host: this.record, status: this.status(to), hosts: this.peers.all(),
 			},
 			{type: 'dispatchers', hosts: this.knownDispatchers()},
 			...(current === undefined ? [] : [{type: 'declarations', declarations: current} as const]),
@@ -343,10 +347,10 @@
 		}
 	}
 
+	/** Tells the other hosts at once what has changed of this one. */
 	private tellStatus(): void {
-		const status = this.status();
-		this.peers.tell(status);
-		this.peerServer.tell({type: 'status', status});
+		this.peers.tell(this.status());
+		this.peerServer.tellStatus(true);
 	}
 
 	private tellDispatchers(): void {
@@ -360,7 +364,7 @@
 
 	private async tickAlong(): Promise<void> {
 		while (!this.controller.signal.aborted) {
-			await sleep(hostTiming.tickMs);
+			await sleep(this.isDispatching() ? hostTiming.tickMs : hostTiming.heartbeatMs);
 			const now = this.now();
 			if (now - this.lastTickAt > hostTiming.frozenMs) {
 				this.report('frozen', {forMs: Math.round(now - this.lastTickAt)});
@@ -370,9 +374,11 @@
 			this.lastTickAt = now;
 			this.claim.tick();
 			this.peerServer.tick();
+			this.peers.tick();
 			if (now - this.lastHeartbeatAt >= hostTiming.heartbeatMs) {
 				this.lastHeartbeatAt = now;
-				this.tellStatus();
+				this.peers.tell(this.status());
+				this.peerServer.tellStatus(false);
 				this.evaluate();
 			}
 		}
--- a/packages/chivestream-host/src/messages.ts
+++ b/packages/chivestream-host/src/messages.ts
@@ -32,6 +32,8 @@
 	/** Whether it is about to end. */
 	isLeaving: boolean;
 	declarationsVersion: number;
+	/** The next status on the same stream comes within so many milliseconds. */
+	nextInMs: number;
 };
 
 /** A job on its way to a dispatcher. Times count from the arrival of the message, in milliseconds. */
--- a/packages/chivestream-host/src/peer-link.ts
+++ b/packages/chivestream-host/src/peer-link.ts
@@ -7,7 +7,7 @@
 	type HostRecord, type HostStatus, type JobMessage, type Reply, type Request,
 } from './messages.js';
 import {openStream, type RequestStream} from './peer-service.js';
-import {hostTiming} from './timing.js';
+import {hostTiming, silenceMs} from './timing.js';
 
 /** How a job ended that was handed to another host; `lost` where the stream to it broke first. */
 export type RemoteOutcome = Outcome | {kind: 'lost'};
@@ -38,6 +38,9 @@
 	private lastHeardAt = Number.NEGATIVE_INFINITY;
 	private refusedAt = Number.NEGATIVE_INFINITY;
 	private isUp = false;
+	private toldVersion = -1;
+	/** Ends the present stream if its other end has been silent for too long. */
+	private checkSilence: (() => void) | undefined;
 
 	constructor(options: PeerLinkOptions) {
 		this.options = options;
@@ -51,7 +54,7 @@
 			return contact.dead;
 		}
 
-		return this.options.now() - this.lastHeardAt < hostTiming.silenceMs ? contact.alive : contact.silent;
+		return this.options.now() - this.lastHeardAt < this.silenceMs() ? contact.alive : contact.silent;
 	}
 
 	/** When anything was last heard of the host, on the steady clock. */
@@ -80,17 +83,27 @@
 		this.send({type: 'cancel', id});
 	}
 
-	/** Tells the host's status to the other. */
+	/** Tells the host's status to the other, which drops the jobs of hosts that say nothing and passes newer declarations on. */
 	tell(status: HostStatus): void {
-		if (this.isUp) {
+		if (this.isUp && (this.pending.size > 0 || status.declarationsVersion !== this.toldVersion)) {
+			this.toldVersion = status.declarationsVersion;
 			this.send({type: 'status', status});
 		}
 	}
 
+	/** Looks for what time has changed. */
+	tick(): void {
+		this.checkSilence?.();
+	}
+
 	close(): void {
 		this.controller.abort();
 	}
 
+	private silenceMs(): number {
+		return silenceMs(this.isUp && this.status !== undefined ? this.status.nextInMs : hostTiming.heartbeatMs);
+	}
+
 	private send(request: Request): void {
 		if (this.stream?.writable) {
 			this.stream.write(request);
@@ -130,7 +143,7 @@
 			const finish = (reason: string) => {
 				if (!isOver) {
 					isOver = true;
-					clearInterval(timer);
+					this.checkSilence = undefined;
 					signal.removeEventListener('abort', abort);
 					close();
 					resolve(reason);
@@ -141,11 +154,12 @@
 				finish('closed');
 			};
 
-			const timer = setInterval(() => {
-				if (now() - heardAt > hostTiming.silenceMs) {
+			this.checkSilence = () => {
+				if (now() - heardAt > this.silenceMs()) {
 					finish('silent');
 				}
-			}, hostTiming.heartbeatMs);
+			};
+
 			signal.addEventListener('abort', abort);
 			stream.on('data', (reply: Reply) => {
 				heardAt = now();
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -10,17 +10,25 @@
 export type PeerServerOptions = {
 	now: () => number;
 	/** What a host that has just opened a stream is told. */
-	greet: () => Reply[];
+	greet: (to: HostRecord) => Reply[];
+	/** The status as a host is told it. */
+	describe: (to: HostRecord) => HostStatus;
 	noteHost: (host: HostRecord) => void;
 	submit: (job: JobMessage, settle: (outcome: Outcome) => void) => void;
 	cancel: (id: string) => void;
 };
 
+/** A status that is due by so little is sent with those that are due already, in milliseconds. */
+const timerToleranceMs = 20;
+
 type Attachment = {
 	stream: ReplyStream;
 	host: HostRecord | undefined;
-	status: HostStatus | undefined;
+	/** The version of the declarations that the host has told of. */
+	declarationsVersion: number | undefined;
 	heardAt: number;
+	/** When its next status is due. */
+	statusDueAt: number;
 	jobs: Set<string>;
 	isOver: boolean;
 };
@@ -39,7 +47,7 @@
 	/** Takes a stream until it ends. */
 	take(stream: ReplyStream): void {
 		const attachment: Attachment = {
-			stream, host: undefined, status: undefined, heardAt: this.options.now(), jobs: new Set(), isOver: false,
+			stream, host: undefined, declarationsVersion: undefined, heardAt: this.options.now(), statusDueAt: Infinity, jobs: new Set(), isOver: false,
 		};
 		this.attachments.add(attachment);
 		const finish = () => {
@@ -63,10 +71,23 @@
 		}
 	}
 
+	/** Sends the status on every stream at once, or only where it is due. */
+	tellStatus(isNews: boolean): void {
+		const now = this.options.now();
+		for (const attachment of this.attachments) {
+			const {host} = attachment;
+			if (host !== undefined && (isNews || now >= attachment.statusDueAt)) {
+				const status = this.options.describe(host);
+				attachment.statusDueAt = now + status.nextInMs - timerToleranceMs;
+				this.send(attachment, {type: 'status', status});
+			}
+		}
+	}
+
 	/** Sends a message to the hosts whose declarations are older. */
 	tellOlder(version: number, reply: Reply): void {
 		for (const attachment of this.attachments) {
-			if ((attachment.status?.declarationsVersion ?? version) < version) {
+			if ((attachment.declarationsVersion ?? version) < version) {
 				this.send(attachment, reply);
 			}
 		}
@@ -102,9 +123,10 @@
 		switch (request.type) {
 			case 'hello': {
 				attachment.host = request.host;
-				attachment.status = request.status;
+				attachment.declarationsVersion = request.status.declarationsVersion;
+				attachment.statusDueAt = this.options.now();
 				this.options.noteHost(request.host);
-				for (const reply of this.options.greet()) {
+				for (const reply of this.options.greet(request.host)) {
 					this.send(attachment, reply);
 				}
 
@@ -112,7 +134,7 @@
 			}
 
 			case 'status': {
-				attachment.status = request.status;
+				attachment.declarationsVersion = request.status.declarationsVersion;
 				break;
 			}
 
--- a/packages/chivestream-host/src/peers.ts
+++ b/packages/chivestream-host/src/peers.ts
@@ -157,6 +157,13 @@
 		}
 	}
 
+	/** Looks for hosts that have gone silent. */
+	tick(): void {
+		for (const link of this.links.values()) {
+			link.tick();
+		}
+	}
+
 	/** Opens the links that are missing and closes those that are not needed any more. */
 	refresh(): void {
 		const wanted = new Set<string>();
--- a/packages/chivestream-host/src/timing.ts
+++ b/packages/chivestream-host/src/timing.ts
@@ -1,11 +1,9 @@
 /** Intervals and bounds of the traffic between entry hosts, in milliseconds. */
 
-/** The intervals. `silenceMs` stays below the time in which callers send a job again, so that two homes never overlap. */
+/** The intervals. The silence of a dispatcher stays below the time in which callers send a job again, so that two homes never overlap. */
 export const hostTiming = {
-	/** Between two messages of status on a stream. */
+	/** Between two messages of status of a dispatcher to the hosts of its zone, and of everybody in a small zone. */
 	heartbeatMs: 200,
-	/** A host that has said nothing for so long is taken to be out of reach: three heartbeats. */
-	silenceMs: 600,
 	/** A dispatcher drops the jobs of a host that has said nothing, or has been away, for so long. */
 	originSilenceMs: 700,
 	/** After the loss of a dispatcher its jobs may begin in another zone only this much later: its own loss of the host
@@ -13,7 +11,7 @@
 	elsewhereMs: 1300,
 	/** Pause before another connection to a host that can't be reached. */
 	reconnectMs: 150,
-	/** Between two looks at what has changed. */
+	/** Between two looks of a dispatcher at what has changed; others look once a heartbeat. */
 	tickMs: 50,
 	/** A gap between two looks after which the host takes itself to have been frozen. */
 	frozenMs: 600,
@@ -26,3 +24,17 @@
 	/** How long a host that was fenced off without seeing the others leaves the minions alone. */
 	yieldMs: 5000,
 } as const;
+
+/** A host that has missed so many messages of status is taken to be out of reach. */
+const missedHeartbeats = 3;
+
+/** How long a host may say nothing that has said when its next status comes, in milliseconds. */
+export const silenceMs = (nextInMs: number): number => missedHeartbeats * nextInMs;
+
+/** Hosts of a zone for each heartbeat between two messages of status of a host that doesn't dispatch. */
+const hostsPerHeartbeat = 3;
+
+/** Time between two messages of status where no dispatcher is to be missed at once: it grows with the zone, so that the messages
+ * of a host stay about the same, in milliseconds. */
+export const slowHeartbeatMs = (hostsOfZone: number): number =>
+	hostTiming.heartbeatMs * Math.max(1, Math.floor(hostsOfZone / hostsPerHeartbeat));
