Look for the others of a large zone for longer before claiming, and tell starvation from standing still

Ruled out: claiming only once every known host has been heard, since hosts without power are never heard. Change: the time to look around grows with the zone (0.7 s up to five hosts, as before; 2.1 s with eleven); the pause between two looks doesn't count as standing still.

--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -142,6 +142,7 @@
 			report,
 			isLeaving: () => this.isLeaving,
 			candidates: () => this.peers.candidates(),
+			zoneSize: () => this.peers.zoneSize(),
 			canReachStore: () => this.declarations.sinceAnswerMs() < storeReachMs,
 			hasHeardZone: () => this.hasReadDirectory && this.peers.hasHeardZone(),
 			minions: () => this.zoneMinions(),
@@ -289,7 +290,7 @@
 			cellCount: this.claim.cellCount,
 			isLeaving: this.isLeaving,
 			declarationsVersion: this.declarations.current?.version ?? 0,
-			nextInMs: isMissedAtOnce ? hostTiming.heartbeatMs : slowHeartbeatMs(this.peers.candidates().length + 1),
+			nextInMs: isMissedAtOnce ? hostTiming.heartbeatMs : slowHeartbeatMs(this.peers.zoneSize()),
 		};
 	}
 
@@ -364,10 +365,12 @@
 
 	private async tickAlong(): Promise<void> {
 		while (!this.controller.signal.aborted) {
-			await sleep(this.isDispatching() ? hostTiming.tickMs : hostTiming.heartbeatMs);
+			const pauseMs = this.isDispatching() ? hostTiming.tickMs : hostTiming.heartbeatMs;
+			await sleep(pauseMs);
 			const now = this.now();
-			if (now - this.lastTickAt > hostTiming.frozenMs) {
-				this.report('frozen', {forMs: Math.round(now - this.lastTickAt)});
+			const stoodStillMs = now - this.lastTickAt - pauseMs;
+			if (stoodStillMs > hostTiming.frozenMs) {
+				this.report('frozen', {forMs: Math.round(stoodStillMs)});
 				this.claim.endAll('this host stood still');
 			}
 
--- a/packages/chivestream-host/src/peers.ts
+++ b/packages/chivestream-host/src/peers.ts
@@ -97,6 +97,11 @@
 		return candidates;
 	}
 
+	/** Hosts of the own zone that are known, this one included. */
+	zoneSize(): number {
+		return [...this.known.values()].filter(record => record.zone === this.options.self.zone).length + 1;
+	}
+
 	/** Whether all known hosts of the zone have been reached or have refused. */
 	hasHeardZone(): boolean {
 		for (const record of this.known.values()) {
--- a/packages/chivestream-host/src/timing.ts
+++ b/packages/chivestream-host/src/timing.ts
@@ -17,8 +17,6 @@
 	frozenMs: 600,
 	/** How long a job waits for a dispatcher to be found. */
 	findDispatcherMs: 700,
-	/** Time after the start in which other hosts are looked for before the zone is claimed. */
-	gatherMs: 700,
 	/** Hosts of the zone that have been silent for longer are taken to be gone. */
 	forgetMs: 15_000,
 	/** How long a host that was fenced off without seeing the others leaves the minions alone. */
@@ -31,10 +29,19 @@
 /** How long a host may say nothing that has said when its next status comes, in milliseconds. */
 export const silenceMs = (nextInMs: number): number => missedHeartbeats * nextInMs;
 
-/** Hosts of a zone for each heartbeat between two messages of status of a host that doesn't dispatch. */
+/** Hosts of a zone for each multiple of the times that grow with it. */
 const hostsPerHeartbeat = 3;
 
+const sizeFactor = (hostsOfZone: number): number => Math.max(1, Math.floor(hostsOfZone / hostsPerHeartbeat));
+
+/** Time after the start in which a host of a small zone looks for the others before it claims, in milliseconds. */
+const gatherMs = 700;
+
+/** Time after the start in which a host looks for the others of its zone before it claims: the links of a large zone take a small
+ * host seconds of its processor, and a claim without them takes the minions from dispatchers that are well, in milliseconds. */
+export const gatheringMs = (hostsOfZone: number): number => gatherMs * sizeFactor(hostsOfZone);
+
 /** Time between two messages of status where no dispatcher is to be missed at once: it grows with the zone, so that the messages
  * of a host stay about the same, in milliseconds. */
 export const slowHeartbeatMs = (hostsOfZone: number): number =>
-	hostTiming.heartbeatMs * Math.max(1, Math.floor(hostsOfZone / hostsPerHeartbeat));
+	hostTiming.heartbeatMs * sizeFactor(hostsOfZone);
--- a/packages/chivestream-host/src/zone-claim.ts
+++ b/packages/chivestream-host/src/zone-claim.ts
@@ -8,7 +8,7 @@
 } from './election.js';
 import {type Report} from './host-log.js';
 import {type CellClaim, type HostRecord} from './messages.js';
-import {hostTiming} from './timing.js';
+import {gatheringMs, hostTiming} from './timing.js';
 
 /** What the claim needs, and what it tells. */
 export type ZoneClaimOptions = {
@@ -21,6 +21,8 @@
 	isLeaving: () => boolean;
 	/** The other hosts of the zone. */
 	candidates: () => Candidate[];
+	/** Hosts of the zone that are known, this one included. */
+	zoneSize: () => number;
 	canReachStore: () => boolean;
 	/** Whether all hosts of the zone that are known have been heard of or are dead. */
 	hasHeardZone: () => boolean;
@@ -101,7 +103,7 @@
 		this.divide(others);
 		const canReachStore = this.options.canReachStore();
 		const choices = chooseDispatchers(this.candidate(), others, canReachStore, this.cellCount);
-		const hasGathered = now() > this.startedAt + hostTiming.gatherMs || this.options.hasHeardZone();
+		const hasGathered = now() > this.startedAt + gatheringMs(this.options.zoneSize()) || this.options.hasHeardZone();
 		const isYielding = now() < this.fencedAt + hostTiming.yieldMs;
 		for (const [cell, choice] of choices.entries()) {
 			if (nameOf(choice) !== nameOf(this.choices[cell]!)) {
