Pause between tries of a zone that is out of reach; take no job that outlasts a planned stop

Cause: a host whose other zone had only dead hosts opened a link to the next one as soon as the last was refused, a connection each 2 to 3 ms, just when all hosts start anew; found by a test that hung for ten minutes at full load. Ruled out: not serving on after SIGTERM, as the balancer needs 2 s to notice.

--- a/packages/chivestream-host/src/__tests__/host.test.ts
+++ b/packages/chivestream-host/src/__tests__/host.test.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import {
 	afterEach, describe, expect, test,
 } from '@jest/globals';
@@ -176,6 +177,40 @@
 	});
 });
 
+describe('a planned stop', () => {
+	test('takes no job any more that could outlast it, and says that it has not run', async () => {
+		const running = await start(1, 2);
+		const first = running.submit(0, {id: jobId(1), count: 1, workMs: 1000});
+		await until(() => running.checker.starts === 1);
+		const stopped = running.hosts[0]!.host.stop();
+		const second = await running.submit(0, {id: jobId(2), count: 1, workMs: 1500});
+		expect(second).toMatchObject({status: 503, retryAfter: '1'});
+		running.checker.noteRefused(jobId(2));
+		await first;
+		await stopped;
+		expect(running.checker.violations).toEqual([]);
+	});
+
+	test('gives jobs of another zone back as well, and nothing of them runs anew', async () => {
+		const running = await start(4, 8, ['y', 'z']);
+		const dispatching = () => running.hosts.map(({host}) => host.isDispatching());
+		await until(() => dispatching().filter(Boolean).length === 2);
+		const zone = (index: number) => index % 2;
+		const local = dispatching().findIndex((is, index) => is && zone(index) === 0);
+		const remote = dispatching().findIndex((is, index) => is && zone(index) === 1);
+		await until(() => running.hosts[local]!.host.roomElsewhere() >= 8);
+		const first = submitMany(running, 4, {count: 2, workMs: 900}, [local]);
+		await until(() => running.checker.starts === 8);
+		const second = Promise.all([11, 12, 13].map(async number => running.submit(local, {id: jobId(number), count: 2, workMs: 600})));
+		await until(() => running.checker.starts === 14);
+		await running.hosts[remote]!.host.stop();
+		const ended = [...await first, ...await second];
+		expect(ended.map(({status}) => status)).toEqual(ended.map(() => 200));
+		expect(running.checker.violations).toEqual([]);
+		expect(running.checker.starts).toBe(14);
+	});
+});
+
 describe('a zone of many minions', () => {
 	const manyMinions = 44;
 
@@ -203,3 +238,24 @@
 		expect(running.checker.violations).toEqual([]);
 	});
 });
+
+describe('a zone whose hosts are all gone', () => {
+	const pauseMs = 100;
+
+	test('is looked for again and again, but not all the time', async () => {
+		const running = await start(2, 4, ['y', 'z']);
+		await until(() => running.hosts[0]!.host.roomElsewhere() > 0);
+		const links = async () => {
+			const text = await running.metrics(0);
+			return Number(/chivestream_events_total\{event="link"\} (\d+)/v.exec(text)?.[1] ?? 0);
+		};
+
+		await running.hosts[1]!.host.close();
+		const before = await links();
+		await until(async () => await links() > before + 3);
+		const [from, startedAt] = [await links(), performance.now()];
+		await until(async () => await links() > from + 10);
+		// However busy the machine is, each attempt comes after a pause.
+		expect(performance.now() - startedAt).toBeGreaterThan(10 * pauseMs);
+	});
+});
--- a/packages/chivestream-host/src/caller-service.ts
+++ b/packages/chivestream-host/src/caller-service.ts
@@ -23,6 +23,8 @@
 	pendingJobs: (route: string) => number;
 	/** Whether connections should end with their next answer. */
 	isLeaving: () => boolean;
+	/** When this host ends, on the steady clock, if it is to end. */
+	leavesAt: () => number | undefined;
 	/** Reports how a request was answered: its status and how long it took, in milliseconds. */
 	noteAnswer: (status: number, tookMs: number) => void;
 };
@@ -44,6 +46,9 @@
 /** Seconds after which a caller may come back to a host that isn't ready. */
 const notReadyRetrySeconds = 1;
 
+/** A host that is leaving takes a job only if so many times its objective is left: jobs end late at times. */
+const stopMargin = 2;
+
 const msPerSecond = 1000;
 
 const jobIdPattern = /^[0-9a-f]{16}$/iv;
@@ -173,6 +178,15 @@
 
 		const patienceMs = callerPatienceMs(request.headers);
 		const jobRequest = toJobRequest(id, job, route, {arrivedAt, patienceMs});
+		const leavesAt = options.leavesAt();
+		if (leavesAt !== undefined && arrivedAt + (stopMargin * (jobRequest.objectiveDeadline - arrivedAt)) > leavesAt) {
+			options.report('job-answered', {
+				job: id, route: route.name, outcome: outcomeKind.refused, reason: 'the host is leaving',
+			});
+			answerError(response, status.unavailable, 'not run: the host is leaving', notReadyRetrySeconds);
+			return;
+		}
+
 		const pending = options.runJob(jobRequest);
 		response.on('close', () => {
 			if (!response.writableEnded) {
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -54,6 +54,7 @@
 	private readonly readinessServer: HttpServer;
 	private peerListener: Awaited<ReturnType<typeof serveStreams>> | undefined;
 	private isLeaving = false;
+	private leavesAt: number | undefined;
 	private hasReadDirectory = false;
 	private lastTickAt = performance.now();
 	private lastHeartbeatAt = 0;
@@ -179,6 +180,7 @@
 			}, job),
 			pendingJobs: route => this.pendingJobs(route),
 			isLeaving: () => this.isLeaving,
+			leavesAt: () => this.leavesAt,
 			noteAnswer: (status, tookMs) => {
 				this.metrics.noteAnswer(status, tookMs);
 			},
@@ -229,6 +231,7 @@
 		const endAt = stopAt + (this.settings.bounds.stopGraceSeconds * msPerSecond) - stopMarginMs;
 		this.report('stopping', {inProgress: this.callers.inProgress()});
 		this.isLeaving = true;
+		this.leavesAt = endAt;
 		this.claim.endAll('stopping');
 		this.tellStatus();
 		this.evaluate();
--- a/packages/chivestream-host/src/peers.ts
+++ b/packages/chivestream-host/src/peers.ts
@@ -29,7 +29,10 @@
 	private readonly links = new Map<string, PeerLink>();
 	/** Dispatchers of other zones by name, as their zones have told. */
 	private readonly dispatchers = new Map<string, HostRecord>();
+	/** For each other zone, how many of its hosts were tried in vain, and when the present one was tried. */
 	private readonly tries = new Map<string, number>();
+	private readonly triedAt = new Map<string, number>();
+	private isClosed = false;
 
 	constructor(options: PeersOptions) {
 		this.options = options;
@@ -162,15 +165,32 @@
 		}
 	}
 
-	/** Looks for hosts that have gone silent. */
+	/** Looks for hosts that have gone silent, and tries the next host of each zone of which none is in reach. */
 	tick(): void {
+		const zonesInReach = new Set<string>();
 		for (const link of this.links.values()) {
 			link.tick();
+			if (link.isOpen()) {
+				zonesInReach.add(link.record.zone);
+			}
+		}
+
+		const now = this.options.now();
+		for (const [zone, triedAt] of this.triedAt) {
+			if (!zonesInReach.has(zone) && now - triedAt >= hostTiming.reconnectMs) {
+				this.triedAt.set(zone, now);
+				this.tries.set(zone, (this.tries.get(zone) ?? 0) + 1);
+				this.refresh();
+			}
 		}
 	}
 
 	/** Opens the links that are missing and closes those that are not needed any more. */
 	refresh(): void {
+		if (this.isClosed) {
+			return;
+		}
+
 		const wanted = new Set<string>();
 		const byZone = new Map<string, HostRecord[]>();
 		for (const record of this.known.values()) {
@@ -182,6 +202,7 @@
 		}
 
 		for (const [zone, records] of byZone) {
+			this.triedAt.set(zone, this.triedAt.get(zone) ?? this.options.now());
 			for (const record of this.representatives(zone, records)) {
 				wanted.add(record.name);
 			}
@@ -204,6 +225,7 @@
 	}
 
 	close(): void {
+		this.isClosed = true;
 		for (const link of this.links.values()) {
 			link.close();
 		}
@@ -297,7 +319,6 @@
 		} else if (link.record.zone !== this.options.self.zone) {
 			// Another host of that zone may know better.
 			this.dispatchers.delete(link.record.name);
-			this.tries.set(link.record.zone, (this.tries.get(link.record.zone) ?? 0) + 1);
 		}
 
 		if (change !== 'status') {
