Stop a run that nobody asks for only after some ticks, not after a pause of the process

Cause: a new dispatcher stopped the runs of an earlier one 0.6 s after it had learned of them, also where its own process had stood still or starved meanwhile and the jobs lay in its sockets; the tasks then ran anew. Change: eight ticks have to pass as well. The old test let the clock jump 700 ms in one step, which is the case that was wrong; it now ticks through that time and asks for the same stop.

--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -183,11 +183,24 @@
 	});
 
 	test('a run that nobody asks for is stopped', () => {
+		const recorded = createRecorded([minionRecord('m')]);
+		recorded.report('m', [[task(0), 1]]);
+		for (let tick = 0; tick < 14; tick += 1) {
+			recorded.pass(50);
+			recorded.dispatcher.tick();
+		}
+
+		expect(recorded.stops.map(run => run.task)).toEqual([task(0)]);
+	});
+
+	test('a run whose job comes right after a pause of this process goes on', () => {
 		const recorded = createRecorded([minionRecord('m')]);
 		recorded.report('m', [[task(0), 1]]);
 		recorded.pass(700);
 		recorded.dispatcher.tick();
-		expect(recorded.stops.map(run => run.task)).toEqual([task(0)]);
+		recorded.submit(jobRequest(jobId, {mayHaveRun: true, submission: 1, objectiveDeadline: 2000}));
+		expect(recorded.stops).toHaveLength(0);
+		expect(recorded.starts).toHaveLength(0);
 	});
 
 	test('a run that has outlived its lease on a silent minion begins anew elsewhere', () => {
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -79,6 +79,9 @@
 /** How long runs of an earlier dispatcher may go on before they are stopped, in milliseconds. */
 const adoptionMs = 600;
 
+/** Ticks that have to pass as well: after a pause of this process the jobs of that time are still to be taken in. */
+const adoptionTicks = 8;
+
 /** Ends of earlier dispatchers' runs kept for jobs that come back. */
 const maxForeignEnds = 2000;
 
@@ -90,6 +93,8 @@
 	private readonly tookOverAt: number;
 	/** Tasks that ended well under an earlier dispatcher and whose job has not come back. */
 	private readonly foreignDone = new Set<string>();
+	/** Runs that nobody asks for, with the ticks that they have seen. */
+	private readonly unasked = new Map<Run, number>();
 
 	constructor(book: Book, ports: RunPorts, leaseMs: number) {
 		this.book = book;
@@ -245,6 +250,12 @@
 
 	/** Looks for runs that stand still and for runs that nobody asks for. */
 	tick(now: number): void {
+		for (const run of this.unasked.keys()) {
+			if (run.owner !== undefined || run.state !== runState.running) {
+				this.unasked.delete(run);
+			}
+		}
+
 		for (const minion of this.book.minions.values()) {
 			for (const run of minion.runs.values()) {
 				this.checkRun(run, now);
@@ -415,7 +426,12 @@
 
 	private checkRun(run: Run, now: number): void {
 		if (run.owner === undefined) {
-			if (run.state === runState.running && now > run.orderedAt + adoptionMs) {
+			const ticks = (this.unasked.get(run) ?? 0) + 1;
+			if (run.state === runState.running) {
+				this.unasked.set(run, ticks);
+			}
+
+			if (run.state === runState.running && now > run.orderedAt + adoptionMs && ticks > adoptionTicks) {
 				this.stop(run);
 			}
 
