Tidy after reading: one status a round, ticks on the run, one way to hand a job out again

Cause: read again as a newcomer. A dispatcher worked out its free room anew for every stream to which it told its status, and twice more for each look at the election, which doesn't ask for it; the parallel tasks of a pool were worked out for each waiting job of a tick. Runs that nobody asks for were counted in a map that kept those which ended by themselves for good. The job client had the same four lines for a lost and a released job. PeerLink.hasPending had no caller. Ruled out: the shared start and signal handling with chivestream-entry, which goes with the old mode; taking the room of other cells once a tick, as that changes which jobs are sent on. Change: the status is made once a round and gets each stream's time; candidates carry tokens only; parallel tasks once a tick; the ticks stand on the run; handOutAgain; the unused method is gone; two headings say cells. A lost job carries an empty list of done tasks where it carried none, which is read the same.

--- a/packages/chivestream-dispatch/src/book.ts
+++ b/packages/chivestream-dispatch/src/book.ts
@@ -57,6 +57,7 @@
 		expectedMs: entry.expectedMs,
 		progress: 0,
 		progressedAt: entry.now,
+		unaskedTicks: 0,
 	};
 	minion.runs.set(runKey(run.task, run.number), run);
 	const ofTask = book.runsByTask.get(run.task) ?? new Set();
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -133,7 +133,8 @@
 		this.noteSize(job);
 		this.schedule();
 		if (!job.isSettled && !job.hasBegun) {
-			this.redirectOrRefuse(job, now, workAheadMs(job, this.jobs.values(), this.policy.compare(now)));
+			const aheadMs = workAheadMs(job, this.jobs.values(), this.policy.compare(now));
+			this.redirectOrRefuse(job, {now, aheadMs, parallel: this.parallelism()});
 		}
 	}
 
@@ -300,10 +301,11 @@
 		}
 
 		waiting.sort(this.policy.compare(now));
+		const parallel = this.parallelism();
 		let aheadMs = 0;
 		for (const job of waiting) {
 			if (!job.hasBegun) {
-				this.redirectOrRefuse(job, now, aheadMs);
+				this.redirectOrRefuse(job, {now, aheadMs, parallel});
 			} else if (isHopeless(job, now)) {
 				this.giveUp(job, 'its waiting tasks can\'t end in time');
 			}
@@ -322,8 +324,8 @@
 		}
 	}
 
-	/** Sends a job that has not begun to a cell with room, or refuses it when it can't end in time here; `aheadMs` is the work before it. */
-	private redirectOrRefuse(job: Job, now: number, aheadMs: number): void {
+	/** Sends a job that has not begun to a cell with room, or refuses it when it can't end in time here, behind the work ahead of it. */
+	private redirectOrRefuse(job: Job, {now, aheadMs, parallel}: {now: number; aheadMs: number; parallel: number}): void {
 		if (job.mayHaveRun) {
 			return;
 		}
@@ -336,7 +338,7 @@
 			return;
 		}
 
-		const isTooLate = this.isGathering(now) ? isHopeless(job, now) : this.policy.isTooLate(job, now + (aheadMs / this.parallelism()));
+		const isTooLate = this.isGathering(now) ? isHopeless(job, now) : this.policy.isTooLate(job, now + (aheadMs / parallel));
 		if (isTooLate) {
 			this.giveUp(job, 'no room in time', aheadMs);
 		}
--- a/packages/chivestream-dispatch/src/minion.ts
+++ b/packages/chivestream-dispatch/src/minion.ts
@@ -55,6 +55,8 @@
 	/** Last reported progress in percent, and when it last rose. */
 	progress: number;
 	progressedAt: number;
+	/** Ticks that it has seen while it was for no task. */
+	unaskedTicks: number;
 };
 
 /** A minion in the hands of a dispatcher. */
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -93,8 +93,6 @@
 	private readonly tookOverAt: number;
 	/** Tasks that ended well under an earlier dispatcher and whose job has not come back. */
 	private readonly foreignDone = new Set<string>();
-	/** Runs that nobody asks for, with the ticks that they have seen. */
-	private readonly unasked = new Map<Run, number>();
 
 	constructor(book: Book, ports: RunPorts, leaseMs: number) {
 		this.book = book;
@@ -250,12 +248,6 @@
 
 	/** Looks for runs that stand still and for runs that nobody asks for. */
 	tick(now: number): void {
-		for (const run of this.unasked.keys()) {
-			if (run.owner !== undefined || run.state !== runState.running) {
-				this.unasked.delete(run);
-			}
-		}
-
 		for (const minion of this.book.minions.values()) {
 			for (const run of minion.runs.values()) {
 				this.checkRun(run, now);
@@ -426,12 +418,8 @@
 
 	private checkRun(run: Run, now: number): void {
 		if (run.owner === undefined) {
-			const ticks = (this.unasked.get(run) ?? 0) + 1;
-			if (run.state === runState.running) {
-				this.unasked.set(run, ticks);
-			}
-
-			if (run.state === runState.running && now > run.orderedAt + adoptionMs && ticks > adoptionTicks) {
+			run.unaskedTicks += 1;
+			if (now > run.orderedAt + adoptionMs && run.unaskedTicks > adoptionTicks) {
 				this.stop(run);
 			}
 
--- a/packages/chivestream-host/src/election.ts
+++ b/packages/chivestream-host/src/election.ts
@@ -5,7 +5,7 @@
  * runs there before it orders anything. The choice only has to settle soon, and a host that is cut off must not take
  * the minions from the others.
  */
-import {type HostRecord, type HostStatus} from './messages.js';
+import {type CellClaim, type HostRecord, type HostStatus} from './messages.js';
 
 /** What a host knows of the way to another. */
 export const contact = {
@@ -20,8 +20,9 @@
 export type Contact = (typeof contact)[keyof typeof contact];
 
 /** A host of the zone, as another sees it. */
-export type Candidate = Pick<HostStatus, 'claims' | 'cellCount' | 'isLeaving'> & {
+export type Candidate = Pick<HostStatus, 'cellCount' | 'isLeaving'> & {
 	record: HostRecord;
+	claims: ReadonlyArray<Pick<CellClaim, 'cell' | 'token'>>;
 	contact: Contact;
 };
 
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -1,4 +1,4 @@
-/** One entry host: callers' service, links to other hosts, and the zone's dispatcher while it has the claim. */
+/** One entry host: callers' service, links to other hosts, and a dispatcher for each cell to which it has the claim. */
 /* eslint-disable no-await-in-loop -- a task takes one step after the other */
 import {createServer, type Server as HttpServer} from 'node:http';
 import {performance} from 'node:perf_hooks';
@@ -120,7 +120,8 @@
 		this.peerServer = new PeerServer({
 			now,
 			greet: to => this.greetings(to),
-			describe: to => this.status(to),
+			describeSelf: () => this.status(),
+			nextInMs: to => this.nextInMs(to),
 			noteHost: host => {
 				this.peers.add([host]);
 			},
@@ -285,18 +286,23 @@
 		return [...this.claim.services.values()].reduce((sum, service) => sum + count(service), 0);
 	}
 
-	/** What this host tells of itself; dispatchers tell the hosts of their zone more often than others. */
+	/** What this host tells a host of itself. */
 	private status(to: HostRecord = this.record): HostStatus {
-		const isMissedAtOnce = this.isDispatching() && to.zone === this.record.zone;
 		return {
 			claims: this.claim.claims(),
 			cellCount: this.claim.cellCount,
 			isLeaving: this.isLeaving,
 			declarationsVersion: this.declarations.current?.version ?? 0,
-			nextInMs: isMissedAtOnce ? hostTiming.heartbeatMs : slowHeartbeatMs(this.peers.zoneSize()),
+			nextInMs: this.nextInMs(to),
 		};
 	}
 
+	/** Dispatchers tell the hosts of their zone more often than others, which miss them at once. */
+	private nextInMs(to: HostRecord): number {
+		const isMissedAtOnce = this.isDispatching() && to.zone === this.record.zone;
+		return isMissedAtOnce ? hostTiming.heartbeatMs : slowHeartbeatMs(this.peers.zoneSize());
+	}
+
 	private greetings(to: HostRecord): Reply[] {
 		const {current} = this.declarations;
 		return [
@@ -329,7 +335,7 @@
 		return count;
 	}
 
-	/** Looks at the zone's dispatcher anew, and tells what has changed. */
+	/** Looks at the zone's dispatchers anew, and tells what has changed. */
 	private evaluate(): void {
 		this.claim.evaluate();
 		this.tellDispatchers();
--- a/packages/chivestream-host/src/job-client.ts
+++ b/packages/chivestream-host/src/job-client.ts
@@ -93,6 +93,15 @@
 		return undefined;
 	};
 
+	/** The job goes on at the same cell at once, which learns from its minions what runs, and elsewhere only later. */
+	const handOutAgain = (from: DispatcherContact, doneTasks: readonly string[]) => {
+		cell = from.cell;
+		lost = {cell, until: now() + hostTiming.elsewhereMs};
+		job = {
+			...job, submission: job.submission + 1, mayHaveRun: true, doneTasks: [...job.doneTasks ?? [], ...doneTasks],
+		};
+	};
+
 	const unserved = (reason: string): Outcome => job.mayHaveRun
 		? {kind: outcomeKind.abandoned, reason}
 		: {kind: outcomeKind.refused, reason, retryAfterMs};
@@ -117,19 +126,13 @@
 			switch (outcome.kind) {
 				case 'lost': {
 					report('dispatcher-lost', {job: job.id, dispatcher: found.name, submission: job.submission});
-					lost = {cell: found.cell, until: now() + hostTiming.elsewhereMs};
-					cell = found.cell;
-					job = {...job, submission: job.submission + 1, mayHaveRun: true};
+					handOutAgain(found, []);
 					break;
 				}
 
 				case outcomeKind.released: {
 					endedClaim = found.claim;
-					lost = {cell: found.cell, until: now() + hostTiming.elsewhereMs};
-					cell = found.cell;
-					job = {
-						...job, submission: job.submission + 1, mayHaveRun: true, doneTasks: [...job.doneTasks ?? [], ...outcome.doneTasks],
-					};
+					handOutAgain(found, outcome.doneTasks);
 					break;
 				}
 
--- a/packages/chivestream-host/src/peer-link.ts
+++ b/packages/chivestream-host/src/peer-link.ts
@@ -67,11 +67,6 @@
 		return this.isUp;
 	}
 
-	/** Whether jobs that were handed over have not come to their end. */
-	hasPending(): boolean {
-		return this.pending.size > 0;
-	}
-
 	/** Hands a job over; reports its outcome exactly once. */
 	submit(job: JobMessage, settle: (outcome: RemoteOutcome) => void): void {
 		if (this.stream === undefined || !this.isUp) {
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -11,8 +11,9 @@
 	now: () => number;
 	/** What a host that has just opened a stream is told. */
 	greet: (to: HostRecord) => Reply[];
-	/** The status as a host is told it. */
-	describe: (to: HostRecord) => HostStatus;
+	describeSelf: () => HostStatus;
+	/** How long after a status a host is told the next one, in milliseconds. */
+	nextInMs: (to: HostRecord) => number;
 	noteHost: (host: HostRecord) => void;
 	submit: (job: JobMessage, settle: (outcome: Outcome) => void) => void;
 	cancel: (id: string) => void;
@@ -74,12 +75,14 @@
 	/** Sends the status on every stream at once, or only where it is due. */
 	tellStatus(isNews: boolean): void {
 		const now = this.options.now();
+		let status: HostStatus | undefined;
 		for (const attachment of this.attachments) {
 			const {host} = attachment;
 			if (host !== undefined && (isNews || now >= attachment.statusDueAt)) {
-				const status = this.options.describe(host);
-				attachment.statusDueAt = now + status.nextInMs - timerToleranceMs;
-				this.send(attachment, {type: 'status', status});
+				status ??= this.options.describeSelf();
+				const nextInMs = this.options.nextInMs(host);
+				attachment.statusDueAt = now + nextInMs - timerToleranceMs;
+				this.send(attachment, {type: 'status', status: {...status, nextInMs}});
 			}
 		}
 	}
--- a/packages/chivestream-host/src/peers.ts
+++ b/packages/chivestream-host/src/peers.ts
@@ -22,7 +22,7 @@
 /** The name under which the link to a seed is kept until its host has told its own. */
 const seedName = (address: string): string => `seed ${address}`;
 
-/** Links to all hosts of the own zone, and to one host of each other zone: its dispatcher as soon as it is known. */
+/** Links to all hosts of the own zone, and to the dispatchers of each other zone: to one of its hosts until they are known. */
 export class Peers {
 	private readonly options: PeersOptions;
 	private readonly known = new Map<string, HostRecord>();
--- a/packages/chivestream-host/src/zone-claim.ts
+++ b/packages/chivestream-host/src/zone-claim.ts
@@ -160,7 +160,7 @@
 	private candidate(): Candidate {
 		const {self, isLeaving} = this.options;
 		return {
-			record: self, claims: this.claims(), cellCount: this.cellCount, isLeaving: isLeaving(), contact: contact.alive,
+			record: self, claims: [...this.services].map(([cell, {token}]) => ({cell, token})), cellCount: this.cellCount, isLeaving: isLeaving(), contact: contact.alive,
 		};
 	}
 
