Link hosts of a zone to dispatchers and their replacements only

A claim is announced over the claimant's own links. A status is left out where another message was just sent, and only dispatchers, which use the free capacity in it, get them all. A link stays open while jobs are pending on it, so that a dispatcher that stops can give them back (a known fault of the links to other zones). The size of a host counts the speed of its cores: hosts of 1.35 cores were taken for 0.675.

--- a/packages/chivestream-host/src/caller-service.ts
+++ b/packages/chivestream-host/src/caller-service.ts
@@ -70,20 +70,30 @@
 	return longestMatch;
 };
 
-const readBody = async (request: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> => {
+/** Reads the body; undefined if it is larger than `maxBytes`. Rejects if the connection breaks. Events cost a fraction of an iterator. */
+const readBody = async (request: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> => new Promise((resolve, reject) => {
 	const chunks: Uint8Array[] = [];
 	let bytes = 0;
-	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+	request.on('data', (chunk: Uint8Array) => {
 		bytes += chunk.length;
 		if (bytes > maxBytes) {
-			return undefined;
+			request.removeAllListeners('data');
+			request.resume();
+			resolve(undefined);
+			return;
 		}
 
 		chunks.push(chunk);
-	}
-
-	return Buffer.concat(chunks);
-};
+	});
+	request.once('end', () => {
+		resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+	});
+	request.once('error', reject);
+	request.once('close', () => {
+		// Has no effect after the end of the body.
+		reject(new Error('the connection closed before the end of the request'));
+	});
+});
 
 /**
  * Combines a job with the declarations of its route. Times are in milliseconds, and `arrivedAt` is on the monotonic clock. The
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -23,7 +23,7 @@
 	isLeaving: () => boolean;
 	/** The other hosts of the zone. */
 	candidates: () => Candidate[];
-	/** Number of known hosts of the zone, this one included. */
+	/** Number of hosts of the zone with which this one exchanges status, this one included. */
 	zoneSize: () => number;
 	canReachStore: () => boolean;
 	/** Whether each known host of the zone has either answered or refused the connection. */
--- a/packages/chivestream-host/src/election.ts
+++ b/packages/chivestream-host/src/election.ts
@@ -36,7 +36,8 @@
 /** A cell is handed over if the other host's load with that cell is below this fraction of this host's load, in cells per core. */
 const handoverLoadRatio = 0.7;
 
-const isPreferred = (one: HostRecord, other: HostRecord): boolean =>
+/** Whether a host is preferred as a dispatcher over another: the larger one, or among equals the first by name. */
+export const isPreferred = (one: HostRecord, other: HostRecord): boolean =>
 	one.cpuShare === other.cpuShare ? one.name < other.name : one.cpuShare > other.cpuShare;
 
 const claimToken = (host: Candidate, cell: number): number => host.claims.find(claim => claim.cell === cell)?.token ?? 0;
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -81,7 +81,7 @@
 			zone: settings.host.zone,
 			address: settings.listen.peers,
 			bornAt: Date.now(),
-			cpuShare: settings.host.cpuShare,
+			cpuShare: settings.host.cpuShare * settings.host.coreSpeed,
 		};
 		this.store = createStoreClient(settings.store);
 		this.declarations = new DeclarationsFollower({
@@ -105,6 +105,7 @@
 			now,
 			report,
 			localStatus: () => this.status(),
+			cellCount: () => this.claim.cellCount,
 			onChange: () => {
 				this.evaluate();
 			},
@@ -122,9 +123,10 @@
 			initialReplies: to => this.initialReplies(to),
 			localStatus: () => this.status(),
 			nextInMs: to => this.nextInMs(to),
-			onHost: host => {
-				this.peers.addHosts([host]);
+			onHost: (host, status) => {
+				this.peers.recordStatus(host, status);
 			},
+			isDispatcher: host => this.peers.isDispatcher(host.name),
 			submit: (message, settle) => {
 				const service = this.claim.serviceOfCell(message.cell);
 				if (service === undefined) {
@@ -144,7 +146,7 @@
 			report,
 			isLeaving: () => this.isLeaving,
 			candidates: () => this.peers.candidates(),
-			zoneSize: () => this.peers.zoneSize(),
+			zoneSize: () => this.peers.linkedZoneSize(),
 			canReachStore: () => this.declarations.answerAgeMs() < storeAnswerMaxAgeMs,
 			isZoneDiscovered: () => this.hasReadDirectory && this.peers.isZoneDiscovered(),
 			minions: () => this.zoneMinions(),
--- a/packages/chivestream-host/src/messages.ts
+++ b/packages/chivestream-host/src/messages.ts
@@ -10,7 +10,7 @@
 	address: string;
 	/** When its process started, in milliseconds since the Unix epoch; distinguishes incarnations. */
 	bornAt: number;
-	/** Number of cores that it may use. */
+	/** Number of cores of the usual speed that its processor time amounts to. */
 	cpuShare: number;
 };
 
--- a/packages/chivestream-host/src/peer-link.ts
+++ b/packages/chivestream-host/src/peer-link.ts
@@ -7,7 +7,7 @@
 	type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest,
 } from './messages.js';
 import {openStream, type RequestStream} from './peer-service.js';
-import {hostTiming, silenceTimeoutMs} from './timing.js';
+import {hostTiming, silenceTimeoutMs, timerToleranceMs} from './timing.js';
 
 /** Outcome of a job that was submitted to another host; `lost` if the stream broke before the outcome arrived. */
 export type RemoteOutcome = Outcome | {kind: 'lost'};
@@ -43,14 +43,18 @@
 	private stream: RequestStream | undefined;
 	private lastReplyTime = Number.NEGATIVE_INFINITY;
 	private refusedAt = Number.NEGATIVE_INFINITY;
+	private readonly createdAt: number;
+	private lastRequestAt = Number.NEGATIVE_INFINITY;
 	private isUp = false;
 	private sentDeclarationsVersion = -1;
+	private sentClaimsKey = '';
 	/** Ends the current stream if its other end has been silent for too long. */
 	private checkSilence: (() => void) | undefined;
 
 	constructor(options: PeerLinkOptions) {
 		this.options = options;
 		this.record = options.record;
+		this.createdAt = options.now();
 		void this.run();
 	}
 
@@ -68,6 +72,16 @@
 		return this.lastReplyTime;
 	}
 
+	/** How long the host has not replied, in milliseconds; 0 while it is alive. */
+	unreachableMs(): number {
+		return this.reachability() === reachability.alive ? 0 : this.options.now() - Math.max(this.createdAt, this.lastReplyTime);
+	}
+
+	/** Whether a submitted job has no outcome yet. */
+	hasPending(): boolean {
+		return this.pending.size > 0;
+	}
+
 	/** Whether jobs can be submitted. */
 	isOpen(): boolean {
 		return this.isUp;
@@ -89,11 +103,18 @@
 		this.send({type: 'cancel', id});
 	}
 
-	/** Sends this host's status while jobs are pending, as the other host drops the jobs of silent hosts, and after a change of the
-	 * declarations version, as it sends newer declarations to hosts with older ones. */
+	/** Sends this host's status after a change of its claims or of the declarations version, and while jobs are pending, as the other host
+	 * drops the jobs of silent hosts. A request that was just sent serves as well. */
 	sendStatus(status: HostStatus): void {
-		if (this.isUp && (this.pending.size > 0 || status.declarationsVersion !== this.sentDeclarationsVersion)) {
+		if (!this.isUp) {
+			return;
+		}
+
+		const hasChanged = status.declarationsVersion !== this.sentDeclarationsVersion || claimsKey(status) !== this.sentClaimsKey;
+		const isSilent = this.pending.size > 0 && this.options.now() - this.lastRequestAt >= hostTiming.heartbeatMs - timerToleranceMs;
+		if (hasChanged || isSilent) {
 			this.sentDeclarationsVersion = status.declarationsVersion;
+			this.sentClaimsKey = claimsKey(status);
 			this.send({type: 'status', status});
 		}
 	}
@@ -113,6 +134,7 @@
 
 	private send(request: PeerRequest): void {
 		if (this.stream?.writable) {
+			this.lastRequestAt = this.options.now();
 			this.stream.write(request);
 		}
 	}
@@ -179,7 +201,10 @@
 			stream.on('end', () => {
 				finish('ended');
 			});
-			this.send({type: 'hello', ...this.options.helloContent()});
+			const content = this.options.helloContent();
+			this.sentDeclarationsVersion = content.status.declarationsVersion;
+			this.sentClaimsKey = claimsKey(content.status);
+			this.send({type: 'hello', ...content});
 		});
 	}
 
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -4,7 +4,7 @@
 	type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest,
 } from './messages.js';
 import {type ReplyStream} from './peer-service.js';
-import {hostTiming} from './timing.js';
+import {hostTiming, timerToleranceMs} from './timing.js';
 
 /** Dependencies and callbacks of the peer server. */
 export type PeerServerOptions = {
@@ -16,17 +16,16 @@
 	localStatus: () => HostStatus;
 	/** Interval at which a host is sent the status, in milliseconds. */
 	nextInMs: (to: HostRecord) => number;
-	/** Called with the record of a host that has opened a stream. */
-	onHost: (host: HostRecord) => void;
+	/** Called with the record of a host that has opened a stream, and with its status, also whenever that has changed. */
+	onHost: (host: HostRecord, status: HostStatus) => void;
+	/** Whether a host dispatches. It uses the free capacity in each status, and so gets them all. */
+	isDispatcher: (host: HostRecord) => boolean;
 	/** Submits a job to a local dispatcher; `settle` is called with its outcome. */
 	submit: (job: JobMessage, settle: (outcome: Outcome) => void) => void;
 	/** Cancels a job whose caller or host has disconnected. */
 	cancel: (id: string) => void;
 };
 
-/** A status that becomes due within this time is sent together with those that are already due, in milliseconds. */
-const timerToleranceMs = 20;
-
 /** A stream of another host and the state received over it. */
 type Attachment = {
 	stream: ReplyStream;
@@ -34,6 +33,7 @@
 	/** The version of the declarations that the host has last reported. */
 	declarationsVersion: number | undefined;
 	lastRequestAt: number;
+	lastReplyAt: number;
 	/** When the next status must be sent to the host. */
 	statusDueAt: number;
 	/** IDs of the jobs submitted over this stream that have no outcome yet. */
@@ -55,7 +55,7 @@
 	/** Serves a stream until it ends. */
 	accept(stream: ReplyStream): void {
 		const attachment: Attachment = {
-			stream, host: undefined, declarationsVersion: undefined, lastRequestAt: this.options.now(), statusDueAt: Infinity, jobs: new Set(), hasEnded: false,
+			stream, host: undefined, declarationsVersion: undefined, lastRequestAt: this.options.now(), lastReplyAt: Number.NEGATIVE_INFINITY, statusDueAt: Infinity, jobs: new Set(), hasEnded: false,
 		};
 		this.attachments.add(attachment);
 		const finish = () => {
@@ -79,15 +79,20 @@
 		}
 	}
 
-	/** Sends the status on every stream, or only on those where it is due. */
+	/** Sends the status on every stream, or only on those where it is due. Any other message to a host that doesn't dispatch replaces it. */
 	sendStatus(isImmediate: boolean): void {
 		const now = this.options.now();
 		let status: HostStatus | undefined;
 		for (const attachment of this.attachments) {
 			const {host} = attachment;
-			if (host !== undefined && (isImmediate || now >= attachment.statusDueAt)) {
+			if (host === undefined || (!isImmediate && now < attachment.statusDueAt)) {
+				continue;
+			}
+
+			const nextInMs = this.options.nextInMs(host);
+			const hasJustReplied = now - attachment.lastReplyAt < nextInMs - timerToleranceMs;
+			if (isImmediate || !hasJustReplied || this.options.isDispatcher(host)) {
 				status ??= this.options.localStatus();
-				const nextInMs = this.options.nextInMs(host);
 				attachment.statusDueAt = now + nextInMs - timerToleranceMs;
 				this.send(attachment, {type: 'status', status: {...status, nextInMs}});
 			}
@@ -125,6 +130,7 @@
 
 	private send(attachment: Attachment, reply: PeerReply): void {
 		if (!attachment.hasEnded && attachment.stream.writable) {
+			attachment.lastReplyAt = this.options.now();
 			attachment.stream.write(reply);
 		}
 	}
@@ -135,7 +141,7 @@
 				attachment.host = request.host;
 				attachment.declarationsVersion = request.status.declarationsVersion;
 				attachment.statusDueAt = this.options.now();
-				this.options.onHost(request.host);
+				this.options.onHost(request.host, request.status);
 				for (const reply of this.options.initialReplies(request.host)) {
 					this.send(attachment, reply);
 				}
@@ -145,6 +151,10 @@
 
 			case 'status': {
 				attachment.declarationsVersion = request.status.declarationsVersion;
+				if (attachment.host !== undefined) {
+					this.options.onHost(attachment.host, request.status);
+				}
+
 				break;
 			}
 
--- a/packages/chivestream-host/src/peer-table.ts
+++ b/packages/chivestream-host/src/peer-table.ts
@@ -2,11 +2,12 @@
 import {type MinionRecord, type CellCapacity} from 'chivestream-dispatch';
 import {type Declarations} from 'chivestream-platform';
 import {cellName} from './cells.js';
-import {reachability, type Candidate} from './election.js';
+import {isPreferred, reachability, type Candidate} from './election.js';
 import {type Report} from './host-log.js';
 import {type HostRecord, type HostStatus, type PeerReply} from './messages.js';
 import {PeerLink} from './peer-link.js';
 import {hostTiming} from './timing.js';
+import {selectZoneLinks} from './zone-links.js';
 
 /** Dependencies and callbacks of the peer table. */
 export type PeerTableOptions = {
@@ -17,6 +18,8 @@
 	report: Report;
 	/** Returns the current status of this host, to be sent when a link opens. */
 	localStatus: () => HostStatus;
+	/** Number of cells into which the local zone is divided. */
+	cellCount: () => number;
 	/** Called when a link, a claim or the list of dispatchers may have changed. */
 	onChange: () => void;
 	/** Called with the declarations (routes and the size limit of request bodies) that another host has sent. */
@@ -25,12 +28,15 @@
 	onMinions: (from: HostRecord, minions: MinionRecord[]) => void;
 };
 
+/** Interval at which unreachable candidates are replaced, in milliseconds. */
+const linkUpdateIntervalMs = 500;
+
 /** Key of the link to a seed address whose host has not sent its name yet. */
 const seedKey = (address: string): string => `seed ${address}`;
 
 /**
- * Maintains links to all hosts of the local zone and to the dispatchers of every other zone. While the dispatchers of a zone are
- * unknown, it links to one host of that zone.
+ * Maintains links to the dispatchers of the local zone and the hosts that can replace them, and to the dispatchers of every other
+ * zone. While the dispatchers of another zone are unknown, it links to one host of that zone.
  */
 export class PeerTable {
 	private readonly options: PeerTableOptions;
@@ -39,11 +45,14 @@
 	private readonly links = new Map<string, PeerLink>();
 	/** Dispatchers of other zones, by host name, as received from hosts of any zone. */
 	private readonly dispatchers = new Map<string, HostRecord>();
+	/** Dispatchers of the local zone, by host name, as received from hosts of this zone. */
+	private readonly localDispatchers = new Map<string, HostRecord>();
 	/** Number of failed attempts to reach a host of each other zone. */
 	private readonly failedAttempts = new Map<string, number>();
 	/** When the current attempt to reach a host of each other zone started. */
 	private readonly lastAttemptAt = new Map<string, number>();
 	private isClosed = false;
+	private linksUpdatedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: PeerTableOptions) {
 		this.options = options;
@@ -83,6 +92,20 @@
 		this.updateLinks();
 	}
 
+	/** Records the status that another host has sent over its own link to this one, so that a claim is noticed without a link to it. */
+	recordStatus(record: HostRecord, status: HostStatus): void {
+		this.addHosts([record]);
+		if (record.zone === this.options.self.zone && status.claims.length > 0 && !this.localDispatchers.has(record.name)) {
+			this.localDispatchers.set(record.name, record);
+			this.updateLinks();
+		}
+	}
+
+	/** Whether a host dispatches, as last reported. */
+	isDispatcher(name: string): boolean {
+		return (this.links.get(name)?.status?.claims.length ?? 0) > 0;
+	}
+
 	/** All known hosts, including this one. */
 	allHosts(): HostRecord[] {
 		return [this.options.self, ...this.knownHosts.values()];
@@ -111,19 +134,23 @@
 		return candidates;
 	}
 
+	/** Number of hosts of the local zone to which this one keeps links, including this one. */
+	linkedZoneSize(): number {
+		return [...this.links.values()].filter(link => link.record.zone === this.options.self.zone).length + 1;
+	}
+
 	/** Number of known hosts of the local zone, including this one. */
 	zoneSize(): number {
 		return [...this.knownHosts.values()].filter(record => record.zone === this.options.self.zone).length + 1;
 	}
 
 	/**
-	 * Whether the state of each known host of the local zone is known: it has answered, or it has refused the connection because its
+	 * Whether the state of each linked host of the local zone is known: it has answered, or it has refused the connection because its
 	 * process has ended. False while no other host is known.
 	 */
 	isZoneDiscovered(): boolean {
-		for (const record of this.knownHosts.values()) {
-			const link = this.links.get(record.name);
-			if (record.zone === this.options.self.zone && (link === undefined || link.reachability() === reachability.silent)) {
+		for (const link of this.links.values()) {
+			if (link.record.zone === this.options.self.zone && link.reachability() === reachability.silent) {
 				return false;
 			}
 		}
@@ -193,6 +220,10 @@
 		}
 
 		const now = this.options.now();
+		if (now - this.linksUpdatedAt >= linkUpdateIntervalMs) {
+			this.updateLinks();
+		}
+
 		for (const [zone, attemptedAt] of this.lastAttemptAt) {
 			if (!reachableZones.has(zone) && now - attemptedAt >= hostTiming.reconnectDelayMs) {
 				this.lastAttemptAt.set(zone, now);
@@ -202,22 +233,24 @@
 		}
 	}
 
-	/** Opens missing links and closes those that are no longer needed. */
+	/** Opens missing links and closes those that are no longer needed. A dispatcher that stops gives its jobs back over the link, so it
+	 * stays open until then. */
 	updateLinks(): void {
 		if (this.isClosed) {
 			return;
 		}
 
-		const requiredNames = new Set<string>();
+		this.linksUpdatedAt = this.options.now();
 		const hostsByZone = new Map<string, HostRecord[]>();
 		for (const record of this.knownHosts.values()) {
-			if (record.zone === this.options.self.zone) {
-				requiredNames.add(record.name);
-			} else {
-				hostsByZone.set(record.zone, [...hostsByZone.get(record.zone) ?? [], record]);
-			}
+			const hosts = hostsByZone.get(record.zone) ?? [];
+			hosts.push(record);
+			hostsByZone.set(record.zone, hosts);
 		}
 
+		const localHosts = hostsByZone.get(this.options.self.zone) ?? [];
+		hostsByZone.delete(this.options.self.zone);
+		const requiredNames = new Set(this.localHostsToLink(localHosts).map(record => record.name));
 		for (const [zone, records] of hostsByZone) {
 			this.lastAttemptAt.set(zone, this.lastAttemptAt.get(zone) ?? this.options.now());
 			for (const record of this.hostsToLink(zone, records)) {
@@ -235,7 +268,8 @@
 		for (const [name, link] of this.links) {
 			// The host of the seed address has sent its name, under which it gets a link of its own where one is needed.
 			const isResolvedSeed = link.record.name !== name && this.knownHosts.has(link.record.name);
-			if ((this.knownHosts.has(name) && !requiredNames.has(name)) || isResolvedSeed) {
+			const isUnneeded = this.knownHosts.has(name) && !requiredNames.has(name) && !link.hasPending();
+			if (isUnneeded || isResolvedSeed) {
 				link.close();
 				this.links.delete(name);
 			}
@@ -249,6 +283,23 @@
 		}
 	}
 
+	private recordLocalDispatcher(record: HostRecord, isDispatcher: boolean): void {
+		if (isDispatcher) {
+			this.localDispatchers.set(record.name, record);
+		} else {
+			this.localDispatchers.delete(record.name);
+		}
+	}
+
+	/** Selects the hosts of the local zone to link to. */
+	private localHostsToLink(records: readonly HostRecord[]): HostRecord[] {
+		return selectZoneLinks(records.map(record => {
+			const unreachableMs = this.links.get(record.name)?.unreachableMs() ?? 0;
+			const isDispatcher = this.localDispatchers.has(record.name) && unreachableMs < hostTiming.silentHostExpiryMs;
+			return {record, isDispatcher, unreachableMs};
+		}), this.options.cellCount());
+	}
+
 	/** Selects the hosts of another zone to link to: its dispatchers, or else one host at a time until one answers. */
 	private hostsToLink(zone: string, records: HostRecord[]): HostRecord[] {
 		const dispatchers = records.filter(record => this.dispatchers.has(record.name));
@@ -257,7 +308,7 @@
 		}
 
 		// The order in which the zone prefers its hosts as dispatchers.
-		records.sort((one, other) => other.cpuShare - one.cpuShare || (one.name < other.name ? -1 : 1));
+		records.sort((one, other) => isPreferred(one, other) ? -1 : 1);
 		return [records[(this.failedAttempts.get(zone) ?? 0) % records.length]!];
 	}
 
@@ -321,7 +372,11 @@
 		const zonesWithDispatcher = new Set([...this.dispatchers.values()].map(record => record.zone));
 		for (const host of hosts) {
 			const isAccepted = host.zone === link.record.zone || !zonesWithDispatcher.has(host.zone);
-			if (host.zone !== this.options.self.zone && isAccepted) {
+			if (host.zone === this.options.self.zone) {
+				if (link.record.zone === host.zone && host.name !== this.options.self.name) {
+					this.localDispatchers.set(host.name, this.knownHosts.get(host.name) ?? host);
+				}
+			} else if (isAccepted) {
 				this.dispatchers.set(host.name, this.knownHosts.get(host.name) ?? host);
 			}
 		}
@@ -338,10 +393,17 @@
 		}
 
 		if (change === 'up' || change === 'status') {
-			if (link.record.zone !== this.options.self.zone && link.status !== undefined && link.status.claims.length > 0) {
+			const claimCount = link.status?.claims.length ?? 0;
+			if (link.record.zone === this.options.self.zone) {
+				this.recordLocalDispatcher(link.record, claimCount > 0);
+			} else if (claimCount > 0) {
 				this.dispatchers.set(link.record.name, link.record);
 			}
-		} else if (link.record.zone !== this.options.self.zone) {
+		} else if (link.record.zone === this.options.self.zone) {
+			if (link.reachability() === reachability.dead) {
+				this.localDispatchers.delete(link.record.name);
+			}
+		} else {
 			// If no other dispatcher of the zone is recorded, `updateLinks` links to one of its hosts to receive the current dispatchers.
 			this.dispatchers.delete(link.record.name);
 		}
--- a/packages/chivestream-host/src/settings.ts
+++ b/packages/chivestream-host/src/settings.ts
@@ -12,6 +12,8 @@
 		zone: nameSchema,
 		/** Cores that the host may use; fractions are allowed. */
 		cpuShare: z.number().positive(),
+		/** Speed of its cores, as a multiple of the usual speed. */
+		coreSpeed: z.number().positive().default(1),
 	}),
 	listen: z.strictObject({
 		callers: listenAddressSchema,
--- a/packages/chivestream-host/src/timing.ts
+++ b/packages/chivestream-host/src/timing.ts
@@ -24,6 +24,9 @@
 	fencedBackoffMs: 5000,
 } as const;
 
+/** A message that becomes due within this time is sent together with those that are already due, in milliseconds. */
+export const timerToleranceMs = 20;
+
 /** A host is silent after this many missed status messages. */
 const maxMissedHeartbeats = 3;
 
