Refuse malformed input of callers, hosts and the store without ending the process

A message of another host was used without a check of its shape.

A body over the limit gets its 413 and the connection closes.

--- a/packages/chivestream-host/src/caller-service.ts
+++ b/packages/chivestream-host/src/caller-service.ts
@@ -177,6 +177,8 @@
 		const arrivedAt = options.now();
 		const body = await readBody(request, options.declarations()?.maxBodyBytes ?? 0);
 		if (body === undefined) {
+			// The rest of the body is not read.
+			response.setHeader('connection', 'close');
 			answerError(response, status.tooLarge, 'the body is too large');
 			return;
 		}
--- a/packages/chivestream-host/src/host-registry.ts
+++ b/packages/chivestream-host/src/host-registry.ts
@@ -2,8 +2,8 @@
 /* eslint-disable no-await-in-loop -- iterations are sequential */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {parseJson, topic, type StoreClient} from 'chivestream-platform';
-import {z} from 'zod';
 import {type Report} from './host-log.js';
+import {hostRecordSchema} from './message-schemas.js';
 import {type HostRecord} from './messages.js';
 
 /** Dependencies and callbacks of `followHostRegistry`. */
@@ -26,10 +26,6 @@
 /** Timeout of a request to the store, in milliseconds. */
 const storeTimeoutMs = 1000;
 
-const hostRecordSchema = z.object({
-	name: z.string(), zone: z.string(), address: z.string(), bornAt: z.number(), cpuShare: z.number(),
-});
-
 /** Writes the record of this host and reads all records periodically, until the signal aborts. */
 export const followHostRegistry = async (options: HostRegistryOptions): Promise<void> => {
 	const {store, self, report, signal} = options;
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -120,6 +120,7 @@
 		});
 		this.peerServer = new PeerServer({
 			now,
+			report,
 			initialReplies: to => this.initialReplies(to),
 			localStatus: () => this.status(),
 			nextInMs: to => this.nextInMs(to),
--- /dev/null
+++ b/packages/chivestream-host/src/message-schemas.ts
@@ -0,0 +1,114 @@
+/** Validates the messages of other hosts, which may run another build. */
+import {
+	outcomeKind, type MinionRecord, type Outcome, type Step,
+} from 'chivestream-dispatch';
+import {type Declarations} from 'chivestream-platform';
+import {isReachableAddress} from 'chivestream-settings';
+import {z} from 'zod';
+import {
+	type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest,
+} from './messages.js';
+
+/** Schema of a host's record, in messages and in the store. */
+export const hostRecordSchema: z.ZodType<HostRecord> = z.object({
+	name: z.string(),
+	zone: z.string(),
+	address: z.string().refine(address => isReachableAddress(address)),
+	bornAt: z.number(),
+	cpuShare: z.number().positive(),
+});
+
+const hostStatusSchema: z.ZodType<HostStatus> = z.object({
+	claims: z.array(z.object({cell: z.number().int().min(0), token: z.number(), freeTasks: z.number()})),
+	cellCount: z.number().int().min(1),
+	isLeaving: z.boolean(),
+	declarationsVersion: z.number(),
+	nextInMs: z.number().positive(),
+});
+
+const stepSchema: z.ZodType<Step> = z.object({
+	count: z.number().int().min(1),
+	millicores: z.number(),
+	memoryMb: z.number(),
+	accelerators: z.number(),
+	estimateMs: z.number(),
+	dependsOn: z.array(z.number()),
+	requiredLabel: z.string().optional(),
+	preferredRack: z.string().optional(),
+	maxPerMinion: z.number().optional(),
+});
+
+const jobMessageSchema: z.ZodType<JobMessage> = z.object({
+	id: z.string(),
+	cell: z.string(),
+	payload: z.string(),
+	steps: z.array(stepSchema).min(1),
+	route: z.string(),
+	upstream: z.string(),
+	priority: z.number(),
+	maxAttempts: z.number(),
+	objectiveInMs: z.number(),
+	deadlineInMs: z.number(),
+	submission: z.number().int().min(0),
+	mayHaveRun: z.boolean(),
+	doneTasks: z.array(z.string()).optional(),
+});
+
+const outcomeSchema: z.ZodType<Outcome> = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal(outcomeKind.completed)}),
+	z.object({kind: z.literal(outcomeKind.failed), reason: z.string()}),
+	z.object({kind: z.literal(outcomeKind.refused), reason: z.string(), retryAfterMs: z.number()}),
+	z.object({kind: z.literal(outcomeKind.abandoned), reason: z.string()}),
+	z.object({kind: z.literal(outcomeKind.redirected), cell: z.string()}),
+	z.object({kind: z.literal(outcomeKind.released), doneTasks: z.array(z.string())}),
+]);
+
+const declarationsSchema: z.ZodType<Declarations> = z.object({
+	version: z.number(),
+	maxBodyBytes: z.number(),
+	routes: z.array(z.object({
+		name: z.string(),
+		host: z.string(),
+		pathPrefix: z.string(),
+		upstream: z.string(),
+		priority: z.number(),
+		maxAttempts: z.number(),
+		stretch: z.number(),
+		targetLatencyMs: z.number(),
+		timeoutMs: z.number(),
+		needsAdvice: z.boolean(),
+	})),
+});
+
+const minionRecordSchema: z.ZodType<MinionRecord> = z.object({
+	id: z.string(),
+	bornAt: z.number(),
+	upstream: z.string(),
+	address: z.string().refine(address => isReachableAddress(address)),
+	zone: z.string(),
+	isDraining: z.boolean(),
+	capacity: z.object({millicores: z.number(), memoryMb: z.number(), accelerators: z.number()}),
+	labels: z.array(z.string()),
+});
+
+/** Schema of a message from the host that opened the stream. */
+export const peerRequestSchema: z.ZodType<PeerRequest> = z.discriminatedUnion('type', [
+	z.object({type: z.literal('hello'), host: hostRecordSchema, status: hostStatusSchema}),
+	z.object({type: z.literal('status'), status: hostStatusSchema}),
+	z.object({type: z.literal('submit'), job: jobMessageSchema}),
+	z.object({type: z.literal('cancel'), id: z.string()}),
+]);
+
+/** Schema of a message from the host that accepted the stream. */
+export const peerReplySchema: z.ZodType<PeerReply> = z.discriminatedUnion('type', [
+	z.object({
+		type: z.literal('hello'), host: hostRecordSchema, status: hostStatusSchema, hosts: z.array(hostRecordSchema),
+	}),
+	z.object({type: z.literal('status'), status: hostStatusSchema}),
+	z.object({type: z.literal('dispatchers'), hosts: z.array(hostRecordSchema)}),
+	z.object({
+		type: z.literal('settled'), id: z.string(), submission: z.number(), outcome: outcomeSchema,
+	}),
+	z.object({type: z.literal('declarations'), declarations: declarationsSchema}),
+	z.object({type: z.literal('minions'), minions: z.array(minionRecordSchema)}),
+]);
--- a/packages/chivestream-host/src/peer-link.ts
+++ b/packages/chivestream-host/src/peer-link.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Outcome} from 'chivestream-dispatch';
 import {reachability, type Reachability} from './election.js';
+import {peerReplySchema} from './message-schemas.js';
 import {
 	type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest,
 } from './messages.js';
@@ -193,7 +194,11 @@
 			stream.on('data', (reply: PeerReply) => {
 				lastStreamReplyAt = now();
 				this.lastReplyTime = lastStreamReplyAt;
-				this.handleReply(reply);
+				try {
+					this.handleReply(peerReplySchema.parse(reply));
+				} catch (error) {
+					finish(`invalid message: ${String(error)}`);
+				}
 			});
 			stream.on('error', error => {
 				finish(error.message);
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -1,15 +1,18 @@
 /** Streams that other hosts have opened to this one: receives their jobs, and sends them outcomes, status and updates. */
 import {type Outcome} from 'chivestream-dispatch';
+import {peerRequestSchema} from './message-schemas.js';
 import {
 	type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest,
 } from './messages.js';
 import {type ReplyStream} from './peer-service.js';
+import {type Report} from './host-log.js';
 import {hostTiming, timerToleranceMs} from './timing.js';
 
 /** Dependencies and callbacks of the peer server. */
 export type PeerServerOptions = {
 	/** The monotonic clock, in milliseconds. */
 	now: () => number;
+	report: Report;
 	/** Messages for a host that has just opened a stream. */
 	initialReplies: (to: HostRecord) => PeerReply[];
 	/** The status of this host. */
@@ -64,7 +67,14 @@
 
 		stream.on('data', (request: PeerRequest) => {
 			attachment.lastRequestAt = this.options.now();
-			this.handleRequest(attachment, request);
+			try {
+				this.handleRequest(attachment, request);
+			} catch (error) {
+				// A host of another build, or a corrupted message: it costs this stream, not the process.
+				this.options.report('peer-message-invalid', {peer: attachment.host?.name, reason: String(error)});
+				stream.destroy();
+				finish();
+			}
 		});
 		stream.on('error', finish);
 		stream.on('end', finish);
@@ -135,7 +145,8 @@
 		}
 	}
 
-	private handleRequest(attachment: Attachment, request: PeerRequest): void {
+	private handleRequest(attachment: Attachment, message: PeerRequest): void {
+		const request = peerRequestSchema.parse(message);
 		switch (request.type) {
 			case 'hello': {
 				attachment.host = request.host;
