Keep a starting host from claiming cells before it knows the others of its zone

A large host that came back took a cell from each of three hosts at once, two of which claimed theirs again.

Change: no claim before the list of hosts was read, or 3 s if the store doesn't answer; a host that is fenced from a cell again within 10 s waits longer each time; only the most loaded host hands a cell over. Background loops that fail are logged and started again, and an unhandled error is logged.

--- a/packages/chivestream-host/src/__tests__/election.test.ts
+++ b/packages/chivestream-host/src/__tests__/election.test.ts
@@ -72,6 +72,17 @@
 		expect(shouldHandOver(candidate('a', claims([0, 1]), 0.25), [candidate('b', {}, 1.35)])).toBe(true);
 	});
 
+	test('by one host only when a large host has returned without a cell', () => {
+		const hosts = [candidate('a', claims([0, 1], [1, 2]), 1.35), candidate('b', {}, 1.35), candidate('c', claims([2, 3]), 0.81), candidate('d', claims([3, 4]), 0.81)];
+		const handingOver = hosts.filter(self => shouldHandOver(self, hosts.filter(other => other !== self)));
+		expect(handingOver.map(({record}) => record.name)).toEqual(['a']);
+	});
+
+	test('by one of several hosts with the same load', () => {
+		const hosts = [candidate('a', claims([0, 1], [1, 2])), candidate('b', claims([2, 3], [3, 4])), candidate('c')];
+		expect(hosts.filter(self => shouldHandOver(self, hosts.filter(other => other !== self)))).toHaveLength(1);
+	});
+
 	test('to no host that is shutting down or unreachable', () => {
 		const others = [candidate('b', {isLeaving: true}), candidate('c', {reachability: reachability.silent})];
 		expect(shouldHandOver(candidate('a', claims([0, 1], [1, 2])), others)).toBe(false);
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -8,7 +8,7 @@
 } from './election.js';
 import {type Report} from './host-log.js';
 import {type CellClaim, type HostRecord} from './messages.js';
-import {discoveryMs, hostTiming} from './timing.js';
+import {discoveryDeadline, hostTiming, reclaimDelayMs} from './timing.js';
 
 /** Dependencies and callbacks of the claim manager. */
 export type ClaimManagerOptions = {
@@ -18,6 +18,8 @@
 	self: HostRecord;
 	/** The monotonic clock, in milliseconds. */
 	now: () => number;
+	/** How long a minion's answer may take, in milliseconds. */
+	answerTimeoutMs: () => number;
 	report: Report;
 	/** Whether this host is shutting down. */
 	isLeaving: () => boolean;
@@ -26,6 +28,8 @@
 	/** Number of hosts of the zone with which this one exchanges status, this one included. */
 	zoneSize: () => number;
 	canReachStore: () => boolean;
+	/** When the list of hosts was first read from the store, on the monotonic clock; undefined before that. */
+	hostsKnownAt: () => number | undefined;
 	/** Whether each known host of the zone has either answered or refused the connection. */
 	isZoneDiscovered: () => boolean;
 	/** Registered minions of the zone. */
@@ -71,6 +75,8 @@
 	private followController: AbortController | undefined;
 	/** When this host was last fenced while it reached no other host of the zone. */
 	private fencedWhileIsolatedAt = Number.NEGATIVE_INFINITY;
+	/** How often in a row this host was fenced from a cell, and when it may claim the cell again. */
+	private readonly fences = new Map<number, {count: number; fencedAt: number; reclaimAt: number}>();
 	/** When this host last claimed or handed over a cell. */
 	private lastClaimChangeAt = Number.NEGATIVE_INFINITY;
 	private tokenOffsetMs = 0;
@@ -108,7 +114,8 @@
 		this.updateCellCount(others);
 		const canReachStore = this.options.canReachStore();
 		const choices = chooseDispatchers(this.localCandidate(), others, canReachStore, this.cellCount);
-		const isDiscoveryOver = now() > this.startedAt + discoveryMs(this.options.zoneSize()) || this.options.isZoneDiscovered();
+		const isDiscoveryOver = this.options.isZoneDiscovered()
+			|| now() > discoveryDeadline(this.startedAt, this.options.hostsKnownAt(), this.options.zoneSize());
 		const isBackingOff = now() < this.fencedWhileIsolatedAt + hostTiming.fencedBackoffMs;
 		for (const [cell, choice] of choices.entries()) {
 			if (describeChoice(choice) !== describeChoice(this.choices[cell]!)) {
@@ -126,7 +133,7 @@
 				this.releaseCell(cell, 'another host dispatches');
 			}
 
-			if (choice.kind === 'claim' && isDiscoveryOver && !isBackingOff) {
+			if (choice.kind === 'claim' && isDiscoveryOver && !isBackingOff && now() >= (this.fences.get(cell)?.reclaimAt ?? 0)) {
 				this.claimCell(cell);
 			}
 		}
@@ -216,7 +223,9 @@
 	}
 
 	private claimCell(cell: number): void {
-		const {self, now, report} = this.options;
+		const {
+			self, now, answerTimeoutMs, report,
+		} = this.options;
 		const {leaseMs, farFactor} = this.options.bounds();
 		const tokenTime = Date.now() - tokenEpochMs + this.tokenOffsetMs;
 		const token = ((tokenTime * tokenSaltCount) + randomInteger(this.random, tokenSaltCount)) * tokensPerClaim;
@@ -225,6 +234,7 @@
 			leaseMs,
 			farFactor,
 			now,
+			answerTimeoutMs,
 			random: this.random,
 			report,
 			otherCells: () => this.otherCells(cell),
@@ -268,10 +278,15 @@
 		const alive = others.filter(other => other.reachability === reachability.alive).length;
 		const isIsolated = alive === 0 && others.length > 0;
 		this.tokenOffsetMs += tokenStepMs;
+		const now = this.options.now();
 		if (isIsolated) {
-			this.fencedWhileIsolatedAt = this.options.now();
+			this.fencedWhileIsolatedAt = now;
 		}
 
+		const previous = this.fences.get(cell);
+		const count = previous !== undefined && now < previous.fencedAt + hostTiming.fencesInRowMs ? previous.count + 1 : 1;
+		this.fences.set(cell, {count, fencedAt: now, reclaimAt: now + reclaimDelayMs(count)});
+
 		this.releaseCell(cell, isIsolated ? 'fenced by an unreachable host' : 'a minion has received a higher token');
 		this.options.onClaimLost();
 	}
--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -16,6 +16,8 @@
 	farFactor: number;
 	/** The monotonic clock, in milliseconds. */
 	now: () => number;
+	/** How long a minion's answer may take, in milliseconds. */
+	answerTimeoutMs: () => number;
 	random: Random;
 	report: Report;
 	/** Free capacity of other cells, nearest first. */
@@ -100,9 +102,11 @@
 		}
 
 		const controller = new AbortController();
-		const {token, leaseMs, now, report, onFenced} = this.options;
+		const {
+			token, leaseMs, now, answerTimeoutMs, report, onFenced,
+		} = this.options;
 		const session = runMinionSession({
-			minion, dispatcher: this.dispatcher, token, leaseMs, now, report, onFenced, signal: controller.signal,
+			minion, dispatcher: this.dispatcher, token, leaseMs, now, answerTimeoutMs, report, onFenced, signal: controller.signal,
 		});
 		this.sessions.set(id, {...session, controller, unregisteredAt: undefined});
 	}
--- a/packages/chivestream-host/src/election.ts
+++ b/packages/chivestream-host/src/election.ts
@@ -103,7 +103,14 @@
 	});
 };
 
-/** Whether another host should take over one of this host's cells, for example because this host started first and claimed them all. */
-export const shouldHandOver = (self: Candidate, others: readonly Candidate[]): boolean =>
-	eligibleHosts(self, others).some(other => other !== self
-		&& (other.claims.length + 1) / other.record.cpuShare < handoverLoadRatio * (self.claims.length / self.record.cpuShare));
+const load = ({claims, record}: Candidate): number => claims.length / record.cpuShare;
+
+/**
+ * Whether another host should take over one of this host's cells, for example because this host started first and claimed them all.
+ * Only the host with the highest load hands over, so that several don't do so for the same host with few cells.
+ */
+export const shouldHandOver = (self: Candidate, others: readonly Candidate[]): boolean => {
+	const hosts = eligibleHosts(self, others).filter(host => host !== self);
+	const isMostLoaded = hosts.every(other => load(other) < load(self) || (load(other) === load(self) && isPreferred(other.record, self.record)));
+	return isMostLoaded && hosts.some(other => (other.claims.length + 1) / other.record.cpuShare < handoverLoadRatio * load(self));
+};
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -5,6 +5,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createStoreClient, readinessPath} from 'chivestream-platform';
 import {parseAddress} from 'chivestream-settings';
+import {runBackgroundLoop} from './background-loop.js';
 import {createCallerService, type CallerService} from './caller-service.js';
 import {DeclarationsFollower} from './declarations-follower.js';
 import {DispatcherTable} from './dispatcher-table.js';
@@ -15,6 +16,7 @@
 import {type HostRecord, type HostStatus, type PeerReply} from './messages.js';
 import {createHostMetrics, type HostMetrics} from './metrics.js';
 import {MinionFollower} from './minion-follower.js';
+import {answerTimeout, createProcessDelay} from './process-delay.js';
 import {PeerServer} from './peer-server.js';
 import {serveStreams} from './peer-service.js';
 import {PeerTable} from './peer-table.js';
@@ -55,7 +57,8 @@
 	private peerListener: Awaited<ReturnType<typeof serveStreams>> | undefined;
 	private isLeaving = false;
 	private shutdownDeadline: number | undefined;
-	private hasReadDirectory = false;
+	private hostsKnownAt: number | undefined;
+	private readonly delay = createProcessDelay();
 	private lastTickAt = performance.now();
 	private lastHeartbeatAt = 0;
 	private lastPublishedDispatchers = '';
@@ -144,15 +147,17 @@
 			self: this.record,
 			bounds: () => this.settings.bounds,
 			now,
+			answerTimeoutMs: () => answerTimeout(this.delay.recentMs()),
 			report,
 			isLeaving: () => this.isLeaving,
 			candidates: () => this.peers.candidates(),
 			zoneSize: () => this.peers.linkedZoneSize(),
 			canReachStore: () => this.declarations.answerAgeMs() < storeAnswerMaxAgeMs,
-			isZoneDiscovered: () => this.hasReadDirectory && this.peers.isZoneDiscovered(),
+			hostsKnownAt: () => this.hostsKnownAt,
+			isZoneDiscovered: () => this.hostsKnownAt !== undefined && this.peers.isZoneDiscovered(),
 			minions: () => this.zoneMinions(),
 			followMinions: signal => {
-				void this.minions.follow(signal);
+				this.runLoop('minions', async () => this.minions.follow(signal), signal);
 			},
 			onClaimChange: () => {
 				this.publishStatus();
@@ -207,19 +212,20 @@
 			host: this.record.name, zone: this.record.zone, bornAt: this.record.bornAt, seeds,
 		});
 		this.peers.addSeeds(seeds);
-		void this.declarations.follow(this.controller.signal);
-		void this.minions.preload(this.controller.signal);
-		void followHostRegistry({
+		const {signal} = this.controller;
+		this.runLoop('declarations', async () => this.declarations.follow(signal));
+		this.runLoop('minions', async () => this.minions.preload(signal));
+		this.runLoop('hosts', async () => followHostRegistry({
 			store: this.store,
 			self: this.record,
 			report: this.report,
 			onHosts: hosts => {
-				this.hasReadDirectory = true;
+				this.hostsKnownAt ??= this.now();
 				this.peers.addHosts(hosts);
 			},
-			signal: this.controller.signal,
-		});
-		void this.runTickLoop();
+			signal,
+		}));
+		this.runLoop('ticks', async () => this.runTickLoop());
 	}
 
 	/** Applies the changed settings that need no restart, and logs these and those that need one. */
@@ -280,6 +286,10 @@
 		return this.peers.cellsOfOtherHosts().reduce((sum, cell) => sum + cell.freeTasks, 0);
 	}
 
+	private runLoop(name: string, loop: () => Promise<void>, signal: AbortSignal = this.controller.signal): void {
+		void runBackgroundLoop(name, loop, {report: this.report, signal});
+	}
+
 	private createReadinessServer(): HttpServer {
 		return createServer((request, response) => {
 			const isReady = request.url?.startsWith(readinessPath) === true && this.isReady();
@@ -387,6 +397,7 @@
 			await sleep(intervalMs);
 			const now = this.now();
 			const pausedMs = now - this.lastTickAt - intervalMs;
+			this.delay.record(pausedMs);
 			if (pausedMs > hostTiming.pauseThresholdMs) {
 				this.report('frozen', {forMs: Math.round(pausedMs)});
 				this.claim.releaseAll('this host was paused');
--- a/packages/chivestream-host/src/main.ts
+++ b/packages/chivestream-host/src/main.ts
@@ -80,6 +80,15 @@
 		process.on('SIGHUP', () => {
 			void reload();
 		});
+		process.on('unhandledRejection', error => {
+			// Only the operation that failed is affected.
+			report('unexpected-error', {reason: error instanceof Error ? error.stack : String(error)});
+		});
+		process.on('uncaughtException', error => {
+			// The state of the process is unknown: it completes its requests and is started anew.
+			report('unexpected-error', {reason: error.stack});
+			void stop();
+		});
 		await entryHost.start();
 	} catch (error) {
 		report('could-not-start', {reason: error instanceof Error ? error.message : String(error)});
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -17,6 +17,8 @@
 	leaseMs: number;
 	/** The monotonic clock, in milliseconds. */
 	now: () => number;
+	/** How long an answer may take beyond the time that the minion was asked to wait, in milliseconds. */
+	answerTimeoutMs: () => number;
 	report: Report;
 	/** Called when the minion refuses a request because another dispatcher has sent it a higher token. */
 	onFenced: () => void;
@@ -37,9 +39,6 @@
  */
 const holdWaitMs = 300;
 
-/** How long an answer may take beyond that wait, in milliseconds: many round trips, and well within the lease. */
-const answerTimeoutMs = 150;
-
 /** Pause after a failed request, in milliseconds. */
 const retryPauseMs = 100;
 
@@ -54,7 +53,9 @@
 
 /** Starts the session; it ends when the signal aborts. */
 export const runMinionSession = (options: MinionSessionOptions): MinionSession => {
-	const {minion, dispatcher, leaseMs, now, report, signal} = options;
+	const {
+		minion, dispatcher, leaseMs, now, answerTimeoutMs, report, signal,
+	} = options;
 	const {id, address} = minion.record;
 	const client: MinionClient = createMinionClient(id, address);
 	/** The minion's clock read `time` when the local clock read `at`. */
@@ -82,7 +83,7 @@
 
 		const result = await client.hold({
 			token, acknowledgedCursor: endCursor, waitMs, leaseDeadline: deadline,
-		}, waitMs + answerTimeoutMs);
+		}, waitMs + answerTimeoutMs());
 		if (signal.aborted) {
 			return false;
 		}
@@ -170,7 +171,7 @@
 		wake?.();
 		const result = await client.start({
 			task: run.task, number: run.number, payload: task.job.request.payload, token, leaseDeadline: deadline,
-		}, answerTimeoutMs);
+		}, answerTimeoutMs());
 		if (signal.aborted) {
 			return;
 		}
@@ -193,7 +194,7 @@
 
 	const sendStop = async (run: Run) => {
 		while (!signal.aborted && minion.runs.has(runKey(run.task, run.number))) {
-			const result = await client.stop(run.task, run.number, token, answerTimeoutMs);
+			const result = await client.stop(run.task, run.number, token, answerTimeoutMs());
 			if (result.isOk()) {
 				dispatcher.markStopConfirmed(run);
 				// Stopping a run takes the minion a moment; the poll after it shows whether the run's resources are free.
--- a/packages/chivestream-host/src/timing.ts
+++ b/packages/chivestream-host/src/timing.ts
@@ -22,6 +22,8 @@
 	silentHostExpiryMs: 15_000,
 	/** How long a host claims no cell after it was fenced while it reached no other host of the zone. */
 	fencedBackoffMs: 5000,
+	/** A host that is fenced from a cell again within this time claims it again later each time. */
+	fencesInRowMs: 10_000,
 } as const;
 
 /** A message that becomes due within this time is sent together with those that are already due, in milliseconds. */
@@ -44,7 +46,26 @@
 /** Time after the start in which a host discovers the others of its zone before it claims a cell, in milliseconds. It grows with
  * the zone: opening the links of a large zone costs a small host seconds of CPU time, and a claim made before they are open takes
  * minions away from healthy dispatchers. */
-export const discoveryMs = (hostsOfZone: number): number => minDiscoveryMs * zoneSizeFactor(hostsOfZone);
+const discoveryMs = (hostsOfZone: number): number => minDiscoveryMs * zoneSizeFactor(hostsOfZone);
+
+/** Time after the start in which a host that reads no list of hosts claims no cell, in milliseconds. On a small host the first answer of
+ * the store takes more than a second. */
+const maxWaitForHostsMs = 3000;
+
+/** Until when a host discovers the others of its zone, given when it started and when it first read the list of hosts, on the monotonic
+ * clock. */
+export const discoveryDeadline = (startedAt: number, hostsKnownAt: number | undefined, hostsOfZone: number): number =>
+	Math.min(startedAt + maxWaitForHostsMs, hostsKnownAt ?? Infinity) + discoveryMs(hostsOfZone);
+
+/** Pause before a cell is claimed again after the second fence in a row, in milliseconds; it doubles with each further one. */
+const firstReclaimDelayMs = 300;
+
+const maxReclaimDelayMs = 5000;
+
+/** Pause before a cell is claimed again after this many fences in a row, in milliseconds. Two hosts that don't know of each other would
+ * otherwise take the minions from each other without end. */
+export const reclaimDelayMs = (fencesInRow: number): number =>
+	fencesInRow <= 1 ? 0 : Math.min(maxReclaimDelayMs, firstReclaimDelayMs * (2 ** (fencesInRow - 2)));
 
 /** Interval of status messages where the loss of the sender need not be detected quickly, in milliseconds. It grows with the zone,
  * so that the message rate of a host stays about the same. */
