Don't run a task twice after a minion's restart, an outage of the registry, or in a later step

A minion that restarts in between has not seen the stop and carries out the start when it arrives. - A new dispatcher took its registered minions for all that could run tasks. After an outage some are missing for up to two seconds, while the runs on them go on until their lease ends. - A task of a later step that a minion reported as done or running for an earlier dispatcher was run again or stopped.

Change: the stop is requested again of the new incarnation; after an outage a job that may have run waits for the lease; blocked tasks take over runs and ends like waiting ones. Each test fails without its change.

--- a/packages/chivestream-dispatch/src/__fixtures__/recorded-dispatcher.ts
+++ b/packages/chivestream-dispatch/src/__fixtures__/recorded-dispatcher.ts
@@ -13,6 +13,8 @@
 	stops: Run[];
 	/** Free capacity of other cells that the dispatcher receives. */
 	otherCells: CellCapacity[];
+	/** Sets whether the registry lists every minion; it does at first. */
+	setRegistryComplete: (isComplete: boolean) => void;
 	/** Advances the clock. */
 	advance: (ms: number) => void;
 	now: () => number;
@@ -60,6 +62,7 @@
 /** Creates a dispatcher with registered minions that have not reported their runs yet. */
 export const createRecordedDispatcher = (records: readonly MinionRecord[]): RecordedDispatcher => {
 	let time = 0;
+	let isRegistryComplete = true;
 	const starts: Run[] = [];
 	const stops: Run[] = [];
 	const otherCells: CellCapacity[] = [];
@@ -73,6 +76,7 @@
 			stops.push(run);
 		},
 		otherCells: () => otherCells,
+		isRegistryComplete: () => isRegistryComplete,
 		report() {
 			// Tests check requests and outcomes, not log events.
 		},
@@ -85,6 +89,9 @@
 		stops,
 		otherCells,
 		minion,
+		setRegistryComplete(isComplete) {
+			isRegistryComplete = isComplete;
+		},
 		advance(ms) {
 			time += ms;
 		},
--- a/packages/chivestream-dispatch/src/__fixtures__/simulation.ts
+++ b/packages/chivestream-dispatch/src/__fixtures__/simulation.ts
@@ -220,6 +220,7 @@
 			});
 		},
 		otherCells: () => [],
+		isRegistryComplete: () => true,
 		report() {
 			// Log events are not evaluated.
 		},
--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -57,6 +57,23 @@
 		expect(recorded.starts.map(run => [run.task, run.number])).toEqual([[task(0), 1], [task(0), 2]]);
 	});
 
+	test('a run whose start got no answer is stopped again on a restarted minion, which has not seen the first stop', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m')]);
+		recorded.report('m');
+		recorded.submit(jobRequest(jobId, {objectiveDeadline: 9000, deadline: 9000}));
+		recorded.dispatcher.handleStartAnswer(recorded.starts[0]!, startAnswer.unknown);
+		recorded.dispatcher.markStopConfirmed(recorded.stops[0]!);
+		recorded.dispatcher.setMinions([minionRecord('m', {bornAt: 2})]);
+		recorded.advance(10);
+		recorded.report('m');
+		expect(recorded.starts).toHaveLength(1);
+		expect(recorded.stops).toHaveLength(2);
+		recorded.dispatcher.markStopConfirmed(recorded.stops[1]!);
+		recorded.advance(10);
+		recorded.report('m');
+		expect(recorded.starts).toHaveLength(2);
+	});
+
 	test('runs on a restarted minion are placed again only after its first report', () => {
 		const recorded = createRecordedDispatcher([minionRecord('m')]);
 		recorded.report('m');
@@ -172,6 +189,39 @@
 		expect(recorded.starts.map(run => run.number)).toEqual([33]);
 	});
 
+	test('a resubmitted job waits for the lease while minions are missing from the registry after an outage', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m1')]);
+		recorded.setRegistryComplete(false);
+		recorded.report('m1');
+		recorded.submit(jobRequest(jobId, {
+			mayHaveRun: true, submission: 1, objectiveDeadline: 9000, deadline: 9000,
+		}));
+		// Another minion, which still runs the task, registers again later.
+		expect(recorded.starts).toHaveLength(0);
+		recorded.dispatcher.setMinions([minionRecord('m1'), minionRecord('m2')]);
+		recorded.report('m2', [[task(0), 1]]);
+		recorded.advance(2 * leaseMs);
+		recorded.dispatcher.tick();
+		expect(recorded.starts).toHaveLength(0);
+	});
+
+	test('a task of a later step that ran for a previous dispatcher is neither stopped nor run again', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m')]);
+		const [step] = jobRequest(jobId).steps;
+		const outcomes = recorded.submit(jobRequest(jobId, {
+			mayHaveRun: true, submission: 1, objectiveDeadline: 9000, deadline: 9000, steps: [step!, {...step!, dependsOn: [0]}, {...step!, dependsOn: [0]}],
+		}));
+		recorded.report('m', [[`${jobId}.0.1.0`, 1]], [[`${jobId}.0.2.0`, 1, 'done'], [task(0), 1, 'done']]);
+		for (let tick = 0; tick < 20; tick += 1) {
+			recorded.advance(50);
+			recorded.dispatcher.tick();
+		}
+
+		expect([recorded.starts.length, recorded.stops.length]).toEqual([0, 0]);
+		recorded.report('m', [], [[`${jobId}.0.1.0`, 1, 'done']]);
+		expect(outcomes).toEqual([{kind: outcomeKind.completed}]);
+	});
+
 	test('tasks that the request lists as done are not run again', () => {
 		const recorded = createRecordedDispatcher([minionRecord('m')]);
 		recorded.report('m');
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -35,7 +35,7 @@
 };
 
 /** Dependencies and callbacks of a dispatcher. */
-export type DispatchDependencies = Pick<RunDependencies, 'now' | 'requestStart' | 'requestStop' | 'report'> & {
+export type DispatchDependencies = Pick<RunDependencies, 'now' | 'requestStart' | 'requestStop' | 'report' | 'isRegistryComplete'> & {
 	/** Random numbers from 0 to 1, to spread retries. */
 	random: Random;
 	/** Free capacity of other cells, nearest first. The dispatcher lowers `freeTasks` of the returned object when it redirects a job there. */
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -58,6 +58,8 @@
 	requestStop: (run: Run) => void;
 	/** Writes a log event. */
 	report: (event: string, fields: Record<string, unknown>) => void;
+	/** Whether every minion that may run tasks is registered. After an outage of the registry some are missing for a while. */
+	isRegistryComplete: () => boolean;
 	/** Finds a task by name among the current jobs. */
 	findTask: (name: string) => Task | undefined;
 	/** Called when a task has completed. */
@@ -241,6 +243,9 @@
 		minion.isSynced = false;
 		minion.consecutiveFailures = 0;
 		minion.quarantinedUntil = 0;
+		for (const run of minion.runs.values()) {
+			this.stopUnansweredAgain(run);
+		}
 	}
 
 	/** Removes a minion that has been unregistered for long. Tasks that ran there may run again. */
@@ -286,7 +291,7 @@
 			return true;
 		}
 
-		return this.pool.minions.size > 0 && !this.hasUnsyncedMinions();
+		return this.dependencies.isRegistryComplete() && this.pool.minions.size > 0 && !this.hasUnsyncedMinions();
 	}
 
 	/** Whether some minions have not reported their runs yet. */
@@ -300,6 +305,14 @@
 		return false;
 	}
 
+	/** Requests the stop of a run again whose start got no answer: an incarnation that has not seen the stop still carries out the start. */
+	private stopUnansweredAgain(run: Run): void {
+		if (run.startConfirmedAt === undefined && run.stopConfirmedAt !== undefined) {
+			run.stopConfirmedAt = undefined;
+			this.dependencies.requestStop(run);
+		}
+	}
+
 	/** Clears the assigned task of a run, and stops the run if the minion has started it. */
 	unassignAndStop(run: Run): void {
 		run.assignedTask = undefined;
@@ -370,7 +383,7 @@
 	/** Marks the task of an inherited run as done, or remembers it until its job is resubmitted. */
 	private handleInheritedDone(name: string): void {
 		const task = this.dependencies.findTask(name);
-		if (task?.state === taskState.waiting) {
+		if (task !== undefined && isUnplaced(task)) {
 			this.dependencies.onTaskDone(task);
 			return;
 		}
@@ -387,7 +400,7 @@
 			task: taskName, number, assignedTask: undefined, expectedMs: 0, now: this.dependencies.now(), state: runState.running,
 		});
 		const task = this.dependencies.findTask(taskName);
-		if (task?.state === taskState.waiting) {
+		if (task !== undefined && isUnplaced(task)) {
 			task.lastRunNumber = Math.max(task.lastRunNumber, number);
 			assignRun(run, task, task.step.estimateMs);
 		}
@@ -446,7 +459,10 @@
 	}
 }
 
-/** Assigns an inherited run to a waiting task. */
+/** Whether a task is neither running nor done here. A blocked one may have run elsewhere: the steps before it were complete there. */
+const isUnplaced = (task: Task): boolean => task.state === taskState.waiting || task.state === taskState.blocked;
+
+/** Assigns an inherited run to a task that is not placed. */
 const assignRun = (run: Run, task: Task, expectedMs: number): void => {
 	run.assignedTask = task;
 	run.resources = taskResources(task);
--- a/packages/chivestream-host/src/__tests__/claim-manager.test.ts
+++ b/packages/chivestream-host/src/__tests__/claim-manager.test.ts
@@ -33,6 +33,7 @@
 		canReachStore: () => true,
 		hostsKnownAt: () => undefined,
 		isZoneDiscovered: () => false,
+		isRegistryComplete: () => true,
 		minions: () => [],
 		cellsOfOtherHosts: () => [],
 		followMinions() {
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -32,6 +32,8 @@
 	hostsKnownAt: () => number | undefined;
 	/** Whether each known host of the zone has either answered or refused the connection. */
 	isZoneDiscovered: () => boolean;
+	/** Whether every minion that may run tasks is registered. */
+	isRegistryComplete: () => boolean;
 	/** Registered minions of the zone. */
 	minions: () => MinionRecord[];
 	/** Free capacity of the cells for which other hosts dispatch, nearest first. */
@@ -237,6 +239,7 @@
 			answerTimeoutMs,
 			random: this.random,
 			report,
+			isRegistryComplete: () => this.options.isRegistryComplete(),
 			otherCells: () => this.otherCells(cell),
 			onFenced: () => {
 				this.handleFenced(cell, service);
--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -20,6 +20,8 @@
 	answerTimeoutMs: () => number;
 	random: Random;
 	report: Report;
+	/** Whether every minion that may run tasks is registered. */
+	isRegistryComplete: () => boolean;
 	/** Free capacity of other cells, nearest first. */
 	otherCells: () => CellCapacity[];
 	/** Called when a minion refuses a request because another dispatcher has sent it a higher token. */
@@ -47,6 +49,7 @@
 			random: options.random,
 			report: options.report,
 			otherCells: options.otherCells,
+			isRegistryComplete: options.isRegistryComplete,
 			requestStart: (run, task) => {
 				this.sessions.get(run.minion.record.id)?.start(run, task);
 			},
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -155,6 +155,7 @@
 			canReachStore: () => this.declarations.answerAgeMs() < storeAnswerMaxAgeMs,
 			hostsKnownAt: () => this.hostsKnownAt,
 			isZoneDiscovered: () => this.hostsKnownAt !== undefined && this.peers.isZoneDiscovered(),
+			isRegistryComplete: () => this.minions.isComplete(),
 			minions: () => this.zoneMinions(),
 			followMinions: signal => {
 				this.runLoop('minions', async () => this.minions.follow(signal), signal);
--- a/packages/chivestream-host/src/minion-follower.ts
+++ b/packages/chivestream-host/src/minion-follower.ts
@@ -45,11 +45,18 @@
 	/** Replaces the table by that of another host. */
 	replace(records: readonly MinionRecord[]): void {
 		this.table.clear();
+		this.missing.clear();
 		for (const record of records) {
 			this.table.set(record.id, record);
 		}
 	}
 
+	/** Whether every minion that lives is in the table, as far as is known: entries that expired during an outage of the store are written
+	 * again after it. */
+	isComplete(): boolean {
+		return this.now() >= this.lastFailureAt + reregistrationMs;
+	}
+
 	/** Reads the table once, so that it is available when this host starts to dispatch. */
 	async preload(signal: AbortSignal): Promise<void> {
 		await this.readAll(signal);
