--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -305,6 +305,12 @@
 		return false;
 	}
 
+	/** Clears the assigned task of a run, and stops the run if the minion has started it. */
+	unassignAndStop(run: Run): void {
+		run.assignedTask = undefined;
+		this.stop(run);
+	}
+
 	/** Requests the stop of a run again whose start got no answer: an incarnation that has not seen the stop still carries out the start. */
 	private stopUnansweredAgain(run: Run): void {
 		if (run.startConfirmedAt === undefined && run.stopConfirmedAt !== undefined) {
@@ -313,12 +319,6 @@
 		}
 	}
 
-	/** Clears the assigned task of a run, and stops the run if the minion has started it. */
-	unassignAndStop(run: Run): void {
-		run.assignedTask = undefined;
-		this.stop(run);
-	}
-
 	private handleRunEnd(minion: Minion, end: RunEnd): void {
 		const run = minion.runs.get(runKey(end.task, end.number));
 		if (run === undefined) {
