Keep to the announced interval between messages to another host

Cause, found by reading: once no job was pending, the next status came after the longer interval, while the other host still counted on the shorter one that had been announced, and took the link for silent (test: 600 ms where less than 600 is allowed). A host whose messages are invalid is connected to again after a pause.

--- /dev/null
+++ b/packages/chivestream-host/src/__tests__/peer-server.test.ts
@@ -0,0 +1,112 @@
+import {EventEmitter} from 'node:events';
+import {expect, test} from '@jest/globals';
+import {
+	type HostRecord, type HostStatus, type PeerReply, type PeerRequest,
+} from '../messages.js';
+import {PeerServer} from '../peer-server.js';
+import {type ReplyStream} from '../peer-service.js';
+import {silenceTimeoutMs} from '../timing.js';
+
+const host: HostRecord = {
+	name: 'b', zone: 'y', address: '127.0.0.1:1', bornAt: 1, cpuShare: 1,
+};
+
+const slowIntervalMs = 600;
+
+const status: HostStatus = {
+	claims: [], cellCount: 1, isLeaving: false, declarationsVersion: 1, nextInMs: slowIntervalMs,
+};
+
+/** A stream of another host whose replies are recorded with their times. */
+// eslint-disable-next-line unicorn/prefer-event-target -- streams are event emitters
+class RecordedStream extends EventEmitter {
+	readonly replies: Array<{at: number; reply: PeerReply}> = [];
+	private readonly now: () => number;
+
+	constructor(now: () => number) {
+		super();
+		this.now = now;
+	}
+
+	get writable(): boolean {
+		return true;
+	}
+
+	write(reply: PeerReply): void {
+		this.replies.push({at: this.now(), reply});
+	}
+
+	request(request: PeerRequest): void {
+		this.emit('data', request);
+	}
+}
+
+const submit: PeerRequest = {
+	type: 'submit',
+	job: {
+		id: 'j', cell: 'y/1 of 1', payload: '', route: 'r', upstream: 'u', priority: 0, maxAttempts: 1, objectiveInMs: 1, deadlineInMs: 1, submission: 0, mayHaveRun: false, steps: [{
+			count: 1, millicores: 1, memoryMb: 1, accelerators: 0, estimateMs: 1, dependsOn: [],
+		}],
+	},
+};
+
+test('the other host is never left without a message for longer than its silence timeout, before, during and after a job', () => {
+	let now = 0;
+	let settle = () => {
+		// Replaced by the submission.
+	};
+
+	const server = new PeerServer({
+		now: () => now,
+		report() {
+			// Not of interest.
+		},
+		initialReplies: () => [{
+			type: 'hello', host, status, hosts: [],
+		}],
+		localStatus: () => status,
+		nextInMs: () => slowIntervalMs,
+		onHost() {
+			// Not of interest.
+		},
+		isDispatcher: () => false,
+		submit(_, settleJob) {
+			settle = () => {
+				settleJob({kind: 'completed'});
+			};
+		},
+		cancel() {
+			// Not of interest.
+		},
+	});
+	const stream = new RecordedStream(() => now);
+	// The server uses only these parts of a stream.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	server.accept(stream as unknown as ReplyStream);
+	stream.request({type: 'hello', host, status});
+	const tickMs = 200;
+	for (let tick = 1; tick <= 40; tick += 1) {
+		now = (tick * tickMs) + (tick % 3);
+		if (tick === 10) {
+			stream.request(submit);
+		} else if (tick === 15) {
+			settle();
+		}
+
+		server.sendStatus(false);
+	}
+
+	let announcedMs = slowIntervalMs;
+	for (const [index, {at, reply}] of stream.replies.entries()) {
+		if (reply.type === 'status') {
+			announcedMs = reply.status.nextInMs;
+		}
+
+		const nextAt = stream.replies[index + 1]?.at ?? now;
+		expect(nextAt - at).toBeLessThan(silenceTimeoutMs(announcedMs));
+	}
+
+	const sentBetween = (from: number, to: number) => stream.replies.filter(({at}) => at > from * tickMs && at <= to * tickMs).length;
+	expect(sentBetween(11, 15)).toBeGreaterThanOrEqual(4);
+	expect(sentBetween(20, 40)).toBeLessThanOrEqual(8);
+});
--- a/packages/chivestream-host/src/peer-link.ts
+++ b/packages/chivestream-host/src/peer-link.ts
@@ -28,6 +28,9 @@
 	onChange: (link: PeerLink, change: string) => void;
 };
 
+/** Start of the reason for which a stream with an invalid message was closed. */
+const invalidMessagePrefix = 'invalid message';
+
 /** Contained in the error message of a refused connection. */
 const connectionRefusedCode = 'ECONNREFUSED';
 
@@ -164,7 +167,8 @@
 			}
 
 			this.options.onChange(this, reason);
-			await sleep(wasUp ? 0 : hostTiming.reconnectDelayMs);
+			// A host whose messages are invalid would be connected to again at once, without end.
+			await sleep(wasUp && !reason.startsWith(invalidMessagePrefix) ? 0 : hostTiming.reconnectDelayMs);
 		}
 	}
 
@@ -207,7 +211,7 @@
 				try {
 					this.handleReply(parsePeerReply(reply));
 				} catch (error) {
-					finish(`invalid message: ${String(error)}`);
+					finish(`${invalidMessagePrefix}: ${String(error)}`);
 				}
 			});
 			stream.on('error', error => {
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -39,6 +39,8 @@
 	lastReplyAt: number;
 	/** When the next status must be sent to the host. */
 	statusDueAt: number;
+	/** Time between messages that was last announced to the host, in milliseconds. It takes this one for lost if it waits much longer. */
+	announcedMs: number;
 	/** IDs of the jobs submitted over this stream that have no outcome yet. */
 	jobs: Set<string>;
 	hasEnded: boolean;
@@ -58,7 +60,7 @@
 	/** Serves a stream until it ends. */
 	accept(stream: ReplyStream): void {
 		const attachment: Attachment = {
-			stream, host: undefined, declarationsVersion: undefined, lastRequestAt: this.options.now(), lastReplyAt: Number.NEGATIVE_INFINITY, statusDueAt: Infinity, jobs: new Set(), hasEnded: false,
+			stream, host: undefined, declarationsVersion: undefined, lastRequestAt: this.options.now(), lastReplyAt: Number.NEGATIVE_INFINITY, statusDueAt: Infinity, announcedMs: 0, jobs: new Set(), hasEnded: false,
 		};
 		this.attachments.add(attachment);
 		const finish = () => {
@@ -99,11 +101,12 @@
 				continue;
 			}
 
-			const nextInMs = attachment.jobs.size > 0 ? hostTiming.heartbeatMs : this.options.nextInMs(host);
-			const hasJustReplied = now - attachment.lastReplyAt < nextInMs - timerToleranceMs;
+			const hasJustReplied = now - attachment.lastReplyAt < attachment.announcedMs - timerToleranceMs;
 			if (isImmediate || !hasJustReplied || this.options.isDispatcher(host)) {
+				const nextInMs = attachment.jobs.size > 0 ? hostTiming.heartbeatMs : this.options.nextInMs(host);
 				status ??= this.options.localStatus();
 				attachment.statusDueAt = now + nextInMs - timerToleranceMs;
+				attachment.announcedMs = nextInMs;
 				this.send(attachment, {type: 'status', status: {...status, nextInMs}});
 			}
 		}
@@ -152,6 +155,7 @@
 				attachment.host = request.host;
 				attachment.declarationsVersion = request.status.declarationsVersion;
 				attachment.statusDueAt = this.options.now();
+				attachment.announcedMs = this.options.nextInMs(request.host);
 				this.options.onHost(request.host, request.status);
 				for (const reply of this.options.initialReplies(request.host)) {
 					this.send(attachment, reply);
