--- a/packages/chivestream-host/src/declarations-follower.ts
+++ b/packages/chivestream-host/src/declarations-follower.ts
@@ -30,7 +30,6 @@
 	private readonly now: () => number;
 	private readonly onChange: () => void;
 	private lastAnswerAt = Number.NEGATIVE_INFINITY;
-	private lastFailureAt = Number.NEGATIVE_INFINITY;
 	private isStoreUnavailable = false;
 
 	constructor(options: {store: StoreClient; report: Report; now: () => number; onChange: () => void}) {
@@ -58,11 +57,6 @@
 		return this.now() - this.lastAnswerAt;
 	}
 
-	/** When the store last failed to answer, on the monotonic clock in milliseconds; minus infinity if it never did. */
-	failedAt(): number {
-		return this.lastFailureAt;
-	}
-
 	/** Reads declarations from the store until the signal aborts. */
 	async follow(signal: AbortSignal): Promise<void> {
 		let offset: number | undefined;
@@ -131,7 +125,6 @@
 	}
 
 	private recordFailure(error: Error): void {
-		this.lastFailureAt = this.now();
 		if (!this.isStoreUnavailable) {
 			this.isStoreUnavailable = true;
 			this.report('store-lost', {reason: error.message});
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -60,7 +60,15 @@
 	/** Serves a stream until it ends. */
 	accept(stream: ReplyStream): void {
 		const attachment: Attachment = {
-			stream, host: undefined, declarationsVersion: undefined, lastRequestAt: this.options.now(), lastReplyAt: Number.NEGATIVE_INFINITY, statusDueAt: Infinity, announcedMs: 0, jobs: new Set(), hasEnded: false,
+			stream,
+			host: undefined,
+			declarationsVersion: undefined,
+			lastRequestAt: this.options.now(),
+			lastReplyAt: Number.NEGATIVE_INFINITY,
+			statusDueAt: Infinity,
+			announcedMs: 0,
+			jobs: new Set(),
+			hasEnded: false,
 		};
 		this.attachments.add(attachment);
 		const finish = () => {
