Resume the jobs of a lost dispatcher once the longest lease has ended

The next dispatcher waited for the reports of all minions, or 1.6 s: the lease and another 0.6 s. 47 jobs were held until 5.2 s, and 24 callers left before.

Change: it waits for the lease with its drift and delivery, 1.09 s. The computation stands once, in lease.ts, for dispatcher and sessions; two comments claimed that the bound of the settings included the drift.

--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -2,7 +2,7 @@
 import {
 	createRecordedDispatcher, jobRequest, leaseMs, minionRecord,
 } from '../__fixtures__/recorded-dispatcher.js';
-import {outcomeKind, startAnswer} from '../index.js';
+import {leaseExpiryMs, outcomeKind, startAnswer} from '../index.js';
 
 const jobId = '00000000000000aa';
 const task = (index: number, id = jobId) => `${id}.0.0.${index}`;
@@ -175,6 +175,20 @@
 		expect(outcomes).toEqual([{kind: outcomeKind.completed}]);
 	});
 
+	test('a resubmitted job waits no longer than the lease for a minion that crashed together with the dispatcher', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m1'), minionRecord('m2')]);
+		recorded.report('m1');
+		recorded.submit(jobRequest(jobId, {
+			mayHaveRun: true, submission: 1, objectiveDeadline: 9000, deadline: 9000,
+		}));
+		recorded.advance(leaseExpiryMs(leaseMs) - 1);
+		recorded.dispatcher.tick();
+		expect(recorded.starts).toHaveLength(0);
+		recorded.advance(1);
+		recorded.dispatcher.tick();
+		expect(recorded.starts).toHaveLength(1);
+	});
+
 	test('a resubmitted job starts again once the lease of an unreachable minion has expired', () => {
 		const recorded = createRecordedDispatcher([minionRecord('m1'), minionRecord('m2')]);
 		recorded.report('m1');
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -28,7 +28,7 @@
 
 /** The platform's bound on the length of leases, and the run time factor of tasks outside their preferred rack. */
 export type DispatchBounds = {
-	/** Longest time that a run continues without a renewal of its minion's lease, in milliseconds, including an allowance for clock drift. */
+	/** Longest lease that a minion grants, in milliseconds of the minion's clock. */
 	leaseMs: number;
 	/** Factor by which the expected run time of a task is multiplied outside its preferred rack. */
 	farFactor: number;
--- a/packages/chivestream-dispatch/src/index.ts
+++ b/packages/chivestream-dispatch/src/index.ts
@@ -4,6 +4,7 @@
 export * from './minion-pool.js';
 export * from './dispatcher.js';
 export * from './job.js';
+export * from './lease.js';
 export * from './minion.js';
 export * from './outcome.js';
 export * from './placement.js';
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -3,6 +3,7 @@
 	addRun, expectedSlowness, slownessOfKind, registerMinion, removeRun, type MinionPool,
 } from './minion-pool.js';
 import {taskState, type Job, type Task} from './job.js';
+import {leaseExpiryMs} from './lease.js';
 import {
 	runKey, runState, type Minion, type MinionRecord, type Run,
 } from './minion.js';
@@ -287,7 +288,8 @@
 
 	/** Whether every inherited run has been reported, or has ended because its lease has expired. */
 	hasObservedInheritedRuns(now: number): boolean {
-		if (now >= this.startedAt + this.leaseMs + inheritedRunGraceMs) {
+		// An earlier dispatcher sent its last renewal before this one started, or has dropped its jobs since.
+		if (now >= this.startedAt + leaseExpiryMs(this.leaseMs)) {
 			return true;
 		}
 
--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -10,7 +10,7 @@
 export type DispatchServiceOptions = {
 	/** The fencing token of the claim. */
 	token: number;
-	/** How long a run continues without a renewal of its minion's lease, in milliseconds, including an allowance for clock drift. */
+	/** Longest lease that a minion grants, in milliseconds of the minion's clock. */
 	leaseMs: number;
 	/** Factor by which the expected run time of a task is multiplied on a rack that doesn't hold its data. */
 	farFactor: number;
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -2,7 +2,7 @@
 /* eslint-disable no-await-in-loop -- iterations are sequential */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	runKey, startAnswer, type Dispatcher, type Minion, type Run, type Task,
+	leaseExpiryMs, runKey, startAnswer, type Dispatcher, type Minion, type Run, type Task,
 } from 'chivestream-dispatch';
 import {createMinionClient, refusal, type MinionClient} from 'chivestream-platform';
 import {answerTimeout, createAnswerTimes} from './answer-timeout.js';
@@ -49,11 +49,8 @@
 /** Pause between two polls of a minion without runs, in milliseconds. */
 const idlePollMs = 1500;
 
-/** Safety factor on the length of a lease: a minion's clock may run 2% slow, and twice that is allowed for. */
-const leaseDriftFactor = 1.04;
-
-/** Time allowed for a request to reach the minion and take effect, in milliseconds. */
-const deliveryMs = 50;
+/** Time that a minion takes to stop a run, in milliseconds. */
+const stopMs = 50;
 
 /** Starts the session; it ends when the signal aborts. */
 export const runMinionSession = (options: MinionSessionOptions): MinionSession => {
@@ -169,7 +166,7 @@
 
 			const hasAnswered = await poll(minion.isSynced && minion.runs.size > 0 ? holdWaitMs : 0, minion.isReachable);
 			if (!hasAnswered && !signal.aborted) {
-				if (now() > leaseSentAt + (leaseMs * leaseDriftFactor) + deliveryMs) {
+				if (now() > leaseSentAt + leaseExpiryMs(leaseMs)) {
 					dispatcher.handleLeaseExpiry(minion);
 				}
 
@@ -220,7 +217,7 @@
 				// The first poll shows whether the run was there at all. Stopping it takes the minion a moment; the poll after that shows
 				// whether its resources are free.
 				await poll(0, minion.isReachable);
-				await sleep(deliveryMs);
+				await sleep(stopMs);
 				if (!signal.aborted && minion.runs.has(runKey(run.task, run.number))) {
 					await poll(0, minion.isReachable);
 				}
