--- a/packages/chivestream-host/src/answer-timeout.ts
+++ b/packages/chivestream-host/src/answer-timeout.ts
@@ -13,13 +13,13 @@
 /** The largest recent one of a series of observations. */
 export type RecentMaximum = {
 	record: (value: number) => void;
-	/** The largest observation, where older ones count less; 0 before the first. */
+	/** The largest observation, where older ones count less. */
 	value: () => number;
 };
 
-/** Creates a maximum without observations. */
-export const createRecentMaximum = (): RecentMaximum => {
-	let maximum = 0;
+/** Creates a maximum without observations, with the value that applies before them. */
+export const createRecentMaximum = (initial = 0): RecentMaximum => {
+	let maximum = initial;
 	return {
 		record(value) {
 			maximum = Math.max(value, maximum * decay);
@@ -28,6 +28,9 @@
 	};
 };
 
+/** Answer time assumed of a minion before its first answers, in milliseconds: a new dispatcher polls all minions at once. */
+const unknownAnswerMs = 27;
+
 /** Recent answer times of a minion. */
 export type AnswerTimes = {
 	/** Records how long a request took, in milliseconds, and whether it was answered. */
@@ -36,9 +39,9 @@
 	recentMs: () => number;
 };
 
-/** Creates answer times without observations. A single lost answer says nothing about the minion's speed; several in a row may. */
+/** Creates answer times without observations. They decay to those observed within some seconds of work. A single lost answer says nothing about the minion's speed; several in a row may. */
 export const createAnswerTimes = (): AnswerTimes => {
-	const times = createRecentMaximum();
+	const times = createRecentMaximum(unknownAnswerMs);
 	let lostInRow = 0;
 	return {
 		record(tookMs, isAnswered) {
