--- a/packages/chivestream-host/src/answer-timeout.ts
+++ b/packages/chivestream-host/src/answer-timeout.ts
@@ -39,7 +39,9 @@
 	recentMs: () => number;
 };
 
-/** Creates answer times without observations. They decay to those observed within some seconds of work. A single lost answer says nothing about the minion's speed; several in a row may. */
+/**
+ * Creates answer times without observations. A single lost answer says nothing about the speed of the minion; several in a row may.
+ */
 export const createAnswerTimes = (): AnswerTimes => {
 	const times = createRecentMaximum(unknownAnswerMs);
 	let lostInRow = 0;
@@ -66,6 +68,6 @@
 /** Sending the request and reading its answer may each be late by the recent delay of this process. */
 const delayFactor = 2;
 
-/** Timeout of a request, from the longest recent answer of the minion and the recent delay of this process, all in milliseconds. */
+/** Timeout of a request, from the longest recent answer of the minion and the recent delay of this process, all in milliseconds; a whole number. */
 export const answerTimeout = (recentAnswerMs: number, recentDelayMs: number): number =>
-	Math.min(greatestTimeoutMs, leastTimeoutMs + (answerFactor * recentAnswerMs) + (delayFactor * recentDelayMs));
+	Math.min(greatestTimeoutMs, Math.round(leastTimeoutMs + (answerFactor * recentAnswerMs) + (delayFactor * recentDelayMs)));
--- a/packages/chivestream-host/src/main.ts
+++ b/packages/chivestream-host/src/main.ts
@@ -21,7 +21,7 @@
 
 	Exit codes
 	  0  planned stop, or valid settings with --check
-	  1  could not start
+	  1  could not start, or stopped after an unexpected error
 	  2  the settings are invalid; all errors are listed
 
 	SIGTERM and SIGINT start a planned stop: work in progress is completed first.
@@ -54,17 +54,17 @@
 	try {
 		const entryHost = new EntryHost(settings.value, report);
 		let isStopping = false;
-		const stop = async () => {
+		const stop = async (code: number) => {
 			if (!isStopping) {
 				isStopping = true;
 				await entryHost.stop();
-				process.exit(exitCode.ok);
+				process.exit(code);
 			}
 		};
 
 		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 			process.on(signal, () => {
-				void stop();
+				void stop(exitCode.ok);
 			});
 		}
 
@@ -87,7 +87,7 @@
 		process.on('uncaughtException', error => {
 			// The state of the process is unknown: it completes its requests and is started anew.
 			report('unexpected-error', {reason: error.stack});
-			void stop();
+			void stop(exitCode.failed);
 		});
 		await entryHost.start();
 	} catch (error) {
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -99,7 +99,8 @@
 			token, acknowledgedCursor: endCursor, waitMs, leaseDeadline: deadline,
 		}, timeoutMs);
 		const result = await (waitMs === 0
-			? send(hold, answer => answer.isOk())
+			// A refusal is an answer, too.
+			? send(hold, answer => answer.isOk() || !(answer.error instanceof Error))
 			: hold(waitMs + answerTimeout(answerTimes.recentMs(), options.recentDelayMs())));
 		if (signal.aborted) {
 			return false;
