Log the runs on a minion that has crashed

A session now reports minion-crashed with its evidence: the minion closed a connection with a request in progress and the next connection was refused; a later incarnation was reported; or another minion answers at its address. The explanation of a job counts these lines. No decision changes.

--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -16,6 +16,7 @@
 import {
 	Runs, type MinionReport, type RunDependencies, type StartAnswer,
 } from './runs.js';
+import {type CrashEvidence} from './crash.js';
 import {compareWaitingJobs} from './job-order.js';
 
 /** Free capacity of another cell, as last published by it. */
@@ -187,6 +188,12 @@
 		this.schedule();
 	}
 
+	/** Handles the crash of a minion's current incarnation. */
+	handleCrash(minion: Minion, evidence: CrashEvidence): void {
+		this.runs.handleCrash(minion, evidence);
+		this.schedule();
+	}
+
 	/** Records when a minion's incarnation started, as reported by the registry or the minion. */
 	recordIncarnation(minion: Minion, bornAt: number): void {
 		this.runs.recordIncarnation(minion, bornAt);
--- a/packages/chivestream-dispatch/src/index.ts
+++ b/packages/chivestream-dispatch/src/index.ts
@@ -1,6 +1,7 @@
 /** Scheduling decisions of a dispatcher, without I/O. */
 export * from './admission.js';
 export * from './backlog.js';
+export * from './crash.js';
 export * from './minion-pool.js';
 export * from './dispatcher.js';
 export * from './job.js';
--- a/packages/chivestream-dispatch/src/minion-pool.ts
+++ b/packages/chivestream-dispatch/src/minion-pool.ts
@@ -32,6 +32,7 @@
 const createMinion = (record: MinionRecord): Minion => ({
 	record,
 	bornAt: record.bornAt,
+	crashedIncarnation: undefined,
 	isSynced: false,
 	isReachable: true,
 	reportedAt: Number.NEGATIVE_INFINITY,
--- a/packages/chivestream-dispatch/src/minion.ts
+++ b/packages/chivestream-dispatch/src/minion.ts
@@ -72,6 +72,8 @@
 	record: MinionRecord;
 	/** Start of the latest incarnation that the registry or the minion has reported, as in `MinionRecord`. */
 	bornAt: number;
+	/** `incarnationKey` of the last incarnation that is known to have crashed. */
+	crashedIncarnation: string | undefined;
 	/** Whether the minion has reported its runs to this dispatcher in its current incarnation and lease. */
 	isSynced: boolean;
 	/** Whether the minion answered the last call. */
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -3,6 +3,9 @@
 	addRun, expectedSlowness, slownessOfKind, registerMinion, removeRun, type MinionPool,
 } from './minion-pool.js';
 import {taskState, type Job, type Task} from './job.js';
+import {
+	crashEvidence, describeRun, incarnationKey, type CrashEvidence,
+} from './crash.js';
 import {leaseExpiryMs} from './lease.js';
 import {
 	runKey, runState, type Minion, type MinionRecord, type Run,
@@ -224,6 +227,24 @@
 		}
 	}
 
+	/** Handles the crash of a minion's current incarnation; further evidence of the same crash has no effect. */
+	handleCrash(minion: Minion, evidence: CrashEvidence): void {
+		const incarnation = incarnationKey(minion);
+		if (minion.crashedIncarnation === incarnation) {
+			return;
+		}
+
+		minion.crashedIncarnation = incarnation;
+		const now = this.dependencies.now();
+		this.dependencies.report('minion-crashed', {
+			minion: minion.record.id,
+			bornAt: minion.bornAt,
+			evidence,
+			isDraining: minion.record.isDraining,
+			runs: [...minion.runs.values()].map(run => describeRun(run, now)),
+		});
+	}
+
 	/**
 	 * Records when a minion's incarnation started. The registry and the minion itself report the same incarnation at different
 	 * times, so only a later start counts. Earlier runs don't survive a restart, but the new incarnation may already carry out
@@ -234,12 +255,13 @@
 			return;
 		}
 
-		const wasUnknown = minion.bornAt === 0;
-		minion.bornAt = bornAt;
-		if (wasUnknown) {
+		if (minion.bornAt === 0) {
+			minion.bornAt = bornAt;
 			return;
 		}
 
+		this.handleCrash(minion, crashEvidence.restarted);
+		minion.bornAt = bornAt;
 		this.dependencies.report('minion-reborn', {minion: minion.record.id, bornAt});
 		minion.isSynced = false;
 		minion.consecutiveFailures = 0;
--- a/packages/chivestream-host/src/minion-follower.ts
+++ b/packages/chivestream-host/src/minion-follower.ts
@@ -131,7 +131,7 @@
 				this.table.set(key, record);
 				isChanged = true;
 				this.report('minion-registered', {
-					minion: key, isDraining: record.isDraining, bornAt: record.bornAt, zone: record.zone,
+					minion: key, isDraining: record.isDraining, bornAt: record.bornAt, zone: record.zone, capacity: record.capacity,
 				});
 			}
 		}
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -1,10 +1,14 @@
 /** The session with one minion: renews its lease, applies the ends of its runs, and sends start and stop requests. */
 /* eslint-disable no-await-in-loop -- iterations are sequential */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {type Failure} from 'chivestream-core';
 import {
-	leaseExpiryMs, runKey, startAnswer, type Dispatcher, type Minion, type Run, type Task,
+	crashEvidence, leaseExpiryMs, runKey, startAnswer, type Dispatcher, type Minion, type Run, type Task,
 } from 'chivestream-dispatch';
-import {createMinionClient, refusal, type MinionClient} from 'chivestream-platform';
+import {
+	createMinionClient, refusal, wasClosedByPeer, wasRefused, type MinionClient, type Refusal,
+} from 'chivestream-platform';
+import {Err, Ok, type Result} from 'ts-results-es';
 import {answerTimeout, createAnswerTimes} from './answer-timeout.js';
 import {type Report} from './host-log.js';
 
@@ -52,6 +56,14 @@
 /** Time that a minion takes to stop a run, in milliseconds. */
 const stopMs = 50;
 
+/**
+ * Longest time between the close of a connection and the refusal of the next one that shows that the minion has stopped, in
+ * milliseconds. A refusal alone can come from the network.
+ */
+const crashDetectionMs = 500;
+
+const reasonOf = (error: Failure | Refusal): string => error instanceof Error ? error.message : error;
+
 /** Starts the session; it ends when the signal aborts. */
 export const runMinionSession = (options: MinionSessionOptions): MinionSession => {
 	const {
@@ -67,8 +79,17 @@
 	let leaseSentAt = Number.NEGATIVE_INFINITY;
 	let wake: (() => void) | undefined;
 
+	/** When the minion last closed a connection that had a request in progress, unless it has answered since. */
+	let closedAt = Number.NEGATIVE_INFINITY;
+
 	const answerTimes = createAnswerTimes();
 
+	const noteClosedConnection = (error: Failure | Refusal) => {
+		if (error instanceof Error && wasClosedByPeer(error)) {
+			closedAt = now();
+		}
+	};
+
 	/** Sends a request that the minion answers at once, with a timeout after which its answer counts as lost. */
 	const send = async <Answer>(request: (timeoutMs: number) => Promise<Answer>, isAnswered: (answer: Answer) => boolean): Promise<Answer> => {
 		const sentAt = now();
@@ -84,11 +105,8 @@
 	const leaseDeadline = (): number | undefined =>
 		minionClock === undefined ? undefined : Math.round(minionClock.time + (now() - minionClock.at) + leaseMs);
 
-	/**
-	 * Sends one request for the ends of runs; returns whether the minion answered. With `willRetry`, a failure other than a refusal
-	 * by fencing has no effect, as another attempt follows.
-	 */
-	const pollOnce = async (waitMs: number, renewsLease: boolean, willRetry: boolean): Promise<boolean> => {
+	/** Sends one request for the ends of runs, and applies its answer. */
+	const pollOnce = async (waitMs: number, renewsLease: boolean): Promise<Result<void, Failure | Refusal>> => {
 		const sentAt = now();
 		const deadline = renewsLease ? leaseDeadline() : undefined;
 		if (deadline !== undefined) {
@@ -103,23 +121,15 @@
 			? send(hold, answer => answer.isOk() || !(answer.error instanceof Error))
 			: hold(waitMs + answerTimeout(answerTimes.recentMs(), options.recentDelayMs())));
 		if (signal.aborted) {
-			return false;
+			return new Err(refusal.other);
 		}
 
 		if (result.isErr()) {
-			if (result.error === refusal.fenced) {
-				options.onFenced();
-			} else if (willRetry) {
-				return false;
-			} else if (minion.isReachable) {
-				const reason = result.error instanceof Error ? result.error.message : result.error;
-				report('minion-unreachable', {minion: id, reason});
-			}
-
-			dispatcher.markUnreachable(minion);
-			return false;
+			noteClosedConnection(result.error);
+			return result;
 		}
 
+		closedAt = Number.NEGATIVE_INFINITY;
 		const response = result.value;
 		if (response.bornAt !== bornAt) {
 			// A new incarnation numbers its ends from the start. The higher token fences off requests to the previous incarnation
@@ -137,15 +147,42 @@
 		minionClock = {at: now(), time: response.minionTime};
 		dispatcher.handleReport(minion, {polledAt: sentAt, running: response.running, ended: response.ended});
 		endCursor = Math.max(endCursor, ...response.ended.map(end => end.cursor));
-		return true;
+		return new Ok(undefined);
+	};
+
+	const handlePollFailure = (first: Failure | Refusal, last: Failure | Refusal) => {
+		if (last === refusal.fenced) {
+			options.onFenced();
+		} else if (minion.isReachable) {
+			report('minion-unreachable', {minion: id, reason: reasonOf(last), ...(first !== last && {firstReason: reasonOf(first)})});
+		}
+
+		dispatcher.markUnreachable(minion);
+		if (last === refusal.otherIncarnation && minion.isSynced) {
+			dispatcher.handleCrash(minion, crashEvidence.replaced);
+		} else if (last instanceof Error && wasRefused(last) && now() < closedAt + crashDetectionMs) {
+			dispatcher.handleCrash(minion, crashEvidence.stoppedListening);
+		}
 	};
 
 	/**
 	 * Polls the minion; returns whether it answered. A minion that was reachable is polled a second time at once, since single
 	 * answers get lost.
 	 */
-	const poll = async (waitMs: number, renewsLease: boolean): Promise<boolean> =>
-		await pollOnce(waitMs, renewsLease, minion.isReachable) || (minion.isReachable && !signal.aborted && pollOnce(0, false, false));
+	const poll = async (waitMs: number, renewsLease: boolean): Promise<boolean> => {
+		const first = await pollOnce(waitMs, renewsLease);
+		if (first.isOk() || signal.aborted) {
+			return first.isOk();
+		}
+
+		const isRetried = minion.isReachable && first.error !== refusal.fenced;
+		const last = isRetried ? await pollOnce(0, false) : first;
+		if (last.isErr() && !signal.aborted) {
+			handlePollFailure(first.error, last.error);
+		}
+
+		return last.isOk();
+	};
 
 	const sleepUntilWoken = async (ms: number) => new Promise<void>(resolve => {
 		const timer = setTimeout(resolve, ms);
--- a/packages/chivestream-operator/src/explain/__tests__/job-timeline.test.ts
+++ b/packages/chivestream-operator/src/explain/__tests__/job-timeline.test.ts
@@ -37,6 +37,17 @@
 		expect(text).toContain('refused by h1 after 3 ms: no room in time; h2 had 812 ms of work ahead of it, 14 tasks in parallel, 10 of 11 minions accepting work');
 	});
 
+	test('shows the minions that crashed with a run of the job', () => {
+		const text = formatTimelineOf(
+			row(10, 'h2', 'minion-crashed', {
+				minion: 'i-1', evidence: 'stopped-listening', runs: [{task: `${id}.0.0.1`, run: 1, ranMs: 12}, {task: 'ff.0.0.0', run: 1, ranMs: 90}],
+			}),
+			row(10.1, 'h2', 'minion-crashed', {minion: 'i-2', evidence: 'stopped-listening', runs: [{task: 'ff.0.0.0', run: 1, ranMs: 90}]}),
+			row(10.5, 'h1', 'job-answered', {job: id, outcome: 'completed', tookMs: 500}),
+		);
+		expect(text).toContain('completed by h1 after 500 ms; minions that crashed with one of its runs: 1');
+	});
+
 	test('shows that the dispatcher was lost and the last event of its host', () => {
 		const text = formatTimelineOf(
 			row(9.5, 'h2', 'stopping', {inProgress: 2}),
--- a/packages/chivestream-operator/src/explain/job-timeline.ts
+++ b/packages/chivestream-operator/src/explain/job-timeline.ts
@@ -37,12 +37,16 @@
 ]);
 
 /** Log events of a dispatcher about minions that become unavailable or available again. */
-const minionEvents = new Set(['minion-unreachable', 'minion-reached', 'minion-quarantined', 'minion-gone', 'minion-reborn']);
+const minionEvents = new Set(['minion-unreachable', 'minion-reached', 'minion-quarantined', 'minion-gone', 'minion-reborn', 'minion-crashed']);
 
 const formatValue = (value: unknown): string => typeof value === 'string' ? value : JSON.stringify(value) ?? '';
 
+const isTaskOf = (task: unknown, id: string): boolean => typeof task === 'string' && task.startsWith(`${id}.`);
+
+/** Whether a line is about the job, one of its tasks, or a minion that crashed with one of its runs. */
 const refersToJob = ({fields}: LogLine, id: string): boolean =>
-	fields.job === id || (typeof fields.task === 'string' && fields.task.startsWith(`${id}.`));
+	fields.job === id || isTaskOf(fields.task, id)
+	|| (Array.isArray(fields.runs) && fields.runs.some((run: unknown) => typeof run === 'object' && run !== null && 'task' in run && isTaskOf(run.task, id)));
 
 /** Whether a line shows the state of the given hosts; events about a link count only if both of its hosts are among them. */
 const isContext = (line: LogLine, hosts: ReadonlySet<string>): boolean => {
@@ -72,6 +76,7 @@
 	const departure = jobLines.findLast(line => line.message === 'caller-left');
 	const refusal = jobLines.findLast(line => line.message === 'job-turned-away');
 	const dispatcherLosses = jobLines.filter(line => line.message === 'dispatcher-lost').length;
+	const minionCrashes = jobLines.filter(line => line.message === 'minion-crashed').length;
 	const hostStops = contextLines.filter(line => line.message === 'stopped' || line.message === 'frozen').map(({host, message}) => `; ${host} ${message}`);
 	const parts: string[] = [];
 	if (answer !== undefined) {
@@ -92,6 +97,10 @@
 		parts.push(`its dispatcher was lost ${dispatcherLosses} times`);
 	}
 
+	if (minionCrashes > 0) {
+		parts.push(`minions that crashed with one of its runs: ${minionCrashes}`);
+	}
+
 	return parts.join('; ');
 };
 
