Count the crashes under a task, and run suspects alone on a minion

Cause: a run that was lost with its minion went back to the queue without a trace. A task that crashes its minions was started again beside other tasks until its deadline, without a limit on the number of starts: with a long deadline the new test sees it crash all six minions. Class: a retry without a budget and without isolation.

Change: each crash is recorded for all tasks that had a run on the minion. Those whose start was among the last, within 30 ms, are suspects and run only alone on a minion, so that the next crash ends no other run and shows its cause. A task is given up, and its job failed, after two crashes if it was alone in one of them, and after three in any case. A minion that is only silent, or that drains, counts for nothing. The record outlives the job, for callers that submit it again, and goes on with a released job.

--- a/packages/chivestream-dispatch/src/__fixtures__/recorded-dispatcher.ts
+++ b/packages/chivestream-dispatch/src/__fixtures__/recorded-dispatcher.ts
@@ -21,6 +21,8 @@
 	minion: (id: string) => Minion;
 	/** Submits a job and returns the list to which its outcomes are added. */
 	submit: (request: JobRequest) => Outcome[];
+	/** Restarts a minion: the registry lists a later incarnation, which reports that it has no runs. */
+	restart: (id: string) => void;
 	/** Applies a report of a minion, polled now. Runs are given as task and number, ended ones with how they ended. */
 	report: (id: string, running?: Array<[string, number]>, ended?: Array<[string, number, 'done' | 'failed' | 'interrupted']>) => void;
 };
@@ -96,6 +98,12 @@
 			time += ms;
 		},
 		now: () => time,
+		restart(id) {
+			const {record, bornAt} = minion(id);
+			dispatcher.setMinions([...dispatcher.pool.minions.values()].map(other => other.record.id === id ? {...record, bornAt: bornAt + 1} : other.record));
+			time += 10;
+			dispatcher.handleReport(minion(id), {polledAt: time, running: [], ended: []});
+		},
 		submit(request) {
 			const outcomes: Outcome[] = [];
 			dispatcher.submit(request, outcome => {
--- /dev/null
+++ b/packages/chivestream-dispatch/src/__tests__/crash.test.ts
@@ -0,0 +1,190 @@
+import {describe, expect, test} from '@jest/globals';
+import {
+	createRecordedDispatcher, jobRequest, leaseMs, minionRecord, type RecordedDispatcher,
+} from '../__fixtures__/recorded-dispatcher.js';
+import {
+	crashEvidence, leaseExpiryMs, outcomeKind, startAnswer, type JobRequest, type Run,
+} from '../index.js';
+
+const deadlyId = '00000000000000aa';
+const otherId = '00000000000000bb';
+
+/** A job whose deadline leaves time for many runs. */
+const longJob = (id: string, changes: Partial<JobRequest> = {}) => jobRequest(id, {
+	objectiveDeadline: 60_000, deadline: 60_000, maxAttempts: 9, ...changes,
+});
+
+const createDispatcher = (minionIds: readonly string[]): RecordedDispatcher => {
+	const recorded = createRecordedDispatcher(minionIds.map(id => minionRecord(id)));
+	for (const id of minionIds) {
+		recorded.report(id);
+	}
+
+	return recorded;
+};
+
+const runsOf = (recorded: RecordedDispatcher, id: string): Run[] => recorded.starts.filter(run => run.task.startsWith(id));
+
+const confirm = (recorded: RecordedDispatcher, run: Run) => {
+	recorded.dispatcher.handleStartAnswer(run, startAnswer.started);
+};
+
+/** Confirms each new start of a job and restarts its minion, until the job is not started again. */
+const crashEachMinion = (recorded: RecordedDispatcher, id: string, maxCrashes = 10) => {
+	for (let crash = 0; crash < Math.min(maxCrashes, runsOf(recorded, id).length); crash += 1) {
+		const run = runsOf(recorded, id)[crash]!;
+		confirm(recorded, run);
+		recorded.advance(10);
+		recorded.restart(run.minion.record.id);
+	}
+};
+
+/** Submits a job and returns the list to which the number of known crashes is added at each crash. */
+const countCrashes = (recorded: RecordedDispatcher, request: JobRequest): number[] => {
+	const counts: number[] = [];
+	recorded.dispatcher.submit(request, () => undefined, (_, {incarnations}) => {
+		counts.push(incarnations.length);
+	});
+	return counts;
+};
+
+describe('a task that crashes its minions', () => {
+	test('is given up after two crashes, and its job fails', () => {
+		const recorded = createDispatcher(['m1', 'm2', 'm3', 'm4', 'm5', 'm6']);
+		const outcomes = recorded.submit(longJob(deadlyId));
+		crashEachMinion(recorded, deadlyId);
+		expect(runsOf(recorded, deadlyId)).toHaveLength(2);
+		expect(outcomes).toMatchObject([{kind: outcomeKind.failed}]);
+	});
+
+	test('is given up after three crashes even if it was never alone on a minion', () => {
+		const recorded = createDispatcher(['m1', 'm2', 'm3']);
+		const neighbors = ['m1', 'm2', 'm3'].map((_, index) => longJob(`00000000000000c${index}`));
+		for (const neighbor of neighbors) {
+			recorded.submit(neighbor);
+		}
+
+		const task = `${deadlyId}.0.0.0`;
+		const outcomes = recorded.submit(longJob(deadlyId, {crashes: {[task]: {incarnations: ['x@1', 'y@1'], wasAlone: false, isSuspect: false}}}));
+		crashEachMinion(recorded, deadlyId);
+		expect(runsOf(recorded, deadlyId)).toHaveLength(1);
+		expect(outcomes).toMatchObject([{kind: outcomeKind.failed}]);
+	});
+
+	test('is not started for a job that is submitted again after it ended', () => {
+		const recorded = createDispatcher(['m1', 'm2', 'm3']);
+		recorded.submit(longJob(deadlyId));
+		crashEachMinion(recorded, deadlyId);
+		const outcomes = recorded.submit(longJob(deadlyId, {submission: 1, mayHaveRun: true}));
+		expect(runsOf(recorded, deadlyId)).toHaveLength(2);
+		expect(outcomes).toMatchObject([{kind: outcomeKind.failed}]);
+	});
+
+	test('crashes one more minion at the next dispatcher, which receives the first crash with the job', () => {
+		const first = createDispatcher(['m1', 'm2']);
+		const outcomes = first.submit(longJob(deadlyId));
+		crashEachMinion(first, deadlyId, 1);
+		first.dispatcher.release();
+		const [outcome] = outcomes;
+		const crashes = outcome?.kind === outcomeKind.released ? outcome.crashes : undefined;
+		const next = createDispatcher(['n1', 'n2', 'n3', 'n4']);
+		const nextOutcomes = next.submit(longJob(deadlyId, {submission: 1, mayHaveRun: true, ...(crashes !== undefined && {crashes})}));
+		crashEachMinion(next, deadlyId);
+		expect(runsOf(next, deadlyId)).toHaveLength(1);
+		expect(nextOutcomes).toMatchObject([{kind: outcomeKind.failed}]);
+	});
+
+	test('is counted once for each incarnation, however often its crash is noticed', () => {
+		const recorded = createDispatcher(['m1']);
+		const counts = countCrashes(recorded, longJob(deadlyId));
+		confirm(recorded, recorded.starts[0]!);
+		recorded.dispatcher.handleCrash(recorded.minion('m1'), crashEvidence.stoppedListening);
+		recorded.dispatcher.handleCrash(recorded.minion('m1'), crashEvidence.replaced);
+		recorded.restart('m1');
+		expect(counts).toEqual([1]);
+	});
+
+	test('is counted when the answer to its start was lost', () => {
+		const recorded = createDispatcher(['m1']);
+		const counts = countCrashes(recorded, longJob(deadlyId));
+		recorded.dispatcher.handleStartAnswer(recorded.starts[0]!, startAnswer.unknown);
+		recorded.restart('m1');
+		expect(counts).toEqual([1]);
+	});
+});
+
+describe('a minion without a crash', () => {
+	test('that is only silent counts against none of its tasks', () => {
+		const recorded = createDispatcher(['m1', 'm2', 'm3', 'm4']);
+		const outcomes = recorded.submit(longJob(otherId));
+		for (let index = 0; index < 4; index += 1) {
+			const run = recorded.starts[index]!;
+			confirm(recorded, run);
+			recorded.dispatcher.markUnreachable(run.minion);
+			recorded.advance(leaseExpiryMs(leaseMs));
+			recorded.dispatcher.handleLeaseExpiry(run.minion);
+			recorded.report(run.minion.record.id);
+		}
+
+		expect(outcomes).toEqual([]);
+		expect(recorded.starts).toHaveLength(5);
+	});
+
+	test('that leaves as planned counts against none of its tasks', () => {
+		const recorded = createDispatcher(['m1']);
+		const counts = countCrashes(recorded, longJob(otherId));
+		confirm(recorded, recorded.starts[0]!);
+		recorded.dispatcher.setMinions([minionRecord('m1', {isDraining: true})]);
+		recorded.dispatcher.handleCrash(recorded.minion('m1'), crashEvidence.stoppedListening);
+		expect(counts).toEqual([]);
+	});
+});
+
+describe('a task beside one that crashes its minions', () => {
+	test('is not given up, and completes', () => {
+		const recorded = createDispatcher(['m1', 'm2', 'm3', 'm4']);
+		const outcomes = recorded.submit(longJob(otherId));
+		const deadlyOutcomes = recorded.submit(longJob(deadlyId));
+		confirm(recorded, runsOf(recorded, otherId)[0]!);
+		expect(runsOf(recorded, otherId)[0]!.minion).toBe(runsOf(recorded, deadlyId)[0]!.minion);
+		crashEachMinion(recorded, deadlyId);
+		const last = runsOf(recorded, otherId).at(-1)!;
+		confirm(recorded, last);
+		recorded.report(last.minion.record.id, [], [[last.task, last.number, 'done']]);
+		expect(deadlyOutcomes).toMatchObject([{kind: outcomeKind.failed}]);
+		expect(outcomes).toMatchObject([{kind: outcomeKind.completed}]);
+	});
+
+	test('no longer runs beside it after the first crash', () => {
+		const recorded = createDispatcher(['m1', 'm2', 'm3']);
+		recorded.submit(longJob(deadlyId));
+		crashEachMinion(recorded, deadlyId, 1);
+		const {minion} = runsOf(recorded, deadlyId)[1]!;
+		for (let index = 0; index < 6; index += 1) {
+			recorded.submit(longJob(`00000000000000c${index}`));
+		}
+
+		expect([...minion.runs.values()].map(run => run.task)).toEqual([`${deadlyId}.0.0.0`]);
+		expect(recorded.starts).toHaveLength(6);
+	});
+
+	test('that ran for long before the crash is started again without waiting for an empty minion', () => {
+		const recorded = createDispatcher(['m1', 'm2']);
+		recorded.submit(longJob(otherId));
+		recorded.advance(200);
+		recorded.submit(longJob(deadlyId));
+		recorded.submit(longJob('00000000000000c0'));
+		for (const run of recorded.starts) {
+			confirm(recorded, run);
+		}
+
+		const {minion} = runsOf(recorded, otherId)[0]!;
+		expect(runsOf(recorded, deadlyId)[0]!.minion).toBe(minion);
+		recorded.advance(10);
+		recorded.dispatcher.markUnreachable(minion);
+		recorded.dispatcher.handleCrash(minion, crashEvidence.stoppedListening);
+		recorded.advance(leaseExpiryMs(leaseMs));
+		recorded.dispatcher.handleLeaseExpiry(minion);
+		expect([runsOf(recorded, otherId).length, runsOf(recorded, deadlyId).length]).toEqual([2, 1]);
+	});
+});
--- a/packages/chivestream-dispatch/src/backlog.ts
+++ b/packages/chivestream-dispatch/src/backlog.ts
@@ -6,7 +6,7 @@
  */
 import {expectedSlowness, type MinionPool} from './minion-pool.js';
 import {
-	taskState, type Job, type Step, type Task,
+	mustRunAlone, taskState, type Job, type Step, type Task,
 } from './job.js';
 import {isExpectedUsable} from './placement.js';
 
@@ -71,8 +71,9 @@
 
 	/** Records that a task did not fit on any minion. */
 	add(task: Task): void {
-		// With a limit per minion, only the tasks of the same job may be in the way, so tasks of other jobs may still fit.
-		if (task.step.maxPerMinion === undefined) {
+		// With a limit per minion, only the tasks of the same job may be in the way, so tasks of other jobs may still fit. A task that
+		// must run alone may not fit beside others that do.
+		if (task.step.maxPerMinion === undefined && !mustRunAlone(task)) {
 			const sizes = this.sizes.get(eligibilityKey(task)) ?? [];
 			this.sizes.set(eligibilityKey(task), [...sizes.filter(size => !isAtLeastAsLarge(size, task.step)), task.step]);
 		}
--- a/packages/chivestream-dispatch/src/crash.ts
+++ b/packages/chivestream-dispatch/src/crash.ts
@@ -1,4 +1,10 @@
-/** Crashes of minions, and the runs that they end. */
+/**
+ * Finds the tasks that crash minions.
+ *
+ * A task may crash each minion that starts it, soon after the start. Each crash ends the other runs on the minion as well, and the
+ * minion is away for seconds. Of the tasks on a crashed minion, those that started last are the most likely cause: they run again
+ * only alone on a minion, so that a second crash affects no other task and shows its cause.
+ */
 import {runState, type Minion, type Run} from './minion.js';
 
 /** What shows that an incarnation of a minion has ended without notice. */
@@ -25,3 +31,54 @@
 	ranMs: Math.round(now - (run.startConfirmedAt ?? run.requestedAt)),
 	progress: run.progress,
 });
+
+/** Crashes of minions under a task. */
+export type CrashRecord = {
+	/** The incarnations, as `incarnationKey`, that crashed while a run of the task was there. */
+	incarnations: readonly string[];
+	/** Whether one of them had no other run. */
+	wasAlone: boolean;
+	/** Whether the task is a likely cause of one of them, and therefore runs only alone on a minion. */
+	isSuspect: boolean;
+};
+
+/** Number of crashes after which a task that was alone on a crashed minion is given up. */
+const crashesUntilGivenUp = 2;
+
+/** Number of crashes after which any task is given up. */
+const maxCrashes = 3;
+
+/** Starts that are this close together can't be told apart as the cause of a crash, in milliseconds. */
+const closeStartsMs = 30;
+
+/** Combines two records of the same task. */
+export const mergeCrashes = (one: CrashRecord | undefined, other: CrashRecord | undefined): CrashRecord | undefined => {
+	if (one === undefined || other === undefined) {
+		return one ?? other;
+	}
+
+	const incarnations = [...new Set([...one.incarnations, ...other.incarnations])];
+	return {
+		incarnations,
+		wasAlone: one.wasAlone || other.wasAlone,
+		isSuspect: one.isSuspect || other.isSuspect || incarnations.length > 1,
+	};
+};
+
+/** Whether a task has crashed so many minions that it must not start again. */
+export const isGivenUp = (crashes: CrashRecord | undefined): boolean => {
+	const count = crashes?.incarnations.length ?? 0;
+	return count >= maxCrashes || (count >= crashesUntilGivenUp && crashes?.wasAlone === true);
+};
+
+/** The record of one crash for each run on the crashed minion, by the name of its task. */
+export const recordsOfCrash = (incarnation: string, runs: readonly Run[]): Map<string, CrashRecord> => {
+	// It is not known when an inherited run started.
+	const startOf = (run: Run) => run.isInherited ? Number.NEGATIVE_INFINITY : run.requestedAt;
+	const lastStart = Math.max(...runs.map(run => startOf(run)));
+	return new Map(runs.map(run => [run.task, {
+		incarnations: [incarnation],
+		wasAlone: runs.length === 1,
+		isSuspect: startOf(run) >= lastStart - closeStartsMs,
+	}]));
+};
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -8,7 +8,7 @@
 	createMinionPool, expectedSlowness, freeTasks, type MinionPool,
 } from './minion-pool.js';
 import {
-	createJob, isComplete, jobIdOfTask, taskState, unblockTasks, type Job, type JobRequest, type Task,
+	crashesOf, createJob, isComplete, jobIdOfTask, taskState, unblockTasks, type Job, type JobRequest, type Task,
 } from './job.js';
 import {type Minion, type MinionRecord, type Run} from './minion.js';
 import {outcomeKind, type Outcome} from './outcome.js';
@@ -16,7 +16,7 @@
 import {
 	Runs, type MinionReport, type RunDependencies, type StartAnswer,
 } from './runs.js';
-import {type CrashEvidence} from './crash.js';
+import {isGivenUp, type CrashEvidence} from './crash.js';
 import {compareWaitingJobs} from './job-order.js';
 
 /** Free capacity of another cell, as last published by it. */
@@ -114,9 +114,10 @@
 
 	/**
 	 * Submits a job. `settle` receives its outcome exactly once; it may be called before `submit` returns. If the job was
-	 * already submitted, for example over another path, it continues, and both submitters receive its outcome.
+	 * already submitted, for example over another path, it continues, and both submitters receive its outcome. `onTaskCrashed`
+	 * receives the crashes under each task, for the submission to the next dispatcher if this one is lost.
 	 */
-	submit(request: JobRequest, settle: (outcome: Outcome) => void): void {
+	submit(request: JobRequest, settle: Job['settle'], onTaskCrashed: Job['onTaskCrashed'] = () => undefined): void {
 		const now = this.dependencies.now();
 		if (this.isLeaving) {
 			settle({kind: outcomeKind.released, doneTasks: []});
@@ -131,10 +132,16 @@
 				settle(outcome);
 			};
 
+			const reportExisting = existing.onTaskCrashed;
+			existing.onTaskCrashed = (task, crashes) => {
+				reportExisting(task, crashes);
+				onTaskCrashed(task, crashes);
+			};
+
 			return;
 		}
 
-		const job = createJob(request, now, settle);
+		const job = createJob(request, now, {settle, onTaskCrashed});
 		this.jobs.set(request.id, job);
 		// For a resubmitted job, keeps the tasks that completed or are still running for a previous dispatcher.
 		this.runs.restoreTasks(job);
@@ -143,6 +150,11 @@
 			return;
 		}
 
+		if (job.tasks.some(task => isGivenUp(task.crashes))) {
+			this.settleJob(job, {kind: outcomeKind.failed, reason: 'a task has crashed too many minions before'});
+			return;
+		}
+
 		this.recordTaskSizes(job);
 		this.schedule();
 		if (!job.isSettled && !job.hasStarted) {
@@ -223,7 +235,8 @@
 		for (const job of this.jobs.values()) {
 			job.isSettled = true;
 			const doneTasks = job.tasks.filter(task => task.state === taskState.done).map(task => task.name);
-			job.settle({kind: outcomeKind.released, doneTasks});
+			const crashes = crashesOf(job);
+			job.settle({kind: outcomeKind.released, doneTasks, ...(crashes !== undefined && {crashes})});
 		}
 
 		this.jobs.clear();
--- a/packages/chivestream-dispatch/src/job.ts
+++ b/packages/chivestream-dispatch/src/job.ts
@@ -1,4 +1,5 @@
 /** Jobs as they are submitted, and their state in a dispatcher. */
+import {type CrashRecord} from './crash.js';
 import {type Outcome} from './outcome.js';
 import {type Run} from './minion.js';
 
@@ -47,6 +48,8 @@
 	mayHaveRun: boolean;
 	/** Names of the tasks that have completed for a previous dispatcher. */
 	doneTasks?: readonly string[];
+	/** Crashes of minions under the tasks of the job for previous dispatchers, by the name of the task. */
+	crashes?: Readonly<Record<string, CrashRecord>>;
 };
 
 /** States of a task. */
@@ -77,6 +80,8 @@
 	run?: Run;
 	/** Ids of the minions that refused this task, or on which a run of it failed or stalled; used only if no other fits. */
 	avoidedMinions: Set<string>;
+	/** Crashes of minions under the task; undefined if there was none. */
+	crashes: CrashRecord | undefined;
 };
 
 /** A job that a dispatcher has accepted. */
@@ -93,6 +98,8 @@
 	isSettled: boolean;
 	/** Receives the outcome; called once. */
 	settle: (outcome: Outcome) => void;
+	/** Receives the crashes under a task whenever another one is known. */
+	onTaskCrashed: (task: string, crashes: CrashRecord) => void;
 };
 
 /** Run numbers reserved for each submission of a job, so that the numbers of the next submission are higher. */
@@ -101,13 +108,22 @@
 /** Name of a task on its minion: job id, occurrence (always 0), step index and task index. */
 export const taskName = (jobId: string, stepIndex: number, index: number): string => `${jobId}.0.${stepIndex}.${index}`;
 
+/** The known crashes under the tasks of a job, by the name of the task; undefined if there was none. */
+export const crashesOf = (job: Job): Record<string, CrashRecord> | undefined => {
+	const entries = job.tasks.flatMap(({name, crashes}) => crashes === undefined ? [] : [[name, crashes] as const]);
+	return entries.length === 0 ? undefined : Object.fromEntries(entries);
+};
+
+/** Whether the task runs only alone on a minion, because it is a likely cause of a crash. */
+export const mustRunAlone = (task: Task): boolean => task.crashes?.isSuspect ?? false;
+
 /** Extracts the job id from the name of a task. */
 export const jobIdOfTask = (name: string): string => name.slice(0, name.indexOf('.'));
 
 /** Creates a job with its tasks; tasks of steps without dependencies can be placed at once. */
-export const createJob = (request: JobRequest, arrivedAt: number, settle: (outcome: Outcome) => void): Job => {
+export const createJob = (request: JobRequest, arrivedAt: number, {settle, onTaskCrashed}: Pick<Job, 'settle' | 'onTaskCrashed'>): Job => {
 	const job: Job = {
-		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasStarted: false, isSettled: false, settle,
+		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasStarted: false, isSettled: false, settle, onTaskCrashed,
 	};
 	for (const [stepIndex, step] of request.steps.entries()) {
 		for (let index = 0; index < step.count; index += 1) {
@@ -120,6 +136,7 @@
 				lastRunNumber: request.submission * runsPerSubmission,
 				failures: 0,
 				avoidedMinions: new Set(),
+				crashes: undefined,
 			});
 		}
 	}
--- a/packages/chivestream-dispatch/src/minion-pool.ts
+++ b/packages/chivestream-dispatch/src/minion-pool.ts
@@ -1,6 +1,6 @@
 /** The minions of a dispatcher and the runs on them. */
 import {
-	freeResources, runKey, runState, unknownResources, type Minion, type MinionRecord, type Run, type RunState,
+	allResources, freeResources, runKey, runState, type Minion, type MinionRecord, type Run, type RunState,
 } from './minion.js';
 import {createSlowness, slownessFactor, type Slowness} from './slowness.js';
 
@@ -22,6 +22,7 @@
 	state: RunState;
 	/** Left out if the size of the run is unknown. */
 	resources?: Run['resources'];
+	isInherited?: boolean;
 };
 
 /** Creates an empty pool. */
@@ -52,8 +53,9 @@
 		number: newRun.number,
 		minion,
 		assignedTask: newRun.assignedTask,
-		resources: newRun.resources ?? unknownResources,
+		resources: newRun.resources ?? allResources,
 		state: newRun.state,
+		isInherited: newRun.isInherited ?? false,
 		requestedAt: newRun.now,
 		startConfirmedAt: newRun.state === runState.running ? newRun.now : undefined,
 		stopConfirmedAt: undefined,
--- a/packages/chivestream-dispatch/src/minion.ts
+++ b/packages/chivestream-dispatch/src/minion.ts
@@ -51,6 +51,8 @@
 	assignedTask: Task | undefined;
 	resources: Resources;
 	state: RunState;
+	/** Whether a previous dispatcher started the run. */
+	isInherited: boolean;
 	/** When the start was requested, or when an inherited run was first reported. */
 	requestedAt: number;
 	/** When the minion confirmed that the run has started; undefined before that. */
@@ -113,5 +115,5 @@
 export const fits = (available: Resources, required: Resources): boolean =>
 	available.millicores >= required.millicores && available.memoryMb >= required.memoryMb && available.accelerators >= required.accelerators;
 
-/** Resources assumed for a run whose task, and so whose size, is unknown: they fill any minion. */
-export const unknownResources: Resources = {millicores: Infinity, memoryMb: 0, accelerators: 0};
+/** Resources of a run that fills any minion: its size is unknown, or its task must run alone. */
+export const allResources: Resources = {millicores: Infinity, memoryMb: 0, accelerators: 0};
--- a/packages/chivestream-dispatch/src/outcome.ts
+++ b/packages/chivestream-dispatch/src/outcome.ts
@@ -1,4 +1,5 @@
 /** Outcomes that a dispatcher reports for a job. */
+import {type CrashRecord} from './crash.js';
 
 /** Kinds of outcome. */
 export const outcomeKind = {
@@ -15,11 +16,11 @@
 	released: 'released',
 } as const;
 
-/** The outcome of a job, with the reason, the target cell or the names of the completed tasks. */
+/** The outcome of a job, with the reason, the target cell, or the names of the completed tasks and the crashes under the others. */
 export type Outcome
 	= | {kind: typeof outcomeKind.completed}
 		| {kind: typeof outcomeKind.failed; reason: string}
 		| {kind: typeof outcomeKind.refused; reason: string; retryAfterMs: number}
 		| {kind: typeof outcomeKind.abandoned; reason: string}
 		| {kind: typeof outcomeKind.redirected; cell: string}
-		| {kind: typeof outcomeKind.released; doneTasks: string[]};
+		| {kind: typeof outcomeKind.released; doneTasks: string[]; crashes?: Readonly<Record<string, CrashRecord>>};
--- a/packages/chivestream-dispatch/src/placement.ts
+++ b/packages/chivestream-dispatch/src/placement.ts
@@ -8,7 +8,7 @@
 import {
 	fits, freeResources, type Minion, type Resources,
 } from './minion.js';
-import {type Task} from './job.js';
+import {mustRunAlone, type Task} from './job.js';
 
 /** Inputs of a placement that are the same for all tasks and minions. */
 export type PoolView = {
@@ -98,12 +98,13 @@
 	return meetsOne ? one.expectedMs > other.expectedMs : one.expectedMs < other.expectedMs;
 };
 
-/** Selects the best minion with enough free resources for a task; undefined if there is none. */
+/** Selects the best minion with enough free resources for a task, without any run if the task must run alone; undefined if there is none. */
 export const placeTask = (task: Task, minions: Iterable<Minion>, view: PoolView): Placement | undefined => {
 	const required = taskResources(task);
+	const isAlone = mustRunAlone(task);
 	let best: Placement | undefined;
 	for (const minion of minions) {
-		if (!isUsable(minion, view.now) || !isEligible(minion, task) || !fits(freeResources(minion), required)) {
+		if ((isAlone && minion.runs.size > 0) || !isUsable(minion, view.now) || !isEligible(minion, task) || !fits(freeResources(minion), required)) {
 			continue;
 		}
 
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -2,13 +2,15 @@
 import {
 	addRun, expectedSlowness, slownessOfKind, registerMinion, removeRun, type MinionPool,
 } from './minion-pool.js';
-import {taskState, type Job, type Task} from './job.js';
 import {
-	crashEvidence, describeRun, incarnationKey, type CrashEvidence,
+	mustRunAlone, taskState, type Job, type Task,
+} from './job.js';
+import {
+	crashEvidence, describeRun, incarnationKey, isGivenUp, mergeCrashes, recordsOfCrash, type CrashEvidence, type CrashRecord,
 } from './crash.js';
 import {leaseExpiryMs} from './lease.js';
 import {
-	runKey, runState, type Minion, type MinionRecord, type Run,
+	allResources, runKey, runState, type Minion, type MinionRecord, type Run,
 } from './minion.js';
 import {taskResources} from './placement.js';
 import {recordRunTime} from './slowness.js';
@@ -68,7 +70,7 @@
 	findTask: (name: string) => Task | undefined;
 	/** Called when a task has completed. */
 	onTaskDone: (task: Task) => void;
-	/** Called when a task has failed as often as its route allows. */
+	/** Called when a task has failed as often as its route allows, or has crashed too many minions. */
 	onTaskFailed: (task: Task, reason: string) => void;
 };
 
@@ -96,6 +98,9 @@
 /** Maximum number of tasks completed for previous dispatchers that are kept for resubmitted jobs. */
 const maxInheritedDoneTasks = 2000;
 
+/** Maximum number of tasks whose crashes are kept for resubmitted jobs. */
+const maxCrashRecords = 2000;
+
 /** Manages the runs in a pool of minions, including runs inherited from the cell's previous dispatchers. */
 export class Runs {
 	private readonly pool: MinionPool;
@@ -104,6 +109,8 @@
 	private readonly startedAt: number;
 	/** Names of tasks completed for a previous dispatcher whose job has not been resubmitted. */
 	private readonly inheritedDoneTasks = new Set<string>();
+	/** Crashes by the name of the task, also of jobs that have ended: a caller without an answer submits its job again. */
+	private readonly crashes = new Map<string, CrashRecord>();
 
 	constructor(pool: MinionPool, dependencies: RunDependencies, leaseMs: number) {
 		this.pool = pool;
@@ -139,7 +146,7 @@
 			task: task.name,
 			number: task.lastRunNumber,
 			assignedTask: task,
-			resources: taskResources(task),
+			resources: mustRunAlone(task) ? allResources : taskResources(task),
 			state: runState.starting,
 			expectedMs,
 			now: this.dependencies.now(),
@@ -243,6 +250,10 @@
 			isDraining: minion.record.isDraining,
 			runs: [...minion.runs.values()].map(run => describeRun(run, now)),
 		});
+		// A draining minion leaves as planned.
+		if (!minion.record.isDraining) {
+			this.recordCrash(incarnation, [...minion.runs.values()]);
+		}
 	}
 
 	/**
@@ -289,9 +300,10 @@
 		}
 	}
 
-	/** Restores the tasks of a resubmitted job that completed or still run for previous dispatchers. */
+	/** Restores the tasks of a resubmitted job that completed or still run for previous dispatchers, and the crashes under them. */
 	restoreTasks(job: Job): void {
 		for (const task of job.tasks) {
+			task.crashes = mergeCrashes(job.request.crashes?.[task.name], this.crashes.get(task.name));
 			if (this.inheritedDoneTasks.has(task.name) || job.request.doneTasks?.includes(task.name)) {
 				task.state = taskState.done;
 				job.mayHaveRun = true;
@@ -343,6 +355,28 @@
 		}
 	}
 
+	/** Records a crash for the tasks of the runs on the minion, and gives up those that have crashed too many. */
+	private recordCrash(incarnation: string, runs: readonly Run[]): void {
+		for (const [name, record] of recordsOfCrash(incarnation, runs)) {
+			const task = this.dependencies.findTask(name);
+			const crashes = mergeCrashes(mergeCrashes(this.crashes.get(name), task?.crashes), record)!;
+			this.crashes.delete(name);
+			this.crashes.set(name, crashes);
+			if (task !== undefined) {
+				task.crashes = crashes;
+				task.job.onTaskCrashed(name, crashes);
+				if (isGivenUp(crashes)) {
+					this.dependencies.onTaskFailed(task, `${crashes.incarnations.length} minions crashed under a task, last ${incarnation}`);
+				}
+			}
+		}
+
+		while (this.crashes.size > maxCrashRecords) {
+			const [oldest] = this.crashes.keys();
+			this.crashes.delete(oldest!);
+		}
+	}
+
 	private handleRunEnd(minion: Minion, end: RunEnd): void {
 		const run = minion.runs.get(runKey(end.task, end.number));
 		if (run === undefined) {
@@ -362,6 +396,7 @@
 		const now = this.dependencies.now();
 		removeRun(this.pool, run);
 		if (end.kind === endKind.done) {
+			this.crashes.delete(end.task);
 			minion.consecutiveFailures = 0;
 			minion.isOnProbation = false;
 			minion.quarantineMs = 0;
@@ -421,7 +456,7 @@
 
 	private addInheritedRun(minion: Minion, taskName: string, number: number): void {
 		const run = addRun(this.pool, minion, {
-			task: taskName, number, assignedTask: undefined, expectedMs: 0, now: this.dependencies.now(), state: runState.running,
+			task: taskName, number, assignedTask: undefined, expectedMs: 0, now: this.dependencies.now(), state: runState.running, isInherited: true,
 		});
 		const task = this.dependencies.findTask(taskName);
 		if (task !== undefined && isUnplaced(task)) {
