End the runs of a minion at once when it has stopped listening

Callers saw: jobs with a task on a crashed minion were late or abandoned, as their other tasks were placed again 1.09 s after the crash, of the 1.5 s that callers wait.

Cause: a session noticed the crash within 4 ms, but runs were ended only by the expiry of the lease. Class: a known fact that only the slowest of its signals acts on.

Change: evidence that the process is gone ends the runs whose start it had confirmed: it closed a connection with a request in progress and the next one was refused, or another minion answers at its address. A reset or a refusal alone ends nothing, as a cut can cause both. A start without an answer stays until its stop is confirmed. The minion no longer counts as room for waiting jobs.

Tests: 3 of the 4 new ones fail before (with a lease of 60 s in the host test); the fourth guards starts without an answer.

--- a/packages/chivestream-dispatch/src/__tests__/crash.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/crash.test.ts
@@ -113,6 +113,35 @@
 	});
 });
 
+describe('the runs on a minion that has stopped listening', () => {
+	test('are placed again at once, without waiting for the end of the lease', () => {
+		const recorded = createDispatcher(['m1', 'm2']);
+		recorded.submit(longJob(otherId));
+		confirm(recorded, recorded.starts[0]!);
+		recorded.dispatcher.handleCrash(recorded.starts[0]!.minion, crashEvidence.stoppedListening);
+		expect(recorded.starts.map(run => run.minion.record.id)).toEqual(['m1', 'm2']);
+	});
+
+	test('are not placed again if their start got no answer, since a later incarnation may carry it out', () => {
+		const recorded = createDispatcher(['m1', 'm2']);
+		recorded.submit(longJob(otherId));
+		recorded.dispatcher.handleStartAnswer(recorded.starts[0]!, startAnswer.unknown);
+		recorded.dispatcher.handleCrash(recorded.starts[0]!.minion, crashEvidence.stoppedListening);
+		expect(recorded.starts).toHaveLength(1);
+	});
+
+	test('leave no room in which waiting jobs are expected to run', () => {
+		const recorded = createDispatcher(['m1', 'm2']);
+		// A dispatcher that has just started does not know its capacity yet.
+		recorded.advance(700);
+		recorded.dispatcher.markUnreachable(recorded.minion('m1'));
+		recorded.dispatcher.handleCrash(recorded.minion('m1'), crashEvidence.stoppedListening);
+		recorded.submit(jobRequest(otherId, {objectiveDeadline: 60_000, deadline: 60_000}, 12));
+		// Ten waiting tasks of 60 ms take 300 ms on one minion, and 150 ms on two.
+		expect(recorded.submit(jobRequest(deadlyId, {objectiveDeadline: 1060}))).toMatchObject([{kind: outcomeKind.refused}]);
+	});
+});
+
 describe('a minion without a crash', () => {
 	test('that is only silent counts against none of its tasks', () => {
 		const recorded = createDispatcher(['m1', 'm2', 'm3', 'm4']);
--- a/packages/chivestream-dispatch/src/crash.ts
+++ b/packages/chivestream-dispatch/src/crash.ts
@@ -23,6 +23,9 @@
 /** Identifies an incarnation of a minion. */
 export const incarnationKey = (minion: Minion): string => `${minion.record.id}@${minion.bornAt}`;
 
+/** Whether the latest known incarnation of a minion has crashed. */
+export const hasCrashed = (minion: Minion): boolean => minion.crashedIncarnation === incarnationKey(minion);
+
 /** Fields of the log event for a run on a crashed minion, at a time on the monotonic clock in milliseconds. */
 export const describeRun = (run: Run, now: number) => ({
 	task: run.task,
--- a/packages/chivestream-dispatch/src/placement.ts
+++ b/packages/chivestream-dispatch/src/placement.ts
@@ -5,6 +5,7 @@
  * minion misses its objective where a short one doesn't, so a task goes to the slowest minion that is
  * fast enough, or to the fastest if none is.
  */
+import {hasCrashed} from './crash.js';
 import {
 	fits, freeResources, type Minion, type Resources,
 } from './minion.js';
@@ -58,7 +59,7 @@
 
 /** Whether a minion is usable now, or is only briefly unreachable. */
 export const isExpectedUsable = (minion: Minion, now: number): boolean =>
-	!minion.isUnregistered && !minion.record.isDraining && now >= minion.quarantinedUntil
+	!minion.isUnregistered && !minion.record.isDraining && !hasCrashed(minion) && now >= minion.quarantinedUntil
 	&& (isUsable(minion, now) || now < minion.reportedAt + unreachableGraceMs);
 
 /** Whether the declarations of a task allow it on a minion, apart from free resources. */
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -6,7 +6,7 @@
 	mustRunAlone, taskState, type Job, type Task,
 } from './job.js';
 import {
-	crashEvidence, describeRun, incarnationKey, isGivenUp, mergeCrashes, recordsOfCrash, type CrashEvidence, type CrashRecord,
+	crashEvidence, describeRun, hasCrashed, incarnationKey, isGivenUp, mergeCrashes, recordsOfCrash, type CrashEvidence, type CrashRecord,
 } from './crash.js';
 import {leaseExpiryMs} from './lease.js';
 import {
@@ -226,21 +226,16 @@
 
 	/** Handles the expiry of the lease on a minion: every run whose start the minion had confirmed has ended. */
 	handleLeaseExpiry(minion: Minion): void {
-		minion.isSynced = false;
-		for (const run of minion.runs.values()) {
-			if (run.state === runState.running || (run.state === runState.stopping && run.startConfirmedAt !== undefined)) {
-				this.requeue(run);
-			}
-		}
+		this.endConfirmedRuns(minion);
 	}
 
 	/** Handles the crash of a minion's current incarnation; further evidence of the same crash has no effect. */
 	handleCrash(minion: Minion, evidence: CrashEvidence): void {
-		const incarnation = incarnationKey(minion);
-		if (minion.crashedIncarnation === incarnation) {
+		if (hasCrashed(minion)) {
 			return;
 		}
 
+		const incarnation = incarnationKey(minion);
 		minion.crashedIncarnation = incarnation;
 		const now = this.dependencies.now();
 		this.dependencies.report('minion-crashed', {
@@ -254,6 +249,10 @@
 		if (!minion.record.isDraining) {
 			this.recordCrash(incarnation, [...minion.runs.values()]);
 		}
+
+		if (evidence !== crashEvidence.restarted) {
+			this.endConfirmedRuns(minion);
+		}
 	}
 
 	/**
@@ -465,6 +464,16 @@
 		}
 	}
 
+	/** Requeues the runs whose start the minion had confirmed. A start without an answer may still be carried out. */
+	private endConfirmedRuns(minion: Minion): void {
+		minion.isSynced = false;
+		for (const run of minion.runs.values()) {
+			if (run.state === runState.running || (run.state === runState.stopping && run.startConfirmedAt !== undefined)) {
+				this.requeue(run);
+			}
+		}
+	}
+
 	private recordProgress(run: Run, progress: number): void {
 		const now = this.dependencies.now();
 		if (run.state === runState.starting) {
--- a/packages/chivestream-host/src/__fixtures__/site.ts
+++ b/packages/chivestream-host/src/__fixtures__/site.ts
@@ -40,7 +40,7 @@
 export const taskMillicores = 14_000;
 
 const capacity = 32_000;
-const leaseMs = 1000;
+const defaultLeaseMs = 1000;
 const hostName = 'lens.example';
 const upstream = 'desk';
 const pollIntervalMs = 50;
@@ -70,7 +70,7 @@
 	return ports;
 };
 
-const createSettings = async (index: number, zone: string, store: string): Promise<HostSettings> => {
+const createSettings = async (index: number, zone: string, {store, leaseMs}: {store: string; leaseMs: number}): Promise<HostSettings> => {
 	const ip = loopbackIp(index);
 	const [callers, readiness, peers, metrics] = await freePorts(ip, portsPerHost);
 	return hostSettingsSchema.parse({
@@ -91,11 +91,17 @@
 	}
 };
 
-/**
- * Starts a site. Hosts and minions are spread evenly over the zones. Minions beyond the first `initiallyRegistered` are
- * registered by `register`.
- */
-export const startSite = async (hostCount: number, minionCount: number, zones: readonly string[] = ['z'], initiallyRegistered = minionCount): Promise<TestSite> => {
+/** Settings of a site. */
+export type SiteOptions = {
+	zones?: readonly string[];
+	/** Number of minions that are registered from the start; `register` adds the others. All by default. */
+	initiallyRegistered?: number;
+	/** Longest lease that a minion grants, in milliseconds. */
+	leaseMs?: number;
+};
+
+/** Starts a site. Hosts and minions are spread evenly over the zones. */
+export const startSite = async (hostCount: number, minionCount: number, {zones = ['z'], initiallyRegistered = minionCount, leaseMs = defaultLeaseMs}: SiteOptions = {}): Promise<TestSite> => {
 	const checker = new Checker();
 	const store = await startStoreStandIn();
 	const workMsByJob = new Map<string, number>();
@@ -139,7 +145,7 @@
 	};
 
 	const startHost = async (index: number) => {
-		settings[index] ??= await createSettings(index, zones[index % zones.length]!, store.address);
+		settings[index] ??= await createSettings(index, zones[index % zones.length]!, {store: store.address, leaseMs});
 		const host = new EntryHost(settings[index], () => {
 			// Tests check only what callers and minions receive.
 		});
--- a/packages/chivestream-host/src/__tests__/host.test.ts
+++ b/packages/chivestream-host/src/__tests__/host.test.ts
@@ -3,7 +3,9 @@
 	afterEach, describe, expect, test,
 } from '@jest/globals';
 import {createRandom} from 'chivestream-core';
-import {startSite, until, type TestSite} from '../__fixtures__/site.js';
+import {
+	startSite, until, type SiteOptions, type TestSite,
+} from '../__fixtures__/site.js';
 
 let site: TestSite | undefined;
 
@@ -12,8 +14,8 @@
 	site = undefined;
 });
 
-const start = async (hosts: number, minions: number, zones?: string[], initiallyRegistered?: number): Promise<TestSite> => {
-	site = await startSite(hosts, minions, zones, initiallyRegistered);
+const start = async (hosts: number, minions: number, options?: SiteOptions): Promise<TestSite> => {
+	site = await startSite(hosts, minions, options);
 	await site.untilReady();
 	return site;
 };
@@ -91,6 +93,17 @@
 		expect(testSite.checker.violations).toEqual([]);
 	});
 
+	test('rerun the task of a minion that stopped listening before its lease has expired', async () => {
+		const testSite = await start(1, 2, {leaseMs: 60_000});
+		const result = testSite.submit(0, {id: jobId(1), count: 1, workMs: 300});
+		await until(() => testSite.checker.starts === 1);
+		const index = testSite.minions.findIndex(minion => minion.runningTasks().length > 0);
+		testSite.minions[index]!.crash();
+		await testSite.minions[index]!.close();
+		expect(await result).toMatchObject({status: 200, body: {state: 'completed'}});
+		expect(testSite.checker.violations).toEqual([]);
+	});
+
 	test('use a restarted minion again and rerun its tasks', async () => {
 		const testSite = await start(1, 1);
 		const result = testSite.submit(0, {id: jobId(1), count: 1, workMs: 300});
@@ -163,7 +176,7 @@
 
 describe('two zones', () => {
 	test('a zone without free resources redirects jobs to the other', async () => {
-		const testSite = await start(2, 4, ['y', 'z']);
+		const testSite = await start(2, 4, {zones: ['y', 'z']});
 		await until(() => testSite.hosts.every(({host}) => host.isDispatching()));
 		await until(() => testSite.hosts[0]!.host.freeTasksElsewhere() >= 4);
 		const first = testSite.submit(0, {id: jobId(1), count: 4, workMs: 500});
@@ -193,7 +206,7 @@
 	});
 
 	test('also releases jobs of another zone, and none of their tasks runs again', async () => {
-		const testSite = await start(4, 8, ['y', 'z']);
+		const testSite = await start(4, 8, {zones: ['y', 'z']});
 		const dispatching = () => testSite.hosts.map(({host}) => host.isDispatching());
 		await until(() => dispatching().filter(Boolean).length === 2);
 		const zone = (index: number) => index % 2;
@@ -229,7 +242,7 @@
 	});
 
 	test('is divided again when minions are added, without two simultaneous runs of a task', async () => {
-		const testSite = await start(2, manyMinions, ['z'], 30);
+		const testSite = await start(2, manyMinions, {initiallyRegistered: 30});
 		const results = submitMany(testSite, 20, {count: 3, workMs: 400}, [0, 1]);
 		await until(() => testSite.checker.starts >= 20);
 		testSite.register(manyMinions);
@@ -244,7 +257,7 @@
 	const pauseMs = 100;
 
 	test('is retried repeatedly, with a pause before each attempt', async () => {
-		const testSite = await start(4, 4, ['y', 'z']);
+		const testSite = await start(4, 4, {zones: ['y', 'z']});
 		await until(() => testSite.hosts[0]!.host.freeTasksElsewhere() > 0);
 		const links = async () => {
 			const text = await testSite.metrics(0);
