Pass the crashes under a task on to the job's next dispatcher

Callers saw: no wrong answer yet; the count of crashes was lost with its dispatcher, so each kill gave a deadly task two more minions.

Cause: the record was kept by the dispatcher alone, and the host that resubmits the job knew only a release. Class: state that decides about a retry lives in the process that is retried around.

Change: a dispatcher sends each crash under a task to the host that submitted the job, which logs it and sends it along with every later submission; a release carries it too. What is not covered: a crash that the killed dispatcher had not noticed.

Tests: stand-in minions now crash under given tasks, and the checker knows the rule (three starts after three crashes).

--- a/packages/chivestream-host/src/__fixtures__/site.ts
+++ b/packages/chivestream-host/src/__fixtures__/site.ts
@@ -19,6 +19,10 @@
 	store: StoreStandIn;
 	minions: MinionStandIn[];
 	checker: Checker;
+	/** Names of tasks that crash each minion that starts them. */
+	deadlyTasks: Set<string>;
+	/** Number of log events of all hosts, by their name. */
+	eventCounts: Map<string, number>;
 	hosts: Array<{host: EntryHost; settings: HostSettings}>;
 	/** Submits a job of `count` tasks to a host. Each task takes `workMs`; a negative value makes it fail after that time. */
 	submit: (hostIndex: number, job: {id: string; count: number; workMs: number; prefix?: string; callerTimeoutMs?: number}) => Promise<CallerResult>;
@@ -105,6 +109,8 @@
 	const checker = new Checker();
 	const store = await startStoreStandIn();
 	const workMsByJob = new Map<string, number>();
+	const deadlyTasks = new Set<string>();
+	const eventCounts = new Map<string, number>();
 	const minions: MinionStandIn[] = [];
 	for (let index = 0; index < minionCount; index += 1) {
 		// eslint-disable-next-line no-await-in-loop -- the servers are few and start quickly
@@ -116,13 +122,16 @@
 			capacity,
 			leaseMs,
 			workMs: task => workMsByJob.get(task.slice(0, task.indexOf('.'))) ?? 0,
+			isDeadly: task => deadlyTasks.has(task),
 		}));
 	}
 
 	let registeredCount = initiallyRegistered;
 	const writeHeartbeats = () => {
 		for (const minion of minions.slice(0, registeredCount)) {
-			store.write('keyed.servers', minion.id, minion.createRegistryEntry());
+			if (!minion.isDown()) {
+				store.write('keyed.servers', minion.id, minion.createRegistryEntry());
+			}
 		}
 	};
 
@@ -146,8 +155,8 @@
 
 	const startHost = async (index: number) => {
 		settings[index] ??= await createSettings(index, zones[index % zones.length]!, {store: store.address, leaseMs});
-		const host = new EntryHost(settings[index], () => {
-			// Tests check only what callers and minions receive.
+		const host = new EntryHost(settings[index], event => {
+			eventCounts.set(event, (eventCounts.get(event) ?? 0) + 1);
 		});
 		hosts[index] = {host, settings: settings[index]};
 		await host.start();
@@ -169,6 +178,8 @@
 		store,
 		minions,
 		checker,
+		deadlyTasks,
+		eventCounts,
 		hosts,
 		async submit(hostIndex, {id, count, workMs, prefix = '/read/', callerTimeoutMs = 8000}) {
 			checker.recordJob(id, taskMillicores);
--- a/packages/chivestream-host/src/__tests__/host.test.ts
+++ b/packages/chivestream-host/src/__tests__/host.test.ts
@@ -104,6 +104,32 @@
 		expect(testSite.checker.violations).toEqual([]);
 	});
 
+	test('give up a task that crashes its minions after two of them, and complete the jobs beside it', async () => {
+		const testSite = await start(2, 6);
+		testSite.deadlyTasks.add(`${jobId(1)}.0.0.1`);
+		const deadly = testSite.submit(0, {id: jobId(1), count: 3, workMs: 100});
+		const others = await Promise.all(Array.from({length: 8}, async (_, index) =>
+			testSite.submit(index % 2, {id: jobId(index + 2), count: 2, workMs: 100})));
+		expect(await deadly).toMatchObject({status: 200, body: {state: 'failed'}});
+		expect(others.map(({status, body}) => [status, body])).toEqual(others.map(() => [200, {state: 'completed'}]));
+		expect(testSite.checker.maxCrashes()).toBe(2);
+		expect(testSite.checker.violations).toEqual([]);
+	});
+
+	test('go on counting the crashes under a task when its dispatcher is killed after the first', async () => {
+		const testSite = await start(3, 4, {initiallyRegistered: 1});
+		const dispatcher = await testSite.dispatcherIndex();
+		const origin = [0, 1, 2].find(index => index !== dispatcher)!;
+		testSite.deadlyTasks.add(`${jobId(1)}.0.0.0`);
+		const deadly = testSite.submit(origin, {id: jobId(1), count: 1, workMs: 100});
+		await until(() => testSite.eventCounts.has('task-crashed-minion'));
+		await testSite.hosts[dispatcher]!.host.close();
+		testSite.register(4);
+		expect(await deadly).toMatchObject({status: 200, body: {state: 'failed'}});
+		expect(testSite.checker.maxCrashes()).toBe(2);
+		expect(testSite.checker.violations).toEqual([]);
+	});
+
 	test('use a restarted minion again and rerun its tasks', async () => {
 		const testSite = await start(1, 1);
 		const result = testSite.submit(0, {id: jobId(1), count: 1, workMs: 300});
--- a/packages/chivestream-host/src/__tests__/job-client.test.ts
+++ b/packages/chivestream-host/src/__tests__/job-client.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, test} from '@jest/globals';
-import {outcomeKind, type JobRequest} from 'chivestream-dispatch';
+import {outcomeKind, type CrashRecord, type JobRequest} from 'chivestream-dispatch';
 import {runJob, type DispatcherHandle, type JobClientOptions} from '../job-client.js';
 import {type RemoteOutcome} from '../peer-link.js';
 
@@ -17,18 +17,26 @@
 	mayHaveRun: false,
 };
 
-type FakeDispatcher = Partial<DispatcherHandle> & {answers: RemoteOutcome[]};
+type FakeDispatcher = Partial<DispatcherHandle> & {
+	answers: RemoteOutcome[];
+	/** Crashes that the dispatcher reports before its first answer, by the name of the task. */
+	crashes?: Record<string, CrashRecord>;
+};
 
 /** Options of a job client whose clock advances to each deadline that it waits for, and dispatchers that answer from a list. */
 const createClient = (fakes: FakeDispatcher[]) => {
 	let time = 0;
 	const submitted: Array<{name: string; at: number; job: JobRequest}> = [];
-	const toHandle = ({answers, ...fake}: FakeDispatcher): DispatcherHandle => ({
+	const toHandle = ({answers, crashes = {}, ...fake}: FakeDispatcher): DispatcherHandle => ({
 		name: 'd',
 		cell: 'z/1 of 1',
 		claim: 1,
-		submit(request, settle) {
+		submit(request, {settle, onTaskCrashed}) {
 			submitted.push({name: fake.name ?? 'd', at: time, job: request});
+			for (const [task, record] of Object.entries(crashes)) {
+				onTaskCrashed(task, record);
+			}
+
 			settle(answers.shift() ?? {kind: outcomeKind.completed});
 		},
 		cancel() {
@@ -78,6 +86,24 @@
 		expect(client.submitted.map(({name, at}) => [name, at])).toEqual([['d1', 0], ['d2', 1300]]);
 	});
 
+	test('goes to the next dispatcher with the crashes that the lost one had reported', async () => {
+		const crashes = {t: {incarnations: ['m@1'], wasAlone: true, isSuspect: true}};
+		const client = createClient([{answers: [{kind: 'lost'}], crashes}]);
+		expect(await runJob(client.options, job).outcome).toEqual({kind: outcomeKind.completed});
+		expect(client.submitted.map(submission => submission.job.crashes)).toEqual([undefined, crashes]);
+	});
+
+	test('goes to the next dispatcher with the crashes of its release', async () => {
+		const crashes = {t: {incarnations: ['m@1'], wasAlone: true, isSuspect: true}};
+		const client = createClient([{answers: [{kind: outcomeKind.released, doneTasks: [], crashes}]}]);
+		client.options.untilChange = async () => {
+			client.handles[0]!.claim = 2;
+		};
+
+		expect(await runJob(client.options, job).outcome).toEqual({kind: outcomeKind.completed});
+		expect(client.submitted[1]?.job.crashes).toEqual(crashes);
+	});
+
 	test('is refused with a retry delay if no dispatcher was ever reachable', async () => {
 		const client = createClient([]);
 		expect(await runJob(client.options, job).outcome).toMatchObject({kind: outcomeKind.refused, retryAfterMs: 1000});
--- a/packages/chivestream-host/src/__tests__/peer-server.test.ts
+++ b/packages/chivestream-host/src/__tests__/peer-server.test.ts
@@ -70,7 +70,7 @@
 			// Not of interest.
 		},
 		isDispatcher: () => false,
-		submit(_, settleJob) {
+		submit(_, {settle: settleJob}) {
 			settle = () => {
 				settleJob({kind: 'completed'});
 			};
--- a/packages/chivestream-host/src/dispatcher-table.ts
+++ b/packages/chivestream-host/src/dispatcher-table.ts
@@ -113,8 +113,8 @@
 				name: self.name,
 				cell: this.localCellName(cell),
 				claim: service.token,
-				submit(job, settle) {
-					service.dispatcher.submit(job, settle);
+				submit(job, {settle, onTaskCrashed}) {
+					service.dispatcher.submit(job, settle, onTaskCrashed);
 				},
 				cancel(id) {
 					service.dispatcher.cancel(id);
@@ -140,8 +140,8 @@
 			name: record.name,
 			cell: name,
 			claim: claim.token,
-			submit: (job, settle) => {
-				link.submit(toJobMessage(job, name, this.options.now()), settle);
+			submit: (job, callbacks) => {
+				link.submit(toJobMessage(job, name, this.options.now()), callbacks);
 			},
 			cancel(id) {
 				link.cancel(id);
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -132,12 +132,12 @@
 				this.peers.recordStatus(host, status);
 			},
 			isDispatcher: host => this.peers.isDispatcher(host.name),
-			submit: (message, settle) => {
+			submit: (message, {settle, onTaskCrashed}) => {
 				const service = this.claim.serviceOfCell(message.cell);
 				if (service === undefined) {
 					settle({kind: 'released', doneTasks: []});
 				} else {
-					service.dispatcher.submit(fromJobMessage(message, now()), settle);
+					service.dispatcher.submit(fromJobMessage(message, now()), settle, onTaskCrashed);
 				}
 			},
 			cancel: id => {
--- a/packages/chivestream-host/src/job-client.ts
+++ b/packages/chivestream-host/src/job-client.ts
@@ -1,9 +1,11 @@
 /** Submits the jobs of this host's callers to dispatchers, and resubmits those that a dispatcher loses or releases. */
 /* eslint-disable no-await-in-loop -- iterations are sequential */
-import {outcomeKind, type JobRequest, type Outcome} from 'chivestream-dispatch';
+import {
+	outcomeKind, type CrashRecord, type JobRequest, type Outcome,
+} from 'chivestream-dispatch';
 import {type Report} from './host-log.js';
 import {type JobMessage} from './messages.js';
-import {type RemoteOutcome} from './peer-link.js';
+import {type RemoteOutcome, type SubmissionCallbacks} from './peer-link.js';
 import {hostTiming} from './timing.js';
 
 /** Access to the dispatcher of one cell, on this host or over the link to another. */
@@ -14,8 +16,8 @@
 	cell: string;
 	/** The fencing token of its claim to the cell. */
 	claim: number;
-	/** Submits a job; `settle` is called once, with its outcome or its loss. */
-	submit: (job: JobRequest, settle: (outcome: RemoteOutcome) => void) => void;
+	/** Submits a job. */
+	submit: (job: JobRequest, callbacks: SubmissionCallbacks) => void;
 	cancel: (id: string) => void;
 };
 
@@ -56,6 +58,7 @@
 	submission: job.submission,
 	mayHaveRun: job.mayHaveRun,
 	...(job.doneTasks !== undefined && {doneTasks: [...job.doneTasks]}),
+	...(job.crashes !== undefined && {crashes: {...job.crashes}}),
 });
 
 /** Converts a received message to a job, whose times are on the local monotonic clock, in milliseconds. */
@@ -112,6 +115,11 @@
 		? {kind: outcomeKind.abandoned, reason}
 		: {kind: outcomeKind.refused, reason, retryAfterMs};
 
+	const recordCrashes = (task: string, crashes: CrashRecord) => {
+		report('task-crashed-minion', {job: job.id, task, crashes: crashes.incarnations.length});
+		job = {...job, crashes: {...job.crashes, [task]: crashes}};
+	};
+
 	const run = async (): Promise<Outcome> => {
 		for (;;) {
 			const found = await findDispatcher();
@@ -122,7 +130,7 @@
 			currentDispatcher = found;
 			const submitted = job;
 			const outcome = await new Promise<RemoteOutcome>(resolve => {
-				found.submit(submitted, resolve);
+				found.submit(submitted, {settle: resolve, onTaskCrashed: recordCrashes});
 			});
 			currentDispatcher = undefined;
 			if (controller.signal.aborted) {
@@ -138,6 +146,7 @@
 
 				case outcomeKind.released: {
 					releasedClaim = found.claim;
+					job = {...job, ...(outcome.crashes !== undefined && {crashes: {...job.crashes, ...outcome.crashes}})};
 					prepareResubmission(found, outcome.doneTasks);
 					break;
 				}
--- a/packages/chivestream-host/src/message-schemas.ts
+++ b/packages/chivestream-host/src/message-schemas.ts
@@ -1,6 +1,6 @@
 /** Validates the messages of other hosts, which may run another build. */
 import {
-	outcomeKind, type MinionRecord, type Outcome, type Step,
+	outcomeKind, type CrashRecord, type MinionRecord, type Outcome, type Step,
 } from 'chivestream-dispatch';
 import {type Declarations} from 'chivestream-platform';
 import {isReachableAddress} from 'chivestream-settings';
@@ -43,6 +43,14 @@
 	maxPerMinion: z.number().optional(),
 });
 
+const crashRecordSchema: z.ZodType<CrashRecord> = z.object({
+	incarnations: z.array(z.string()).min(1),
+	wasAlone: z.boolean(),
+	isSuspect: z.boolean(),
+});
+
+const crashesSchema = z.record(z.string(), crashRecordSchema);
+
 const jobMessageSchema: z.ZodType<JobMessage> = z.object({
 	id: z.string(),
 	cell: z.string(),
@@ -57,6 +65,7 @@
 	submission: z.number().int().min(0),
 	mayHaveRun: z.boolean(),
 	doneTasks: z.array(z.string()).optional(),
+	crashes: crashesSchema.optional(),
 });
 
 const outcomeSchema: z.ZodType<Outcome> = z.discriminatedUnion('kind', [
@@ -65,7 +74,7 @@
 	z.object({kind: z.literal(outcomeKind.refused), reason: z.string(), retryAfterMs: z.number()}),
 	z.object({kind: z.literal(outcomeKind.abandoned), reason: z.string()}),
 	z.object({kind: z.literal(outcomeKind.redirected), cell: z.string()}),
-	z.object({kind: z.literal(outcomeKind.released), doneTasks: z.array(z.string())}),
+	z.object({kind: z.literal(outcomeKind.released), doneTasks: z.array(z.string()), crashes: crashesSchema.optional()}),
 ]);
 
 const declarationsSchema: z.ZodType<Declarations> = z.object({
@@ -114,6 +123,9 @@
 	z.object({
 		type: z.literal('settled'), id: z.string(), submission: z.number(), outcome: outcomeSchema,
 	}),
+	z.object({
+		type: z.literal('task-crashed'), id: z.string(), submission: z.number(), task: z.string(), crashes: crashRecordSchema,
+	}),
 	z.object({type: z.literal('declarations'), declarations: declarationsSchema}),
 	z.object({type: z.literal('minions'), minions: z.array(minionRecordSchema)}),
 ]);
--- a/packages/chivestream-host/src/messages.ts
+++ b/packages/chivestream-host/src/messages.ts
@@ -1,5 +1,7 @@
 /** Messages between entry hosts, sent as JSON over one stream in each direction. */
-import {type MinionRecord, type Outcome, type Step} from 'chivestream-dispatch';
+import {
+	type CrashRecord, type MinionRecord, type Outcome, type Step,
+} from 'chivestream-dispatch';
 import {type Declarations} from 'chivestream-platform';
 
 /** One incarnation of an entry host. */
@@ -53,6 +55,7 @@
 	submission: number;
 	mayHaveRun: boolean;
 	doneTasks?: string[];
+	crashes?: Record<string, CrashRecord>;
 };
 
 /** A message from the host that opened the stream. */
@@ -69,5 +72,7 @@
 	/** The dispatchers of all zones that the sender has recorded. */
 		| {type: 'dispatchers'; hosts: HostRecord[]}
 		| {type: 'settled'; id: string; submission: number; outcome: Outcome}
+	/** The crashes of minions under a task of a submitted job; its host passes them on to the next dispatcher if this one is lost. */
+		| {type: 'task-crashed'; id: string; submission: number; task: string; crashes: CrashRecord}
 		| {type: 'declarations'; declarations: Declarations}
 		| {type: 'minions'; minions: MinionRecord[]};
--- a/packages/chivestream-host/src/peer-link.ts
+++ b/packages/chivestream-host/src/peer-link.ts
@@ -1,7 +1,7 @@
 /** A link to another host: a stream that is reopened whenever it breaks or becomes silent. */
 /* eslint-disable no-await-in-loop -- iterations are sequential */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Outcome} from 'chivestream-dispatch';
+import {type Job, type Outcome} from 'chivestream-dispatch';
 import {reachability, type Reachability} from './election.js';
 import {parsePeerReply} from './message-schemas.js';
 import {
@@ -13,6 +13,12 @@
 /** Outcome of a job that was submitted to another host; `lost` if the stream broke before the outcome arrived. */
 export type RemoteOutcome = Outcome | {kind: 'lost'};
 
+/** Callbacks of a job that was submitted to another host. */
+export type SubmissionCallbacks = Pick<Job, 'onTaskCrashed'> & {
+	/** Called exactly once. */
+	settle: (outcome: RemoteOutcome) => void;
+};
+
 /** Dependencies and callbacks of a link. */
 export type PeerLinkOptions = {
 	/** The host to connect to. */
@@ -41,8 +47,8 @@
 	/** The status last received from the host. */
 	status: HostStatus | undefined;
 	private readonly options: PeerLinkOptions;
-	/** Callbacks for the outcomes of submitted jobs, by job ID and submission number. */
-	private readonly pending = new Map<string, (outcome: RemoteOutcome) => void>();
+	/** Callbacks of submitted jobs, by job ID and submission number. */
+	private readonly pending = new Map<string, SubmissionCallbacks>();
 	private readonly controller = new AbortController();
 	private stream: RequestStream | undefined;
 	private lastReplyTime = Number.NEGATIVE_INFINITY;
@@ -93,10 +99,10 @@
 		return this.isUp;
 	}
 
-	/** Submits a job; `settle` is called exactly once with its outcome. */
-	submit(job: JobMessage, settle: (outcome: RemoteOutcome) => void): void {
+	/** Submits a job. */
+	submit(job: JobMessage, callbacks: SubmissionCallbacks): void {
 		if (this.stream === undefined || !this.isUp) {
-			settle({kind: 'lost'});
+			callbacks.settle({kind: 'lost'});
 			return;
 		}
 
@@ -104,7 +110,7 @@
 			this.pendingSince = this.options.now();
 		}
 
-		this.pending.set(`${job.id}/${job.submission}`, settle);
+		this.pending.set(`${job.id}/${job.submission}`, callbacks);
 		this.send({type: 'submit', job});
 	}
 
@@ -162,7 +168,7 @@
 
 			const pending = [...this.pending.values()];
 			this.pending.clear();
-			for (const settle of pending) {
+			for (const {settle} of pending) {
 				settle({kind: 'lost'});
 			}
 
@@ -239,9 +245,14 @@
 
 		if (reply.type === 'settled') {
 			const key = `${reply.id}/${reply.submission}`;
-			const settle = this.pending.get(key);
+			const callbacks = this.pending.get(key);
 			this.pending.delete(key);
-			settle?.(reply.outcome);
+			callbacks?.settle(reply.outcome);
+			return;
+		}
+
+		if (reply.type === 'task-crashed') {
+			this.pending.get(`${reply.id}/${reply.submission}`)?.onTaskCrashed(reply.task, reply.crashes);
 			return;
 		}
 
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -1,5 +1,5 @@
 /** Streams that other hosts have opened to this one: receives their jobs, and sends them outcomes, status and updates. */
-import {type Outcome} from 'chivestream-dispatch';
+import {type Job} from 'chivestream-dispatch';
 import {parsePeerRequest} from './message-schemas.js';
 import {
 	type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest,
@@ -23,8 +23,8 @@
 	onHost: (host: HostRecord, status: HostStatus) => void;
 	/** Whether a host dispatches. It uses the free capacity in each status, and so gets them all. */
 	isDispatcher: (host: HostRecord) => boolean;
-	/** Submits a job to a local dispatcher; `settle` is called with its outcome. */
-	submit: (job: JobMessage, settle: (outcome: Outcome) => void) => void;
+	/** Submits a job to a local dispatcher; the callbacks receive its outcome and the crashes under its tasks. */
+	submit: (job: JobMessage, callbacks: Pick<Job, 'settle' | 'onTaskCrashed'>) => void;
 	/** Cancels a job whose caller or host has disconnected. */
 	cancel: (id: string) => void;
 };
@@ -202,15 +202,22 @@
 		// The host of a pending job must detect quickly that this one is lost.
 		attachment.statusDueAt = Math.min(attachment.statusDueAt, this.options.now() + hostTiming.heartbeatMs - timerToleranceMs);
 		this.attachmentByJob.set(id, attachment);
-		this.options.submit(job, outcome => {
-			attachment.jobs.delete(id);
-			if (this.attachmentByJob.get(id) === attachment) {
-				this.attachmentByJob.delete(id);
-			}
+		this.options.submit(job, {
+			settle: outcome => {
+				attachment.jobs.delete(id);
+				if (this.attachmentByJob.get(id) === attachment) {
+					this.attachmentByJob.delete(id);
+				}
 
-			this.send(attachment, {
-				type: 'settled', id, submission, outcome,
-			});
+				this.send(attachment, {
+					type: 'settled', id, submission, outcome,
+				});
+			},
+			onTaskCrashed: (task, crashes) => {
+				this.send(attachment, {
+					type: 'task-crashed', id, submission, task, crashes,
+				});
+			},
 		});
 	}
 
--- a/packages/chivestream-site-stand-ins/src/checker.ts
+++ b/packages/chivestream-site-stand-ins/src/checker.ts
@@ -2,13 +2,17 @@
 
 /**
  * A violated invariant: `limit` for a minion over its capacity, `twice` for two active runs of a task, `refused` for a run
- * of a job that was refused as not run, `unasked` for a run of an unknown job.
+ * of a job that was refused as not run, `unasked` for a run of an unknown job, `budget` for a task that is started further
+ * times after it has crashed too many minions.
  */
 export type Violation = {
-	rule: 'limit' | 'twice' | 'refused' | 'unasked';
+	rule: 'limit' | 'twice' | 'refused' | 'unasked' | 'budget';
 	detail: string;
 };
 
+/** Number of crashes of minions under a task, and of later starts, that violate `budget`. */
+const budget = {crashes: 3, laterStarts: 3} as const;
+
 /** Records submitted jobs and the runs on minions, and collects violations. Task names are `<job id>.<suffix>`. */
 export class Checker {
 	readonly violations: Violation[] = [];
@@ -19,6 +23,8 @@
 	/** Active run numbers by task and minion. */
 	private readonly activeRuns = new Map<string, Map<string, Set<string>>>();
 	private readonly startedJobs = new Set<string>();
+	/** Number of crashes under a task, and of its starts since they used up the budget. */
+	private readonly crashes = new Map<string, {crashes: number; laterStarts: number}>();
 
 	/** Records a job before it is submitted. */
 	recordJob(id: string, millicores: number): void {
@@ -45,6 +51,7 @@
 			this.violations.push({rule: 'unasked', detail: `${task} on ${minion}`});
 		}
 
+		this.checkBudget(task);
 		const runsByMinion = this.activeRuns.get(task) ?? new Map<string, Set<string>>();
 		this.activeRuns.set(task, runsByMinion);
 		const otherMinions = [...runsByMinion].filter(([, runs]) => runs.size > 0).map(([minionId]) => minionId);
@@ -63,6 +70,18 @@
 		}
 	}
 
+	/** Records that a task has crashed its minion. */
+	recordCrash(task: string): void {
+		const record = this.crashes.get(task) ?? {crashes: 0, laterStarts: 0};
+		record.crashes += 1;
+		this.crashes.set(task, record);
+	}
+
+	/** Largest number of crashes under one task. */
+	maxCrashes(): number {
+		return Math.max(0, ...[...this.crashes.values()].map(({crashes}) => crashes));
+	}
+
 	/** Records the end of a run on a minion. */
 	recordEnd(minion: string, task: string, run: number): void {
 		const runsByMinion = this.activeRuns.get(task);
@@ -71,6 +90,16 @@
 			this.activeRuns.delete(task);
 		}
 	}
+
+	private checkBudget(task: string): void {
+		const record = this.crashes.get(task);
+		if (record !== undefined && record.crashes >= budget.crashes) {
+			record.laterStarts += 1;
+			if (record.laterStarts >= budget.laterStarts) {
+				this.violations.push({rule: 'budget', detail: `${task} was started ${record.laterStarts} times after ${record.crashes} crashes`});
+			}
+		}
+	}
 }
 
 const getJobId = (task: string): string => task.slice(0, task.indexOf('.'));
--- a/packages/chivestream-site-stand-ins/src/minion.ts
+++ b/packages/chivestream-site-stand-ins/src/minion.ts
@@ -1,5 +1,6 @@
 /** Stand-in for a minion. It runs tasks under a lease and does not enforce its capacity; the checker reports overload. */
 import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Checker} from './checker.js';
 import {
 	jsonResponse, startStandInServer, type StandInResponse, type StandInRequest, type StandInServer,
@@ -15,6 +16,8 @@
 	capacity: number;
 	/** Run time of a task in milliseconds; if negative, the task fails after its absolute value. */
 	workMs: (task: string) => number;
+	/** Whether a task crashes the minion soon after its start; none does by default. */
+	isDeadly?: (task: string) => boolean;
 	/** Longest lease, in milliseconds. */
 	leaseMs: number;
 	/** Address at which to listen; a free port of 127.0.0.1 by default. */
@@ -33,6 +36,8 @@
 	delayStarts: (share: number, draw: () => number) => void;
 	/** Simulates a crash and restart: all runs are lost, and a new incarnation starts. */
 	crash: () => void;
+	/** Whether the minion has crashed and does not listen again yet. */
+	isDown: () => boolean;
 	runningTasks: () => string[];
 };
 
@@ -49,6 +54,10 @@
 /** Delay between a stop request and the end of its run, in milliseconds. */
 const stopDelayMs = 10;
 const leaseCheckIntervalMs = 20;
+/** Delay between the start of a deadly task and the crash, in milliseconds. */
+const deadlyDelayMs = 10;
+/** Time after which a minion that a task has crashed listens again, in milliseconds. */
+const downMs = 600;
 /** Range of the delay of delayed start requests, in milliseconds. */
 const startDelayMs = {least: 600, most: 2500} as const;
 
@@ -119,6 +128,12 @@
 		extendLease(deadline);
 		const key = `${task}/${run}`;
 		if (!activeRuns.has(key)) {
+			if (options.isDeadly?.(task) === true) {
+				setTimeout(() => {
+					void crashUnder(task, key);
+				}, deadlyDelayMs);
+			}
+
 			const workMs = options.workMs(task);
 			checker.recordStart(id, options.capacity, task, run);
 			activeRuns.set(key, {
@@ -211,16 +226,60 @@
 		}
 	};
 
-	const server = await startStandInServer(handle, options.at);
+	let server = await startStandInServer(handle, options.at);
+	const {address} = server;
+	let isDown = false;
+	let isClosed = false;
+
+	const crash = () => {
+		for (const activeRun of activeRuns.values()) {
+			clearTimeout(activeRun.timer);
+			checker.recordEnd(id, activeRun.task, activeRun.run);
+		}
+
+		activeRuns = new Map();
+		ended = [];
+		highestRunByTask = new Map();
+		waiters = new Set();
+		highestToken = 0;
+		leaseDeadline = 0;
+		lastCursor = 0;
+		bornAt = Math.max(bornAt + 1, Date.now());
+		clockStart = performance.now();
+	};
+
+	/** Crashes under a task if the run is still active, and listens again at the same address after a while. */
+	const crashUnder = async (task: string, key: string) => {
+		if (isDown || isClosed || !activeRuns.has(key)) {
+			return;
+		}
+
+		isDown = true;
+		checker.recordCrash(task);
+		crash();
+		await server.close();
+		await sleep(downMs);
+		if (!isClosed) {
+			const [ip = '', port] = address.split(':');
+			server = await startStandInServer(handle, {ip, port: Number(port)});
+			crash();
+			isDown = false;
+		}
+	};
+
 	let sequence = 0;
 	return {
-		...server,
+		address,
+		setAvailability(newAvailability) {
+			server.setAvailability(newAvailability);
+		},
 		id,
+		isDown: () => isDown,
 		createRegistryEntry(state = 'ready') {
 			sequence += 1;
 			return JSON.stringify({
 				service: options.upstream,
-				address: server.address,
+				address,
 				zone: options.zone,
 				version: 'v1',
 				slots: 8,
@@ -237,24 +296,10 @@
 			delayedShare = share;
 			drawDelay = draw;
 		},
-		crash() {
-			for (const activeRun of activeRuns.values()) {
-				clearTimeout(activeRun.timer);
-				checker.recordEnd(id, activeRun.task, activeRun.run);
-			}
-
-			activeRuns = new Map();
-			ended = [];
-			highestRunByTask = new Map();
-			waiters = new Set();
-			highestToken = 0;
-			leaseDeadline = 0;
-			lastCursor = 0;
-			bornAt = Math.max(bornAt + 1, Date.now());
-			clockStart = performance.now();
-		},
+		crash,
 		runningTasks: () => [...activeRuns.values()].map(({task}) => task),
 		async close() {
+			isClosed = true;
 			clearInterval(leaseTimer);
 			await server.close();
 		},
