Neither starve a task that must run alone nor spend minions on a likely deadly one

Callers saw: of the suspects of a crash, those that were not its cause waited for an empty minion that never came at high load, and ended with 504; likely causes were started again at once where healthy jobs needed the room.

Cause: each freed slot is filled at once, so a busy cell has no empty minion; and all suspects were treated alike. Class: starvation by smaller requests.

Change: for a suspect that is one of several, one minion of a cell at a time gets no new runs until it is empty. The only suspect of a crash has probably caused it, and runs only while three minions are empty, or all of them.

Tests: the three new ones fail before.

--- a/packages/chivestream-dispatch/src/__tests__/crash.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/crash.test.ts
@@ -65,7 +65,13 @@
 		}
 
 		const task = `${deadlyId}.0.0.0`;
-		const outcomes = recorded.submit(longJob(deadlyId, {crashes: {[task]: {incarnations: ['x@1', 'y@1'], wasAlone: false, isSuspect: false}}}));
+		const outcomes = recorded.submit(longJob(deadlyId, {
+			crashes: {
+				[task]: {
+					incarnations: ['x@1', 'y@1'], wasAlone: false, isSuspect: false, isOnlySuspect: false,
+				},
+			},
+		}));
 		crashEachMinion(recorded, deadlyId);
 		expect(runsOf(recorded, deadlyId)).toHaveLength(1);
 		expect(outcomes).toMatchObject([{kind: outcomeKind.failed}]);
@@ -217,3 +223,82 @@
 		expect([runsOf(recorded, otherId).length, runsOf(recorded, deadlyId).length]).toEqual([2, 1]);
 	});
 });
+
+describe('a task that must run alone', () => {
+	/** Ends the oldest run of a minion, if any. */
+	const endOldestRun = (recorded: RecordedDispatcher, id: string) => {
+		const [oldest, ...others] = recorded.minion(id).runs.values();
+		if (oldest !== undefined) {
+			recorded.advance(10);
+			recorded.report(id, others.map(run => [run.task, run.number]), [[oldest.task, oldest.number, 'done']]);
+		}
+	};
+
+	test('gets a minion while other tasks fill each slot that becomes free', () => {
+		const recorded = createDispatcher(['m1', 'm2']);
+		const crashes = {
+			[`${deadlyId}.0.0.0`]: {
+				incarnations: ['x@1'], wasAlone: false, isSuspect: true, isOnlySuspect: false,
+			},
+		};
+		const others = Array.from({length: 20}, (_, index) => (index + 256).toString(16).padStart(16, '0'));
+		for (const id of others.slice(0, 4)) {
+			recorded.submit(longJob(id));
+		}
+
+		recorded.submit(longJob(deadlyId, {crashes}));
+		for (const id of others.slice(4)) {
+			recorded.submit(longJob(id));
+		}
+
+		for (let round = 0; round < 4 && runsOf(recorded, deadlyId).length === 0; round += 1) {
+			for (const run of recorded.starts) {
+				confirm(recorded, run);
+			}
+
+			endOldestRun(recorded, 'm1');
+			endOldestRun(recorded, 'm2');
+		}
+
+		const [run] = runsOf(recorded, deadlyId);
+		expect(run === undefined ? undefined : [...run.minion.runs.keys()]).toEqual([`${deadlyId}.0.0.0/1`]);
+		expect(recorded.starts.length).toBeGreaterThan(6);
+	});
+
+	test('frees the minion that is kept for it when its job ends', () => {
+		const recorded = createDispatcher(['m1']);
+		const crashes = {
+			[`${deadlyId}.0.0.0`]: {
+				incarnations: ['x@1'], wasAlone: false, isSuspect: true, isOnlySuspect: false,
+			},
+		};
+		recorded.submit(longJob(otherId));
+		recorded.submit(longJob(deadlyId, {crashes}));
+		recorded.submit(longJob('00000000000000c0'));
+		expect(recorded.starts).toHaveLength(1);
+		recorded.dispatcher.cancel(deadlyId);
+		expect(recorded.starts).toHaveLength(2);
+	});
+
+	test('and has probably crashed a minion is started again only while several minions are empty', () => {
+		const recorded = createDispatcher(['m1', 'm2', 'm3', 'm4']);
+		recorded.submit(longJob(otherId));
+		recorded.submit(longJob('00000000000000c0'));
+		recorded.submit(longJob('00000000000000c1'));
+		for (const run of recorded.starts) {
+			confirm(recorded, run);
+		}
+
+		const crashes = {
+			[`${deadlyId}.0.0.0`]: {
+				incarnations: ['x@1'], wasAlone: false, isSuspect: true, isOnlySuspect: true,
+			},
+		};
+		recorded.submit(longJob(deadlyId, {crashes}));
+		expect(runsOf(recorded, deadlyId)).toHaveLength(0);
+		const run = runsOf(recorded, '00000000000000c1')[0]!;
+		recorded.advance(10);
+		recorded.report(run.minion.record.id, [], [[run.task, run.number, 'done']]);
+		expect(runsOf(recorded, deadlyId)).toHaveLength(1);
+	});
+});
--- a/packages/chivestream-dispatch/src/crash.ts
+++ b/packages/chivestream-dispatch/src/crash.ts
@@ -43,6 +43,8 @@
 	wasAlone: boolean;
 	/** Whether the task is a likely cause of one of them, and therefore runs only alone on a minion. */
 	isSuspect: boolean;
+	/** Whether it is the only likely cause of one of them, and therefore runs only while several minions are empty. */
+	isOnlySuspect: boolean;
 };
 
 /** Number of crashes after which a task that was alone on a crashed minion is given up. */
@@ -65,6 +67,7 @@
 		incarnations,
 		wasAlone: one.wasAlone || other.wasAlone,
 		isSuspect: one.isSuspect || other.isSuspect || incarnations.length > 1,
+		isOnlySuspect: one.isOnlySuspect || other.isOnlySuspect,
 	};
 };
 
@@ -79,9 +82,11 @@
 	// It is not known when an inherited run started.
 	const startOf = (run: Run) => run.isInherited ? Number.NEGATIVE_INFINITY : run.requestedAt;
 	const lastStart = Math.max(...runs.map(run => startOf(run)));
+	const suspects = new Set(runs.filter(run => startOf(run) >= lastStart - closeStartsMs));
 	return new Map(runs.map(run => [run.task, {
 		incarnations: [incarnation],
 		wasAlone: runs.length === 1,
-		isSuspect: startOf(run) >= lastStart - closeStartsMs,
+		isSuspect: suspects.has(run),
+		isOnlySuspect: suspects.has(run) && suspects.size === 1,
 	}]));
 };
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -8,11 +8,13 @@
 	createMinionPool, expectedSlowness, freeTasks, type MinionPool,
 } from './minion-pool.js';
 import {
-	crashesOf, createJob, isComplete, jobIdOfTask, taskState, unblockTasks, type Job, type JobRequest, type Task,
+	crashesOf, createJob, isComplete, isLikelyDeadly, mustRunAlone, jobIdOfTask, taskState, unblockTasks, type Job, type JobRequest, type Task,
 } from './job.js';
 import {type Minion, type MinionRecord, type Run} from './minion.js';
 import {outcomeKind, type Outcome} from './outcome.js';
-import {isUsable, placeTask, type PoolView} from './placement.js';
+import {
+	isUsable, placeTask, selectReservation, type PoolView, type Reservation,
+} from './placement.js';
 import {
 	Runs, type MinionReport, type RunDependencies, type StartAnswer,
 } from './runs.js';
@@ -66,6 +68,9 @@
 /** Assumed mean size of a task before the first job is submitted, in thousandths of a core. */
 const defaultTaskMillicores = 1000;
 
+/** Number of empty minions from which one may be lost to a task that has probably crashed one already. */
+const spareMinions = 3;
+
 /** Weight of each newly submitted step in the moving mean of the task size. */
 const newSizeWeight = 0.05;
 
@@ -82,6 +87,11 @@
 	private readonly runs: Runs;
 	private readonly unplaceableSizes = new UnplaceableSizes();
 	private readonly startedAt: number;
+	/**
+	 * Keeps a minion free for a task that must run alone. At high load each freed slot is filled at once, so that no minion would
+	 * ever be empty.
+	 */
+	private reservation: Reservation | undefined;
 	/** Moving mean of the CPU size of submitted tasks; 0 before the first job. */
 	private observedMeanMillicores = 0;
 	/** Whether this dispatcher has released its jobs and is shutting down. */
@@ -247,7 +257,7 @@
 		const now = this.dependencies.now();
 		let spare = 0;
 		for (const minion of this.pool.minions.values()) {
-			if (isUsable(minion, now)) {
+			if (isUsable(minion, now) && minion !== this.reservation?.minion) {
 				spare += freeTasks(minion, this.meanTaskMillicores());
 			}
 		}
@@ -285,6 +295,8 @@
 			return;
 		}
 
+		const now = this.dependencies.now();
+		this.endReservation(now);
 		this.unplaceableSizes.refresh(this.pool.capacityRevision);
 		const isPlaceable = (task: Task) => task.state === taskState.waiting && !this.unplaceableSizes.has(task);
 		const waiting: Job[] = [];
@@ -298,10 +310,11 @@
 			return;
 		}
 
-		const now = this.dependencies.now();
 		// Inherited runs were started for a previous dispatcher of this cell.
 		const hasObservedInheritedRuns = this.runs.hasObservedInheritedRuns(now);
-		const view: PoolView = {now, farFactor: this.bounds.farFactor, expectedSlowness: minion => expectedSlowness(this.pool, minion)};
+		const view: PoolView = {
+			now, farFactor: this.bounds.farFactor, expectedSlowness: minion => expectedSlowness(this.pool, minion), reservation: this.reservation,
+		};
 		waiting.sort(this.policy.compare(now));
 		for (const job of waiting) {
 			// Another dispatcher may have started tasks of the job, which may still be running on a minion that has not reported yet.
@@ -319,11 +332,47 @@
 	}
 
 	private place(task: Task, view: PoolView): void {
+		if (isLikelyDeadly(task) && !this.hasSpareMinions(view.now)) {
+			return;
+		}
+
 		const placement = placeTask(task, this.pool.minions.values(), view);
-		if (placement === undefined) {
-			this.unplaceableSizes.add(task);
-		} else {
+		if (placement !== undefined) {
 			this.runs.startRun(task, placement.minion, placement.expectedMs);
+			return;
+		}
+
+		this.unplaceableSizes.add(task);
+		if (mustRunAlone(task) && !isLikelyDeadly(task) && this.reservation === undefined) {
+			this.reservation = selectReservation(task, this.pool.minions.values(), view);
+			view.reservation = this.reservation;
+		}
+	}
+
+	/** Whether enough minions are empty, or all that can be used, to lose one of them. */
+	private hasSpareMinions(now: number): boolean {
+		let usable = 0;
+		let empty = 0;
+		for (const minion of this.pool.minions.values()) {
+			if (isUsable(minion, now)) {
+				usable += 1;
+				empty += minion.runs.size === 0 ? 1 : 0;
+			}
+		}
+
+		return empty >= Math.min(spareMinions, usable);
+	}
+
+	/** Ends the reservation if its task no longer waits, or its minion can't be used. */
+	private endReservation(now: number): void {
+		if (this.reservation === undefined) {
+			return;
+		}
+
+		const {minion, task} = this.reservation;
+		if (task.job.isSettled || task.state !== taskState.waiting || !isUsable(minion, now)) {
+			this.reservation = undefined;
+			this.pool.capacityRevision += 1;
 		}
 	}
 
--- a/packages/chivestream-dispatch/src/job.ts
+++ b/packages/chivestream-dispatch/src/job.ts
@@ -117,6 +117,9 @@
 /** Whether the task runs only alone on a minion, because it is a likely cause of a crash. */
 export const mustRunAlone = (task: Task): boolean => task.crashes?.isSuspect ?? false;
 
+/** Whether the task has probably crashed a minion, and the next one that it starts on may be lost as well. */
+export const isLikelyDeadly = (task: Task): boolean => task.crashes?.isOnlySuspect ?? false;
+
 /** Extracts the job id from the name of a task. */
 export const jobIdOfTask = (name: string): string => name.slice(0, name.indexOf('.'));
 
--- a/packages/chivestream-dispatch/src/placement.ts
+++ b/packages/chivestream-dispatch/src/placement.ts
@@ -19,8 +19,13 @@
 	farFactor: number;
 	/** Returns the expected ratio of actual to estimated run time on a minion. */
 	expectedSlowness: (minion: Minion) => number;
+	/** The minion that gets no new runs until it is empty, and the task that then runs alone there. */
+	reservation?: Reservation | undefined;
 };
 
+/** A minion kept free for a task that must run alone. */
+export type Reservation = {minion: Minion; task: Task};
+
 /** A minion selected for a task. */
 export type Placement = {
 	minion: Minion;
@@ -105,7 +110,8 @@
 	const isAlone = mustRunAlone(task);
 	let best: Placement | undefined;
 	for (const minion of minions) {
-		if ((isAlone && minion.runs.size > 0) || !isUsable(minion, view.now) || !isEligible(minion, task) || !fits(freeResources(minion), required)) {
+		const isReserved = view.reservation?.minion === minion && view.reservation.task !== task;
+		if (isReserved || (isAlone && minion.runs.size > 0) || !isUsable(minion, view.now) || !isEligible(minion, task) || !fits(freeResources(minion), required)) {
 			continue;
 		}
 
@@ -117,3 +123,21 @@
 
 	return best;
 };
+
+/** When the last run on a minion is expected to end, on the monotonic clock; the start of time if it has none. */
+const expectedEmptyAt = (minion: Minion): number =>
+	Math.max(Number.NEGATIVE_INFINITY, ...[...minion.runs.values()].map(run => run.requestedAt + run.expectedMs));
+
+/** Selects the minion that is expected to be empty first, for a task that must run alone; undefined if there is none. */
+export const selectReservation = (task: Task, minions: Iterable<Minion>, view: PoolView): Reservation | undefined => {
+	const required = taskResources(task);
+	let best: Minion | undefined;
+	for (const minion of minions) {
+		const isPossible = isUsable(minion, view.now) && isEligible(minion, task) && fits(minion.record.capacity, required);
+		if (isPossible && (best === undefined || expectedEmptyAt(minion) < expectedEmptyAt(best))) {
+			best = minion;
+		}
+	}
+
+	return best === undefined ? undefined : {minion: best, task};
+};
--- a/packages/chivestream-host/src/__tests__/job-client.test.ts
+++ b/packages/chivestream-host/src/__tests__/job-client.test.ts
@@ -87,14 +87,22 @@
 	});
 
 	test('goes to the next dispatcher with the crashes that the lost one had reported', async () => {
-		const crashes = {t: {incarnations: ['m@1'], wasAlone: true, isSuspect: true}};
+		const crashes = {
+			t: {
+				incarnations: ['m@1'], wasAlone: true, isSuspect: true, isOnlySuspect: false,
+			},
+		};
 		const client = createClient([{answers: [{kind: 'lost'}], crashes}]);
 		expect(await runJob(client.options, job).outcome).toEqual({kind: outcomeKind.completed});
 		expect(client.submitted.map(submission => submission.job.crashes)).toEqual([undefined, crashes]);
 	});
 
 	test('goes to the next dispatcher with the crashes of its release', async () => {
-		const crashes = {t: {incarnations: ['m@1'], wasAlone: true, isSuspect: true}};
+		const crashes = {
+			t: {
+				incarnations: ['m@1'], wasAlone: true, isSuspect: true, isOnlySuspect: false,
+			},
+		};
 		const client = createClient([{answers: [{kind: outcomeKind.released, doneTasks: [], crashes}]}]);
 		client.options.untilChange = async () => {
 			client.handles[0]!.claim = 2;
--- a/packages/chivestream-host/src/message-schemas.ts
+++ b/packages/chivestream-host/src/message-schemas.ts
@@ -47,6 +47,7 @@
 	incarnations: z.array(z.string()).min(1),
 	wasAlone: z.boolean(),
 	isSuspect: z.boolean(),
+	isOnlySuspect: z.boolean(),
 });
 
 const crashesSchema = z.record(z.string(), crashRecordSchema);
