Start nothing on a restarted minion before the registry has its capacity

Callers saw: nothing yet; found by reading what a changing capacity does.

Cause: a poll can report a new incarnation up to a second before the registry does. The dispatcher then had its runs and placed tasks by the record of the earlier life, whose capacity and labels may be larger; the rule on capacity gives no grace for that. Class: fresh knowledge of one kind taken for fresh knowledge of all.

Change: a minion whose record is of an earlier incarnation gets no new work until the registry has caught up.

Tests: capacity.test.ts, of which 'with a restart of the minion ...' fails before. The other three cover starts on their way, stops that have not ended, a capacity below what runs, and to nothing and back; they passed before. Two tests in dispatcher.test.ts had work placed by the outdated record. They now let the registry report the incarnation first: the first still fails if that report is mistaken for another incarnation, since the job would not start, and the second keeps all its checks.

--- a/packages/chivestream-dispatch/src/placement.ts
+++ b/packages/chivestream-dispatch/src/placement.ts
@@ -54,9 +54,12 @@
 	return count;
 };
 
+/** Whether the registry still describes an earlier incarnation; the current one may have another capacity and other labels. */
+const isRecordOutdated = (minion: Minion): boolean => minion.record.bornAt !== 0 && minion.record.bornAt < minion.bornAt;
+
 /** Whether a minion accepts new work now, if it has free resources. */
 export const isUsable = (minion: Minion, now: number): boolean =>
-	minion.isSynced && minion.isReachable && !minion.isUnregistered && !minion.record.isDraining
+	minion.isSynced && minion.isReachable && !minion.isUnregistered && !minion.record.isDraining && !isRecordOutdated(minion)
 	&& now >= minion.quarantinedUntil && !(minion.isOnProbation && minion.runs.size > 0);
 
 /** How long after its last report an unreachable minion still counts as capacity, in milliseconds. Single answers get lost. */
