Refuse a job at once if no minion is large enough for one of its tasks

Callers saw: a job whose task was larger than every minion of the cell waited until it was predicted late, or until its deadline.

Cause: the prediction converts capacity to tasks of mean size and is never below one. Class: a refusal that is certain but comes late.

Change: the largest capacity of each upstream is kept per registry update, and a job with a larger step is redirected or refused.

Tests: the two new ones in capacity.test.ts fail before.

--- a/packages/chivestream-dispatch/src/__tests__/capacity.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/capacity.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, test} from '@jest/globals';
 import {createRecordedDispatcher, jobRequest, minionRecord} from '../__fixtures__/recorded-dispatcher.js';
-import {startAnswer} from '../index.js';
+import {outcomeKind, startAnswer} from '../index.js';
 
 const jobId = (index: number) => `00000000000000a${index}`;
 
@@ -68,4 +68,22 @@
 		recorded.report('m');
 		expect(recorded.starts).toHaveLength(1);
 	});
+
+	test('below the size of a task on every minion refuses its job at once', () => {
+		const recorded = createDispatcher();
+		recorded.advance(1000);
+		recorded.dispatcher.setMinions([withCapacity(13_000)]);
+		expect(recorded.submit(longJob(1))).toMatchObject([{kind: outcomeKind.refused}]);
+	});
+
+	test('below the size of a waiting task on every minion refuses its job at the next tick', () => {
+		const recorded = createDispatcher();
+		recorded.advance(1000);
+		recorded.submit(longJob(1, 2));
+		const outcomes = recorded.submit(longJob(2));
+		expect(outcomes).toEqual([]);
+		recorded.dispatcher.setMinions([withCapacity(13_000)]);
+		recorded.dispatcher.tick();
+		expect(outcomes).toMatchObject([{kind: outcomeKind.refused}]);
+	});
 });
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -5,15 +5,17 @@
 	UnplaceableSizes, hasWaitingTasks, parallelTasks, waitingWorkMs, workAheadMs,
 } from './backlog.js';
 import {
-	createMinionPool, expectedSlowness, freeTasks, type MinionPool,
+	createMinionPool, expectedSlowness, freeTasks, largestCapacities, type MinionPool,
 } from './minion-pool.js';
 import {
 	crashesOf, createJob, isComplete, isLikelyDeadly, mustRunAlone, jobIdOfTask, taskState, unblockTasks, type Job, type JobRequest, type Task,
 } from './job.js';
-import {type Minion, type MinionRecord, type Run} from './minion.js';
+import {
+	type Minion, type MinionRecord, type Resources, type Run,
+} from './minion.js';
 import {outcomeKind, type Outcome} from './outcome.js';
 import {
-	isUsable, placeTask, selectReservation, type PoolView, type Reservation,
+	fitsWithin, isUsable, placeTask, selectReservation, type PoolView, type Reservation,
 } from './placement.js';
 import {
 	Runs, type MinionReport, type RunDependencies, type StartAnswer,
@@ -86,6 +88,8 @@
 	private readonly policy: DispatchPolicy;
 	private readonly runs: Runs;
 	private readonly unplaceableSizes = new UnplaceableSizes();
+	/** The largest amounts that a minion of each upstream offers, as last registered. */
+	private largestCapacities: ReadonlyMap<string, Resources> = new Map();
 	private readonly startedAt: number;
 	/**
 	 * Keeps a minion free for a task that must run alone. At high load each freed slot is filled at once, so that no minion would
@@ -119,6 +123,7 @@
 	/** Updates the minions from the registry. Minions missing from it get no new work, and are removed if they have no runs. */
 	setMinions(records: readonly MinionRecord[]): void {
 		this.runs.setMinions(records);
+		this.largestCapacities = largestCapacities(this.pool);
 		this.schedule();
 	}
 
@@ -413,8 +418,9 @@
 	}
 
 	/**
-	 * Redirects a job of which no task can have run to a cell with enough free capacity. If there is none, refuses the job if it
-	 * can't complete in time here after the work ahead of it. Only the first submission of a job is redirected.
+	 * Redirects a job of which no task can have run to a cell with enough free capacity. If there is none, refuses the job if no
+	 * minion here is large enough for one of its tasks, or if it can't complete in time after the work ahead of it. Only the first
+	 * submission of a job is redirected.
 	 */
 	private redirectOrRefuse(job: Job, {now, aheadMs, parallelTaskCount}: {now: number; aheadMs: number; parallelTaskCount: number}): void {
 		if (job.mayHaveRun) {
@@ -429,6 +435,12 @@
 			return;
 		}
 
+		const capacity = this.largestCapacities.get(job.request.upstream);
+		if (capacity !== undefined && !fitsWithin(job, capacity)) {
+			this.abandonOrRefuse(job, 'no minion is large enough for a task', aheadMs);
+			return;
+		}
+
 		const isTooLate = this.isSynchronizing(now) ? cannotFinishInTime(job, now) : this.policy.isTooLate(job, now + (aheadMs / parallelTaskCount));
 		if (isTooLate) {
 			this.abandonOrRefuse(job, 'no room in time', aheadMs);
--- a/packages/chivestream-dispatch/src/minion-pool.ts
+++ b/packages/chivestream-dispatch/src/minion-pool.ts
@@ -1,6 +1,6 @@
 /** The minions of a dispatcher and the runs on them. */
 import {
-	allResources, freeResources, runKey, runState, type Minion, type MinionRecord, type Run, type RunState,
+	allResources, freeResources, runKey, runState, type Minion, type MinionRecord, type Resources, type Run, type RunState,
 } from './minion.js';
 import {createSlowness, slownessFactor, type Slowness} from './slowness.js';
 
@@ -108,6 +108,25 @@
 	return slowness;
 };
 
+/** The largest amount of each resource that a registered minion of each upstream offers to new runs. */
+export const largestCapacities = (pool: MinionPool): Map<string, Resources> => {
+	const largest = new Map<string, Resources>();
+	for (const {record, isUnregistered} of pool.minions.values()) {
+		if (!isUnregistered && !record.isDraining) {
+			const {millicores, memoryMb, accelerators} = largest.get(record.upstream) ?? noResources;
+			largest.set(record.upstream, {
+				millicores: Math.max(millicores, record.capacity.millicores),
+				memoryMb: Math.max(memoryMb, record.capacity.memoryMb),
+				accelerators: Math.max(accelerators, record.capacity.accelerators),
+			});
+		}
+	}
+
+	return largest;
+};
+
+const noResources: Resources = {millicores: 0, memoryMb: 0, accelerators: 0};
+
 /** Number of tasks of a given CPU size that fit on a minion now. */
 export const freeTasks = (minion: Minion, millicores: number): number =>
 	Math.max(0, Math.floor(freeResources(minion).millicores / Math.max(1, millicores)));
--- a/packages/chivestream-dispatch/src/placement.ts
+++ b/packages/chivestream-dispatch/src/placement.ts
@@ -9,7 +9,7 @@
 import {
 	fits, freeResources, type Minion, type Resources,
 } from './minion.js';
-import {mustRunAlone, type Task} from './job.js';
+import {mustRunAlone, type Job, type Task} from './job.js';
 
 /** Inputs of a placement that are the same for all tasks and minions. */
 export type PoolView = {
@@ -57,6 +57,9 @@
 /** Whether the registry still describes an earlier incarnation; the current one may have another capacity and other labels. */
 const isRecordOutdated = (minion: Minion): boolean => minion.record.bornAt !== 0 && minion.record.bornAt < minion.bornAt;
 
+/** Whether each step of a job fits within the given amounts. */
+export const fitsWithin = (job: Job, available: Resources): boolean => job.request.steps.every(step => fits(available, step));
+
 /** Whether a minion accepts new work now, if it has free resources. */
 export const isUsable = (minion: Minion, now: number): boolean =>
 	minion.isSynced && minion.isReachable && !minion.isUnregistered && !minion.record.isDraining && !isRecordOutdated(minion)
