--- a/packages/chivestream-host/src/__tests__/host.test.ts
+++ b/packages/chivestream-host/src/__tests__/host.test.ts
@@ -140,6 +140,34 @@
 	});
 });
 
+describe('a capacity that shrinks', () => {
+	test('is kept to by every start after the dispatcher has read it, and used again once it has grown', async () => {
+		const testSite = await start(2, 3);
+		const setCapacities = async (millicores: number) => {
+			const seen = testSite.eventCounts.get('minion-registered') ?? 0;
+			for (const minion of testSite.minions) {
+				minion.setCapacity(millicores);
+			}
+
+			// Only the dispatcher follows the registry.
+			await until(() => (testSite.eventCounts.get('minion-registered') ?? 0) >= seen + testSite.minions.length);
+		};
+
+		await setCapacities(20_000);
+		for (const minion of testSite.minions) {
+			minion.setCheckedCapacity(20_000);
+		}
+
+		const results = await submitMany(testSite, 12, {count: 1, workMs: 50}, [0, 1]);
+		expect(results.map(({status}) => status)).toEqual(results.map(() => 200));
+		expect(testSite.checker.violations).toEqual([]);
+		await setCapacities(0);
+		expect(await testSite.submit(0, {id: jobId(100), count: 1, workMs: 50})).toMatchObject({status: 503});
+		await setCapacities(32_000);
+		expect(await testSite.submit(0, {id: jobId(101), count: 1, workMs: 50})).toMatchObject({status: 200});
+	});
+});
+
 describe('declarations', () => {
 	test('a new version takes effect at every host, also after the store has dropped its history, and an older one is ignored', async () => {
 		const testSite = await start(2, 2);
--- a/packages/chivestream-site-stand-ins/src/minion.ts
+++ b/packages/chivestream-site-stand-ins/src/minion.ts
@@ -36,6 +36,10 @@
 	delayStarts: (share: number, draw: () => number) => void;
 	/** Simulates a crash and restart: all runs are lost, and a new incarnation starts. */
 	crash: () => void;
+	/** Changes the capacity that its next registry entry shows, in thousandths of a core. */
+	setCapacity: (millicores: number) => void;
+	/** Changes the capacity that starts are checked against; hosts learn of a smaller one with a delay. */
+	setCheckedCapacity: (millicores: number) => void;
 	/** Whether the minion has crashed and does not listen again yet. */
 	isDown: () => boolean;
 	runningTasks: () => string[];
@@ -65,6 +69,8 @@
 export const startMinionStandIn = async (options: MinionStandInOptions): Promise<MinionStandIn> => {
 	const {id, checker} = options;
 	let bornAt = Date.now();
+	let {capacity} = options;
+	let checkedCapacity = options.capacity;
 	let clockStart = performance.now();
 	let highestToken = 0;
 	let leaseDeadline = 0;
@@ -135,7 +141,7 @@
 			}
 
 			const workMs = options.workMs(task);
-			checker.recordStart(id, options.capacity, task, run);
+			checker.recordStart(id, checkedCapacity, task, run);
 			activeRuns.set(key, {
 				task,
 				run,
@@ -285,7 +291,7 @@
 				slots: 8,
 				state,
 				cold_left_ms: 0,
-				capacity: {cpu: options.capacity, mem_mb: memoryMb, gpu: 0},
+				capacity: {cpu: capacity, mem_mb: memoryMb, gpu: 0},
 				labels: ['a', 'r1-1'],
 				clock_ms: clock(),
 				born: bornAt,
@@ -297,6 +303,12 @@
 			drawDelay = draw;
 		},
 		crash,
+		setCapacity(millicores) {
+			capacity = millicores;
+		},
+		setCheckedCapacity(millicores) {
+			checkedCapacity = millicores;
+		},
 		runningTasks: () => [...activeRuns.values()].map(({task}) => task),
 		async close() {
 			isClosed = true;
--- a/packages/chivestream-site-stand-ins/src/soak/callers.ts
+++ b/packages/chivestream-site-stand-ins/src/soak/callers.ts
@@ -17,8 +17,11 @@
 /** The running callers. */
 export type Callers = {
 	tally: CallerTally;
-	/** Submits a job until it completes or is refused; returns that status, or undefined after the caller's timeout. */
-	submit: (hostIndex: number, workMs: number) => Promise<number | undefined>;
+	/**
+	 * Submits a job until it completes or is refused; returns that status, or undefined after the caller's timeout. The first task of a
+	 * deadly job crashes its minions.
+	 */
+	submit: (hostIndex: number, workMs: number, isDeadly?: boolean) => Promise<number | undefined>;
 	/** Ids of jobs that were refused at the first attempt, so that none of their tasks may have started. */
 	refusedIds: Set<string>;
 	/** Requests in progress at a host; `isBroken` is set on those that fail. */
@@ -42,8 +45,12 @@
 	hosts: readonly HostProcess[];
 	/** Run time of each job's tasks, in milliseconds; filled by `submit`. */
 	workMsByJob: Map<string, number>;
+	/** Names of the tasks that crash their minions; filled by `submit`. */
+	deadlyTasks: Set<string>;
 }): Callers => {
-	const {random, checker, hosts, workMsByJob} = options;
+	const {
+		random, checker, hosts, workMsByJob, deadlyTasks,
+	} = options;
 	const agent = new Agent({pipelining: 1});
 	const tally: CallerTally = {
 		completed: 0, failed: 0, refused: 0, unanswered: 0,
@@ -90,12 +97,16 @@
 		tally,
 		refusedIds,
 		inProgress,
-		async submit(hostIndex, workMs) {
+		async submit(hostIndex, workMs, isDeadly = false) {
 			lastId += 1;
 			const id = lastId.toString(16).padStart(16, '0');
 			const count = 1 + randomInteger(random, maxTasks);
 			checker.recordJob(id, taskMillicores);
 			workMsByJob.set(id, workMs);
+			if (isDeadly) {
+				deadlyTasks.add(`${id}.0.0.0`);
+			}
+
 			const until = performance.now() + callerTimeoutMs;
 			let mayHaveStarted = false;
 			let index = hostIndex;
--- a/packages/chivestream-site-stand-ins/src/soak/main.ts
+++ b/packages/chivestream-site-stand-ins/src/soak/main.ts
@@ -3,7 +3,7 @@
 import process from 'node:process';
 import meow from 'meow';
 import {regressions} from './regressions.js';
-import {runSoak, type SoakOptions} from './soak.js';
+import {faultSet, runSoak, type SoakOptions} from './soak.js';
 
 const cli = meow(`
 	Usage
@@ -16,6 +16,7 @@
 	  --hosts N    Number of entry hosts (6)
 	  --minions N  Number of minions (12)
 	  --zones N    Number of availability zones (2)
+	  --faults S   Set of faults: all, or basic without deadly tasks and changes of capacity (all)
 	  --program F  Path of the host's program (default: the built one)
 	  --regressions  Run the seeds that failed in the past instead
 
@@ -32,16 +33,18 @@
 		minions: {type: 'number', default: 12},
 		zones: {type: 'number', default: 2},
 		regressions: {type: 'boolean', default: false},
+		faults: {type: 'string', choices: Object.values(faultSet), default: faultSet.all},
 		program: {type: 'string', default: path.join(import.meta.dirname, '../../../chivestream-host/bin/chivestream-host.js')},
 	},
 });
 
 const msPerSecond = 1000;
 const {seed: firstSeed, seeds, seconds, program, hosts, minions, zones} = cli.flags;
-const soakRuns: Array<Pick<SoakOptions, 'seed' | 'hosts' | 'minions' | 'zones'>> = cli.flags.regressions
+const faults = cli.flags.faults === faultSet.basic ? faultSet.basic : faultSet.all;
+const soakRuns: Array<Pick<SoakOptions, 'seed' | 'hosts' | 'minions' | 'zones' | 'faults'>> = cli.flags.regressions
 	? [...regressions]
 	: Array.from({length: seeds}, (_, index) => ({
-		seed: firstSeed + index, hosts, minions, zones,
+		seed: firstSeed + index, hosts, minions, zones, faults,
 	}));
 for (const soakRun of soakRuns) {
 	const {seed} = soakRun;
--- a/packages/chivestream-site-stand-ins/src/soak/regressions.ts
+++ b/packages/chivestream-site-stand-ins/src/soak/regressions.ts
@@ -1,5 +1,7 @@
 /** Seeds that failed in the past; `chivestream-soak --regressions` runs them again. */
 
+import {faultSet, type FaultSet} from './soak.js';
+
 /** A seed and the fault that it found. */
 export type Regression = {
 	seed: number;
@@ -7,11 +9,15 @@
 	hosts: number;
 	minions: number;
 	zones: number;
+	/** The set from which the faults of the run were drawn. */
+	faults: FaultSet;
 	/** The fault that made the run fail. */
 	cause: string;
 };
 
-const defaultSize = {hosts: 6, minions: 12, zones: 2} as const;
+const defaultSize = {
+	hosts: 6, minions: 12, zones: 2, faults: faultSet.basic,
+} as const;
 
 /** The seeds, oldest first. */
 export const regressions: readonly Regression[] = [
--- a/packages/chivestream-site-stand-ins/src/soak/soak.ts
+++ b/packages/chivestream-site-stand-ins/src/soak/soak.ts
@@ -18,6 +18,17 @@
 import {HostProcess, hostPorts} from './host-process.js';
 import {forwardingMode, startProxy, type Proxy} from './proxy.js';
 
+/** Sets of faults. A seed injects the same faults only from the same set. */
+export const faultSet = {
+	/** Faults of hosts, the store, minions and declarations. */
+	basic: 'basic',
+	/** Tasks that crash their minions, and capacities that change, as well. */
+	all: 'all',
+} as const;
+
+/** One of the sets of faults. */
+export type FaultSet = (typeof faultSet)[keyof typeof faultSet];
+
 /** Options of a soak. */
 export type SoakOptions = {
 	seed: number;
@@ -26,6 +37,8 @@
 	hosts: number;
 	minions: number;
 	zones: number;
+	/** The faults that are injected; `all` by default. */
+	faults?: FaultSet;
 	/** Path of the host's program. */
 	program: string;
 	/** Receives a line for each injected fault. */
@@ -38,6 +51,8 @@
 	tally: CallerTally;
 	/** Number of runs that minions started. */
 	starts: number;
+	/** Largest number of crashes under one task. */
+	maxCrashes: number;
 	/** Violations as `<rule>: <detail>`; empty if the soak passed. */
 	violations: string[];
 	/** Folder with the hosts' logs. */
@@ -54,6 +69,8 @@
 	violations: string[];
 	/** Newest version of the declarations. */
 	version: number;
+	/** Share of the submitted jobs that have a deadly task. */
+	deadlyShare: number;
 	/** When an unplanned fault last started or ended, in milliseconds of the monotonic clock. */
 	lastUnplannedFaultAt: number;
 	log: (line: string) => void;
@@ -84,7 +101,7 @@
 	}));
 };
 
-const faults: readonly Fault[] = [
+const basicFaults: readonly Fault[] = [
 	{
 		name: 'kill',
 		isPlanned: false,
@@ -195,7 +212,33 @@
 	},
 ];
 
-const injectFaults = async (site: Site, until: number) => {
+const allFaults: readonly Fault[] = [
+	...basicFaults,
+	{
+		name: 'deadly tasks',
+		isPlanned: false,
+		async inject(site) {
+			site.deadlyShare = randomBetween(site.random, 0.02, 0.15);
+			await sleep(randomBetween(site.random, 500, 4000));
+			site.deadlyShare = 0;
+		},
+	},
+	{
+		// Starts are checked against the full capacity, since a host that can't read the store does not learn of a smaller one.
+		name: 'shrunk capacity',
+		isPlanned: false,
+		async inject({random, minions}) {
+			const minion = pickRandom(random, minions);
+			minion.setCapacity(Math.round(capacity * random()));
+			await sleep(randomBetween(random, 500, 4000));
+			minion.setCapacity(capacity);
+		},
+	},
+];
+
+const faultsBySet: Record<FaultSet, readonly Fault[]> = {basic: basicFaults, all: allFaults};
+
+const injectFaults = async (site: Site, faults: readonly Fault[], until: number) => {
 	const pendingInjections: Array<Promise<void>> = [];
 	while (performance.now() < until) {
 		const fault = pickRandom(site.random, faults);
@@ -259,7 +302,8 @@
 	const pendingJobs = new Set<Promise<unknown>>();
 	while (performance.now() < until) {
 		const workMs = Math.round(randomBetween(site.random, 10, site.random() < 0.1 ? 1500 : 200));
-		const job = site.callers.submit(randomInteger(site.random, site.hosts.length), workMs);
+		const isDeadly = site.deadlyShare > 0 && site.random() < site.deadlyShare;
+		const job = site.callers.submit(randomInteger(site.random, site.hosts.length), workMs, isDeadly);
 		pendingJobs.add(job);
 		void job.finally(() => {
 			pendingJobs.delete(job);
@@ -290,6 +334,7 @@
 	const random = createRandom(options.seed);
 	const store = await startStoreStandIn();
 	const workMsByJob = new Map<string, number>();
+	const deadlyTasks = new Set<string>();
 	const ips = Array.from({length: options.hosts}, (_, index) =>
 		`127.${1 + (Math.floor(process.pid / octetRange) % octetRange)}.${1 + (process.pid % octetRange)}.${index + 1}`);
 	const proxies = await Promise.all(ips.map(async () => startProxy(store.address)));
@@ -311,6 +356,7 @@
 		capacity,
 		leaseMs,
 		workMs: task => workMsByJob.get(task.slice(0, task.indexOf('.'))) ?? 0,
+		isDeadly: task => deadlyTasks.has(task),
 	})));
 	return {
 		random,
@@ -319,10 +365,11 @@
 		hosts,
 		minions,
 		callers: createCallers({
-			random, checker, hosts, workMsByJob,
+			random, checker, hosts, workMsByJob, deadlyTasks,
 		}),
 		violations: [],
 		version: 1,
+		deadlyShare: 0,
 		lastUnplannedFaultAt: Number.NEGATIVE_INFINITY,
 		log: options.log,
 	};
@@ -335,7 +382,9 @@
 	const site = await createSite(options, checker, folder);
 	const writeHeartbeats = () => {
 		for (const minion of site.minions) {
-			site.store.write('keyed.servers', minion.id, minion.createRegistryEntry());
+			if (!minion.isDown()) {
+				site.store.write('keyed.servers', minion.id, minion.createRegistryEntry());
+			}
 		}
 	};
 
@@ -351,7 +400,7 @@
 		await sleep(settleMs);
 		const versionChecks = site.hosts.map(async host => checkServedVersions(site, host, controller.signal));
 		const until = performance.now() + options.lengthMs;
-		await Promise.all([generateLoad(site, until), injectFaults(site, until)]);
+		await Promise.all([generateLoad(site, until), injectFaults(site, faultsBySet[options.faults ?? faultSet.all], until)]);
 		await checkRecovery(site, checker);
 		controller.abort();
 		await Promise.all(versionChecks);
@@ -377,6 +426,7 @@
 		seed: options.seed,
 		tally: site.callers.tally,
 		starts: checker.starts,
+		maxCrashes: checker.maxCrashes(),
 		violations: [...checker.violations.map(({rule, detail}) => `${rule}: ${detail}`), ...site.violations],
 		folder,
 	};
