Fence off earlier start requests before a restarted minion's runs are believed

Cause: a start request without an answer was stopped, and the stop confirmed, so its run was dropped. A deadly task then crashed the minion, which forgot the stop. The new incarnation was polled with the same token as before, reported no runs and counted as free, while the higher token that fences off late requests went out only with the next request, up to 1.5 s later. In between it carried out the late start. Class: a permission withdrawn after, not before, the state that depends on it is read.

Change: the first answer of a new incarnation only raises the token, and its runs are read by a second poll under that token.

--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -132,12 +132,17 @@
 		closedAt = Number.NEGATIVE_INFINITY;
 		const response = result.value;
 		if (response.bornAt !== bornAt) {
-			// A new incarnation numbers its ends from the start. The higher token fences off requests to the previous incarnation
-			// that are still in transit.
-			token += bornAt > 0 ? 1 : 0;
+			const isRestart = bornAt > 0;
 			bornAt = response.bornAt;
 			endCursor = 0;
 			dispatcher.recordIncarnation(minion, bornAt);
+			if (isRestart) {
+				// The new incarnation has seen no stop, and would still carry out earlier start requests. A higher token fences them off,
+				// so only what it reports under that token is final.
+				token += 1;
+				minionClock = {at: now(), time: response.minionTime};
+				return pollOnce(0, renewsLease);
+			}
 		}
 
 		if (!minion.isReachable) {
--- a/packages/chivestream-site-stand-ins/src/minion.ts
+++ b/packages/chivestream-site-stand-ins/src/minion.ts
@@ -43,6 +43,8 @@
 	/** Whether the minion has crashed and does not listen again yet. */
 	isDown: () => boolean;
 	runningTasks: () => string[];
+	/** The highest fencing token that the current incarnation has received; 0 before the first. */
+	highestToken: () => number;
 };
 
 type ActiveRun = {task: string; run: number; timer: NodeJS.Timeout; fails: boolean};
@@ -310,6 +312,7 @@
 			checkedCapacity = millicores;
 		},
 		runningTasks: () => [...activeRuns.values()].map(({task}) => task),
+		highestToken: () => highestToken,
 		async close() {
 			isClosed = true;
 			clearInterval(leaseTimer);
