--- a/packages/chivestream-site-stand-ins/src/soak/regressions.ts
+++ b/packages/chivestream-site-stand-ins/src/soak/regressions.ts
@@ -27,5 +27,7 @@
 	{...defaultSize, seed: 133, cause: 'a task that started in a new incarnation before the dispatcher had recorded that incarnation was treated as ended with the previous one'},
 	{...defaultSize, seed: 144, cause: 'an unanswered start request was dropped when its minion reported a new incarnation, but was carried out in it, so the minion exceeded its capacity'},
 	{...defaultSize, seed: 145, cause: 'the same as seed 105'},
-	{...defaultSize, seed: 24_202, faults: faultSet.all, cause: 'a restarted minion carried out a start request whose stop its last incarnation had confirmed, before it received a higher token'},
+	{
+		...defaultSize, seed: 24_202, faults: faultSet.all, cause: 'a restarted minion carried out a start request whose stop its last incarnation had confirmed, before it received a higher token',
+	},
 ];
