--- a/packages/chivestream-host/src/peer-table.ts
+++ b/packages/chivestream-host/src/peer-table.ts
@@ -351,6 +351,7 @@
 			// Handled by the link.
 			case 'status':
 			case 'settled':
+			case 'task-crashed':
 		}
 	}
 
