--- a/packages/chivestream-dispatch/src/crash.ts
+++ b/packages/chivestream-dispatch/src/crash.ts
@@ -47,10 +47,10 @@
 	isOnlySuspect: boolean;
 };
 
-/** Number of crashes after which a task that was alone on a crashed minion is given up. */
+/** Number of crashes after which a task that was alone on a crashed minion is given up; the minion may have caused a single one itself. */
 const crashesUntilGivenUp = 2;
 
-/** Number of crashes after which any task is given up. */
+/** Number of crashes after which any task is given up, so that it costs no further minion. */
 const maxCrashes = 3;
 
 /** Starts that are this close together can't be told apart as the cause of a crash, in milliseconds. */
--- a/packages/chivestream-dispatch/src/placement.ts
+++ b/packages/chivestream-dispatch/src/placement.ts
@@ -130,9 +130,9 @@
 	return best;
 };
 
-/** When the last run on a minion is expected to end, on the monotonic clock; the start of time if it has none. */
+/** When the last run on a minion is expected to end, on the monotonic clock; -Infinity if it has none. */
 const expectedEmptyAt = (minion: Minion): number =>
-	Math.max(Number.NEGATIVE_INFINITY, ...[...minion.runs.values()].map(run => run.requestedAt + run.expectedMs));
+	Math.max(...[...minion.runs.values()].map(run => run.requestedAt + run.expectedMs));
 
 /** Selects the minion that is expected to be empty first, for a task that must run alone; undefined if there is none. */
 export const selectReservation = (task: Task, minions: Iterable<Minion>, view: PoolView): Reservation | undefined => {
