--- a/packages/chivestream-site-stand-ins/src/soak/host-process.ts
+++ b/packages/chivestream-site-stand-ins/src/soak/host-process.ts
@@ -22,12 +22,13 @@
 /** Ports of every host; the hosts differ by IP address. */
 export const hostPorts = {callers: 9101, readiness: 9102, peers: 9103} as const;
 
-/** A host that can be stopped, paused and restarted. Signals go only to the child process. */
+/** A host that can be stopped, paused and restarted. It has at most one process, and signals go only to that one. */
 export class HostProcess {
 	/** Number of starts; it identifies the current incarnation. */
 	startCount = 0;
 	readonly options: HostProcessOptions;
 	private child: ChildProcess | undefined;
+	private isClosed = false;
 
 	constructor(options: HostProcessOptions) {
 		this.options = options;
@@ -38,7 +39,12 @@
 		return `${this.options.ip}:${hostPorts.callers}`;
 	}
 
+	/** Starts the host, unless it is running: faults that overlap may both restart it. */
 	start(): void {
+		if (this.isClosed || this.isRunning()) {
+			return;
+		}
+
 		const {name, zone, ip, store, seeds, folder, program, leaseMs} = this.options;
 		const settings = path.join(folder, `${name}.jsonc`);
 		writeFileSync(settings, JSON.stringify({
@@ -49,8 +55,9 @@
 			bounds: {leaseMs, stopGraceSeconds: 6, farFactor: 1},
 		}));
 		this.startCount += 1;
-		this.child = spawn(process.execPath, [program, '--settings', settings], {stdio: ['ignore', 'pipe', 'inherit']});
+		this.child = spawn(process.execPath, [program, '--settings', settings], {stdio: ['ignore', 'pipe', 'pipe']});
 		this.child.stdout?.pipe(createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'}));
+		this.child.stderr?.pipe(createWriteStream(path.join(folder, `${name}.errors.log`), {flags: 'a'}));
 	}
 
 	signal(name: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT'): void {
@@ -60,7 +67,7 @@
 	/** Resolves when the process has exited. */
 	async waitForExit(): Promise<void> {
 		const {child} = this;
-		if (child?.exitCode !== null || child.signalCode !== null) {
+		if (child === undefined || !this.isRunning()) {
 			return;
 		}
 
@@ -70,4 +77,15 @@
 			});
 		});
 	}
+
+	/** Kills the process and waits for its exit. The host does not start again. */
+	async close(): Promise<void> {
+		this.isClosed = true;
+		this.signal('SIGKILL');
+		await this.waitForExit();
+	}
+
+	private isRunning(): boolean {
+		return this.child?.exitCode === null && this.child.signalCode === null;
+	}
 }
--- a/packages/chivestream-site-stand-ins/src/soak/soak.ts
+++ b/packages/chivestream-site-stand-ins/src/soak/soak.ts
@@ -407,12 +407,7 @@
 	} finally {
 		controller.abort();
 		clearInterval(heartbeatTimer);
-		for (const host of site.hosts) {
-			host.signal('SIGCONT');
-			host.signal('SIGKILL');
-		}
-
-		await Promise.all(site.hosts.map(async host => host.waitForExit()));
+		await Promise.all(site.hosts.map(async host => host.close()));
 		for (const proxy of site.proxies) {
 			proxy.close();
 		}
