Start a task that has probably crashed a minion after 3 s even if no minion is empty

What callers saw: a task that was the only likely cause of one crash was never started again while a cell's slots were all in use; its job was abandoned at the deadline. Such a task need not be the cause: in a wave of crashes without deadly tasks, the last one started is suspected on each minion.

Cause: starvation. Since the task waits for three empty minions, which do not exist at steady high load, and no minion is reserved for it as for other suspects.

Change: it waits for them for 3 s at most; then a minion is reserved for it like for any suspect, where it runs alone.

The test failed before (not started within 10 s of full slots) and passes now.

--- a/packages/chivestream-dispatch/src/__tests__/crash.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/crash.test.ts
@@ -301,4 +301,44 @@
 		recorded.report(run.minion.record.id, [], [[run.task, run.number, 'done']]);
 		expect(runsOf(recorded, deadlyId)).toHaveLength(1);
 	});
+
+	test('and has probably crashed a minion runs at last even if other tasks fill each slot that becomes free', () => {
+		const recorded = createDispatcher(['m1', 'm2', 'm3', 'm4']);
+		let lastJob = 256;
+		const submitOthers = (count: number) => {
+			for (let index = 0; index < count; index += 1) {
+				lastJob += 1;
+				recorded.submit(longJob(lastJob.toString(16).padStart(16, '0')));
+			}
+		};
+
+		submitOthers(12);
+		recorded.submit(longJob(deadlyId, {
+			crashes: {
+				[`${deadlyId}.0.0.0`]: {
+					incarnations: ['x@1'], wasAlone: false, isSuspect: true, isOnlySuspect: true,
+				},
+			},
+		}));
+		const startedAfterMs: number[] = [];
+		for (let elapsedMs = 0; elapsedMs < 10_000 && startedAfterMs.length === 0; elapsedMs += 40) {
+			for (const id of ['m1', 'm2', 'm3', 'm4']) {
+				for (const run of recorded.minion(id).runs.values()) {
+					confirm(recorded, run);
+				}
+
+				submitOthers(1);
+				endOldestRun(recorded, id);
+			}
+
+			recorded.dispatcher.tick();
+			if (runsOf(recorded, deadlyId).length > 0) {
+				startedAfterMs.push(elapsedMs);
+			}
+		}
+
+		const [run] = runsOf(recorded, deadlyId);
+		expect(run === undefined ? undefined : [...run.minion.runs.keys()]).toEqual([`${deadlyId}.0.0.0/1`]);
+		expect(startedAfterMs[0]).toBeGreaterThan(1000);
+	});
 });
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -73,6 +73,9 @@
 /** Number of empty minions from which one may be lost to a task that has probably crashed one already. */
 const spareMinions = 3;
 
+/** How long such a task waits for empty minions, in milliseconds. At steady high load there are none, and it may not be the cause. */
+const maxSpareMinionsWaitMs = 3000;
+
 /** Weight of each newly submitted step in the moving mean of the task size. */
 const newSizeWeight = 0.05;
 
@@ -338,7 +341,10 @@
 
 	private place(task: Task, view: PoolView): void {
 		if (isLikelyDeadly(task) && !this.hasSpareMinions(view.now)) {
-			return;
+			task.spareMinionsDeadline ??= view.now + maxSpareMinionsWaitMs;
+			if (view.now < task.spareMinionsDeadline) {
+				return;
+			}
 		}
 
 		const placement = placeTask(task, this.pool.minions.values(), view);
@@ -348,7 +354,7 @@
 		}
 
 		this.unplaceableSizes.add(task);
-		if (mustRunAlone(task) && !isLikelyDeadly(task) && this.reservation === undefined) {
+		if (mustRunAlone(task) && this.reservation === undefined) {
 			this.reservation = selectReservation(task, this.pool.minions.values(), view);
 			view.reservation = this.reservation;
 		}
--- a/packages/chivestream-dispatch/src/job.ts
+++ b/packages/chivestream-dispatch/src/job.ts
@@ -82,6 +82,8 @@
 	avoidedMinions: Set<string>;
 	/** Crashes of minions under the task; undefined if there was none. */
 	crashes: CrashRecord | undefined;
+	/** Until when a task that has probably crashed a minion waits for several empty ones; undefined before it has found too few. */
+	spareMinionsDeadline?: number;
 };
 
 /** A job that a dispatcher has accepted. */
