Count only minions of the task's upstream as spare for a task that has probably crashed one

What callers saw: with two upstreams in a cell, empty minions of the other upstream let a task that has probably crashed a minion start at once on the last empty minion of its own.

Cause: the number of empty minions was taken over the whole cell, although minions of another upstream or without the required label take none of its tasks.

Change: only minions that may run the task count. The decision moves from the dispatcher to isolation.ts, together with the reservation of a minion, which is unchanged.

The test failed before: the task started with one empty minion of its upstream and three of another.

--- a/packages/chivestream-dispatch/src/__tests__/crash.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/crash.test.ts
@@ -341,4 +341,28 @@
 		expect(run === undefined ? undefined : [...run.minion.runs.keys()]).toEqual([`${deadlyId}.0.0.0/1`]);
 		expect(startedAfterMs[0]).toBeGreaterThan(1000);
 	});
+
+	test('and has probably crashed a minion does not count empty minions of other upstreams', () => {
+		const other = ['o1', 'o2', 'o3'];
+		const recorded = createRecordedDispatcher([
+			...['m1', 'm2', 'm3', 'm4'].map(id => minionRecord(id)), ...other.map(id => minionRecord(id, {upstream: 'bench'})),
+		]);
+		for (const id of ['m1', 'm2', 'm3', 'm4', ...other]) {
+			recorded.report(id);
+		}
+
+		for (let index = 0; index < 6; index += 1) {
+			recorded.submit(longJob(`00000000000000c${index}`));
+		}
+
+		expect([...recorded.dispatcher.pool.minions.values()].filter(minion => minion.runs.size === 0)).toHaveLength(4);
+		recorded.submit(longJob(deadlyId, {
+			crashes: {
+				[`${deadlyId}.0.0.0`]: {
+					incarnations: ['x@1'], wasAlone: false, isSuspect: true, isOnlySuspect: true,
+				},
+			},
+		}));
+		expect(runsOf(recorded, deadlyId)).toHaveLength(0);
+	});
 });
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -8,14 +8,15 @@
 	createMinionPool, expectedSlowness, freeTasks, largestCapacities, type MinionPool,
 } from './minion-pool.js';
 import {
-	crashesOf, createJob, isComplete, isLikelyDeadly, mustRunAlone, jobIdOfTask, taskState, unblockTasks, type Job, type JobRequest, type Task,
+	crashesOf, createJob, isComplete, jobIdOfTask, taskState, unblockTasks, type Job, type JobRequest, type Task,
 } from './job.js';
 import {
 	type Minion, type MinionRecord, type Resources, type Run,
 } from './minion.js';
+import {Isolation} from './isolation.js';
 import {outcomeKind, type Outcome} from './outcome.js';
 import {
-	fitsWithin, isUsable, placeTask, selectReservation, type PoolView, type Reservation,
+	fitsWithin, isUsable, placeTask, type PoolView,
 } from './placement.js';
 import {
 	Runs, type MinionReport, type RunDependencies, type StartAnswer,
@@ -70,12 +71,6 @@
 /** Assumed mean size of a task before the first job is submitted, in thousandths of a core. */
 const defaultTaskMillicores = 1000;
 
-/** Number of empty minions from which one may be lost to a task that has probably crashed one already. */
-const spareMinions = 3;
-
-/** How long such a task waits for empty minions, in milliseconds. At steady high load there are none, and it may not be the cause. */
-const maxSpareMinionsWaitMs = 3000;
-
 /** Weight of each newly submitted step in the moving mean of the task size. */
 const newSizeWeight = 0.05;
 
@@ -94,11 +89,7 @@
 	/** The largest amounts that a minion of each upstream offers, as last registered. */
 	private largestCapacities: ReadonlyMap<string, Resources> = new Map();
 	private readonly startedAt: number;
-	/**
-	 * Keeps a minion free for a task that must run alone. At high load each freed slot is filled at once, so that no minion would
-	 * ever be empty.
-	 */
-	private reservation: Reservation | undefined;
+	private readonly isolation = new Isolation();
 	/** Moving mean of the CPU size of submitted tasks; 0 before the first job. */
 	private observedMeanMillicores = 0;
 	/** Whether this dispatcher has released its jobs and is shutting down. */
@@ -265,7 +256,7 @@
 		const now = this.dependencies.now();
 		let spare = 0;
 		for (const minion of this.pool.minions.values()) {
-			if (isUsable(minion, now) && minion !== this.reservation?.minion) {
+			if (isUsable(minion, now) && minion !== this.isolation.reservation?.minion) {
 				spare += freeTasks(minion, this.meanTaskMillicores());
 			}
 		}
@@ -304,7 +295,10 @@
 		}
 
 		const now = this.dependencies.now();
-		this.endReservation(now);
+		if (this.isolation.release(now)) {
+			this.pool.capacityRevision += 1;
+		}
+
 		this.unplaceableSizes.refresh(this.pool.capacityRevision);
 		const isPlaceable = (task: Task) => task.state === taskState.waiting && !this.unplaceableSizes.has(task);
 		const waiting: Job[] = [];
@@ -321,7 +315,7 @@
 		// Inherited runs were started for a previous dispatcher of this cell.
 		const hasObservedInheritedRuns = this.runs.hasObservedInheritedRuns(now);
 		const view: PoolView = {
-			now, farFactor: this.bounds.farFactor, expectedSlowness: minion => expectedSlowness(this.pool, minion), reservation: this.reservation,
+			now, farFactor: this.bounds.farFactor, expectedSlowness: minion => expectedSlowness(this.pool, minion), reservation: this.isolation.reservation,
 		};
 		waiting.sort(this.policy.compare(now));
 		for (const job of waiting) {
@@ -340,11 +334,8 @@
 	}
 
 	private place(task: Task, view: PoolView): void {
-		if (isLikelyDeadly(task) && !this.hasSpareMinions(view.now)) {
-			task.spareMinionsDeadline ??= view.now + maxSpareMinionsWaitMs;
-			if (view.now < task.spareMinionsDeadline) {
-				return;
-			}
+		if (!this.isolation.mayStart(task, this.pool.minions.values(), view.now)) {
+			return;
 		}
 
 		const placement = placeTask(task, this.pool.minions.values(), view);
@@ -354,37 +345,8 @@
 		}
 
 		this.unplaceableSizes.add(task);
-		if (mustRunAlone(task) && this.reservation === undefined) {
-			this.reservation = selectReservation(task, this.pool.minions.values(), view);
-			view.reservation = this.reservation;
-		}
-	}
-
-	/** Whether enough minions are empty, or all that can be used, to lose one of them. */
-	private hasSpareMinions(now: number): boolean {
-		let usable = 0;
-		let empty = 0;
-		for (const minion of this.pool.minions.values()) {
-			if (isUsable(minion, now)) {
-				usable += 1;
-				empty += minion.runs.size === 0 ? 1 : 0;
-			}
-		}
-
-		return empty >= Math.min(spareMinions, usable);
-	}
-
-	/** Ends the reservation if its task no longer waits, or its minion can't be used. */
-	private endReservation(now: number): void {
-		if (this.reservation === undefined) {
-			return;
-		}
-
-		const {minion, task} = this.reservation;
-		if (task.job.isSettled || task.state !== taskState.waiting || !isUsable(minion, now)) {
-			this.reservation = undefined;
-			this.pool.capacityRevision += 1;
-		}
+		this.isolation.reserve(task, this.pool.minions.values(), view.now);
+		view.reservation = this.isolation.reservation;
 	}
 
 	/** Ends the jobs that can no longer be served here: refuses, redirects or abandons them, in the order of placement. */
--- a/packages/chivestream-dispatch/src/placement.ts
+++ b/packages/chivestream-dispatch/src/placement.ts
@@ -129,21 +129,3 @@
 
 	return best;
 };
-
-/** When the last run on a minion is expected to end, on the monotonic clock; -Infinity if it has none. */
-const expectedEmptyAt = (minion: Minion): number =>
-	Math.max(...[...minion.runs.values()].map(run => run.requestedAt + run.expectedMs));
-
-/** Selects the minion that is expected to be empty first, for a task that must run alone; undefined if there is none. */
-export const selectReservation = (task: Task, minions: Iterable<Minion>, view: PoolView): Reservation | undefined => {
-	const required = taskResources(task);
-	let best: Minion | undefined;
-	for (const minion of minions) {
-		const isPossible = isUsable(minion, view.now) && isEligible(minion, task) && fits(minion.record.capacity, required);
-		if (isPossible && (best === undefined || expectedEmptyAt(minion) < expectedEmptyAt(best))) {
-			best = minion;
-		}
-	}
-
-	return best === undefined ? undefined : {minion: best, task};
-};
