Count a crash under the tasks that were lost with the lease of a silent minion

With a longer deadline a task could crash minion after minion without being counted if each of them went silent first: its machine was dark, a link was cut, or the host was paused.

Cause: when the lease of a silent minion expires, its runs end and leave the minion's list. If it turns out later that the minion had crashed (it restarted, or another one answers at its address), the crash was recorded for the runs in that list, which was empty. And a minion without a lease was not taken for replaced at all.

Change: the runs that end with the lease are kept until the minion's next report. A report of the same incarnation shows that it lived, and clears them; a crash is recorded for them, too. So a minion that was only silent still counts for nothing.

The two tests failed before: no crash was counted, and no minion-crashed event within 15 s. The third, a silent minion that answers again and crashes later, passed before and after.

--- a/packages/chivestream-dispatch/src/__tests__/crash.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/crash.test.ts
@@ -29,6 +29,13 @@
 	recorded.dispatcher.handleStartAnswer(run, startAnswer.started);
 };
 
+/** Lets the minion of a run be silent until its lease has expired. */
+const expireLease = (recorded: RecordedDispatcher, {minion}: Run) => {
+	recorded.dispatcher.markUnreachable(minion);
+	recorded.advance(leaseExpiryMs(leaseMs));
+	recorded.dispatcher.handleLeaseExpiry(minion);
+};
+
 /** Confirms each new start of a job and restarts its minion, until the job is not started again. */
 const crashEachMinion = (recorded: RecordedDispatcher, id: string, maxCrashes = 10) => {
 	for (let crash = 0; crash < Math.min(maxCrashes, runsOf(recorded, id).length); crash += 1) {
@@ -117,6 +124,16 @@
 		recorded.restart('m1');
 		expect(counts).toEqual([1]);
 	});
+
+	test('is counted when its minion went silent and the lease expired before the crash was noticed', () => {
+		const recorded = createDispatcher(['m1', 'm2']);
+		const counts = countCrashes(recorded, longJob(deadlyId));
+		const [run] = recorded.starts;
+		confirm(recorded, run!);
+		expireLease(recorded, run!);
+		recorded.restart(run!.minion.record.id);
+		expect(counts).toEqual([1]);
+	});
 });
 
 describe('the runs on a minion that has stopped listening', () => {
@@ -155,9 +172,7 @@
 		for (let index = 0; index < 4; index += 1) {
 			const run = recorded.starts[index]!;
 			confirm(recorded, run);
-			recorded.dispatcher.markUnreachable(run.minion);
-			recorded.advance(leaseExpiryMs(leaseMs));
-			recorded.dispatcher.handleLeaseExpiry(run.minion);
+			expireLease(recorded, run);
 			recorded.report(run.minion.record.id);
 		}
 
@@ -165,6 +180,17 @@
 		expect(recorded.starts).toHaveLength(5);
 	});
 
+	test('that was silent until its lease had expired, and answers again, counts against none of its earlier tasks when it crashes later', () => {
+		const recorded = createDispatcher(['m1', 'm2']);
+		const counts = countCrashes(recorded, longJob(otherId));
+		const [run] = recorded.starts;
+		confirm(recorded, run!);
+		expireLease(recorded, run!);
+		recorded.report(run!.minion.record.id);
+		recorded.restart(run!.minion.record.id);
+		expect(counts).toEqual([]);
+	});
+
 	test('that leaves as planned counts against none of its tasks', () => {
 		const recorded = createDispatcher(['m1']);
 		const counts = countCrashes(recorded, longJob(otherId));
--- a/packages/chivestream-dispatch/src/minion.ts
+++ b/packages/chivestream-dispatch/src/minion.ts
@@ -82,6 +82,8 @@
 	isReachable: boolean;
 	/** When the minion last reported its runs. */
 	reportedAt: number;
+	/** Runs that ended with the lease since that report; the minion may have crashed under one of them. */
+	runsLostInSilence: Run[];
 	/** Whether the minion is missing from the registry; it gets no new work. */
 	isUnregistered: boolean;
 	/** Runs by `runKey`, as long as they may use resources. */
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -168,6 +168,7 @@
 		}
 
 		minion.reportedAt = this.dependencies.now();
+		minion.runsLostInSilence = [];
 		const listedKeys = new Set<string>();
 		for (const {task, number, progress} of report.running) {
 			const key = runKey(task, number);
@@ -226,7 +227,7 @@
 
 	/** Handles the expiry of the lease on a minion: every run whose start the minion had confirmed has ended. */
 	handleLeaseExpiry(minion: Minion): void {
-		this.endConfirmedRuns(minion);
+		minion.runsLostInSilence.push(...this.endConfirmedRuns(minion));
 	}
 
 	/** Handles the crash of a minion's current incarnation; further evidence of the same crash has no effect. */
@@ -238,16 +239,18 @@
 		const incarnation = incarnationKey(minion);
 		minion.crashedIncarnation = incarnation;
 		const now = this.dependencies.now();
+		const runs = [...minion.runsLostInSilence, ...minion.runs.values()];
+		minion.runsLostInSilence = [];
 		this.dependencies.report('minion-crashed', {
 			minion: minion.record.id,
 			bornAt: minion.bornAt,
 			evidence,
 			isDraining: minion.record.isDraining,
-			runs: [...minion.runs.values()].map(run => describeRun(run, now)),
+			runs: runs.map(run => describeRun(run, now)),
 		});
 		// A draining minion leaves as planned.
 		if (!minion.record.isDraining) {
-			this.recordCrash(incarnation, [...minion.runs.values()]);
+			this.recordCrash(incarnation, runs);
 		}
 
 		if (evidence !== crashEvidence.restarted) {
@@ -464,14 +467,16 @@
 		}
 	}
 
-	/** Requeues the runs whose start the minion had confirmed. A start without an answer may still be carried out. */
-	private endConfirmedRuns(minion: Minion): void {
+	/** Requeues the runs whose start the minion had confirmed, and returns them. A start without an answer may still be carried out. */
+	private endConfirmedRuns(minion: Minion): Run[] {
 		minion.isSynced = false;
-		for (const run of minion.runs.values()) {
-			if (run.state === runState.running || (run.state === runState.stopping && run.startConfirmedAt !== undefined)) {
-				this.requeue(run);
-			}
+		const confirmedRuns = [...minion.runs.values()].filter(({state, startConfirmedAt}) =>
+			state === runState.running || (state === runState.stopping && startConfirmedAt !== undefined));
+		for (const run of confirmedRuns) {
+			this.requeue(run);
 		}
+
+		return confirmedRuns;
 	}
 
 	private recordProgress(run: Run, progress: number): void {
--- a/packages/chivestream-host/src/__tests__/minion-session.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-session.test.ts
@@ -1,11 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {
-	afterEach, expect, test,
+	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
 import {createRandom} from 'chivestream-core';
-import {Dispatcher} from 'chivestream-dispatch';
+import {crashEvidence, Dispatcher} from 'chivestream-dispatch';
 import {decodeMinionEntry} from 'chivestream-platform';
-import {Checker, startMinionStandIn, type MinionStandIn} from 'chivestream-site-stand-ins';
+import {
+	availability, Checker, startMinionStandIn, type MinionStandIn,
+} from 'chivestream-site-stand-ins';
 import {until} from '../__fixtures__/site.js';
 import {runMinionSession} from '../minion-session.js';
 
@@ -13,43 +15,34 @@
 const token = 64;
 
 let minion: MinionStandIn | undefined;
-const controller = new AbortController();
+let controller: AbortController;
 
-afterEach(async () => {
-	controller.abort();
-	await minion?.close();
+const startMinion = async (id: string, at?: {ip: string; port: number}) => startMinionStandIn({
+	id, zone: 'z', upstream: 'desk', checker: new Checker(), capacity: 32_000, leaseMs, workMs: () => 10_000, ...(at !== undefined && {at}),
 });
 
-test('the runs of a restarted minion are reported only after it has received a token that fences off earlier start requests', async () => {
-	minion = await startMinionStandIn({
-		id: 'i-1', zone: 'z', upstream: 'desk', checker: new Checker(), capacity: 32_000, leaseMs, workMs: () => 0,
-	});
+/** Starts a session with the minion; its dispatcher sends start requests over the session. */
+const startSession = (standIn: MinionStandIn) => {
 	const now = () => performance.now();
-	const dispatcher = new Dispatcher({
+	const events: Array<{event: string; fields: Record<string, unknown>}> = [];
+	const dispatcher: Dispatcher = new Dispatcher({
 		now,
 		random: createRandom(1),
-		requestStart() {
-			// The test submits no job.
+		requestStart(run, task) {
+			session.start(run, task);
 		},
-		requestStop() {
-			// The test submits no job.
+		requestStop(run) {
+			session.stop(run);
 		},
-		report() {
-			// Not of interest.
+		report(event, fields) {
+			events.push({event, fields});
 		},
 		otherCells: () => [],
 		isRegistryComplete: () => true,
 	}, {leaseMs, farFactor: 1});
-	dispatcher.setMinions([decodeMinionEntry('i-1', Buffer.from(minion.createRegistryEntry()))!]);
-	const highestTokens: number[] = [];
-	const handleReport = dispatcher.handleReport.bind(dispatcher);
-	dispatcher.handleReport = (...reported) => {
-		highestTokens.push(minion!.highestToken());
-		handleReport(...reported);
-	};
-
-	runMinionSession({
-		minion: dispatcher.pool.minions.get('i-1')!,
+	dispatcher.setMinions([decodeMinionEntry(standIn.id, Buffer.from(standIn.createRegistryEntry()))!]);
+	const session = runMinionSession({
+		minion: dispatcher.pool.minions.get(standIn.id)!,
 		dispatcher,
 		token,
 		leaseMs,
@@ -63,9 +56,62 @@
 		},
 		signal: controller.signal,
 	});
+	return {dispatcher, events};
+};
+
+beforeEach(() => {
+	controller = new AbortController();
+});
+
+afterEach(async () => {
+	controller.abort();
+	await minion?.close();
+});
+
+test('the runs of a restarted minion are reported only after it has received a token that fences off earlier start requests', async () => {
+	minion = await startMinion('i-1');
+	const {dispatcher} = startSession(minion);
+	const highestTokens: number[] = [];
+	const handleReport = dispatcher.handleReport.bind(dispatcher);
+	dispatcher.handleReport = (...reported) => {
+		highestTokens.push(minion!.highestToken());
+		handleReport(...reported);
+	};
+
 	await until(() => highestTokens.length > 0);
 	minion.crash();
 	const reportsBefore = highestTokens.length;
 	await until(() => highestTokens.length > reportsBefore);
 	expect(highestTokens[reportsBefore]).toBe(token + 1);
 });
+
+test('a minion that was silent until its lease had expired has crashed under its runs if another one answers at its address', async () => {
+	minion = await startMinion('i-1');
+	const {dispatcher, events} = startSession(minion);
+	await until(() => dispatcher.pool.minions.get('i-1')!.isSynced);
+	dispatcher.submit({
+		id: '00000000000000aa',
+		payload: 'x',
+		steps: [{
+			count: 1, millicores: 14_000, memoryMb: 64, accelerators: 0, estimateMs: 10_000, dependsOn: [],
+		}],
+		route: 'r',
+		upstream: 'desk',
+		priority: 0,
+		maxAttempts: 3,
+		objectiveDeadline: performance.now() + 60_000,
+		deadline: performance.now() + 60_000,
+		submission: 0,
+		mayHaveRun: false,
+	}, () => undefined);
+	await until(() => minion!.runningTasks().length > 0);
+	minion.setAvailability(availability.silent);
+	await until(() => dispatcher.pool.minions.get('i-1')!.runs.size === 0);
+	const [ip = '', port] = minion.address.split(':');
+	await minion.close();
+	minion = await startMinion('i-2', {ip, port: Number(port)});
+	await until(() => events.some(({event}) => event === 'minion-crashed'));
+	expect(events.find(({event}) => event === 'minion-crashed')?.fields).toMatchObject({
+		evidence: crashEvidence.replaced, runs: [{task: '00000000000000aa.0.0.0'}],
+	});
+});
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -163,7 +163,7 @@
 		}
 
 		dispatcher.markUnreachable(minion);
-		if (last === refusal.otherIncarnation && minion.isSynced) {
+		if (last === refusal.otherIncarnation && (minion.isSynced || minion.runsLostInSilence.length > 0)) {
 			dispatcher.handleCrash(minion, crashEvidence.replaced);
 		} else if (last instanceof Error && wasRefused(last) && now() < closedAt + crashDetectionMs) {
 			dispatcher.handleCrash(minion, crashEvidence.stoppedListening);
