--- a/packages/chivestream-dispatch/src/crash.ts
+++ b/packages/chivestream-dispatch/src/crash.ts
@@ -53,6 +53,9 @@
 /** Number of crashes after which any task is given up, so that it costs no further minion. */
 const maxCrashes = 3;
 
+/** Maximum number of tasks whose crashes are kept for resubmitted jobs. */
+const maxRecords = 2000;
+
 /** Starts that are this close together can't be told apart as the cause of a crash, in milliseconds. */
 const closeStartsMs = 30;
 
@@ -90,3 +93,31 @@
 		isOnlySuspect: suspects.has(run) && suspects.size === 1,
 	}]));
 };
+
+/** The crashes that a dispatcher knows of, also of jobs that have ended: a caller without an answer submits its job again. */
+export class CrashRecords {
+	private readonly records = new Map<string, CrashRecord>();
+
+	/** The crashes under a task, by its name; undefined if there was none. */
+	get(task: string): CrashRecord | undefined {
+		return this.records.get(task);
+	}
+
+	/** Adds crashes under a task; returns all that are known. */
+	add(task: string, crashes: CrashRecord): CrashRecord {
+		const merged = mergeCrashes(this.records.get(task), crashes) ?? crashes;
+		this.records.delete(task);
+		this.records.set(task, merged);
+		if (this.records.size > maxRecords) {
+			const [oldest] = this.records.keys();
+			this.records.delete(oldest!);
+		}
+
+		return merged;
+	}
+
+	/** Forgets the crashes under a task that has completed. */
+	delete(task: string): void {
+		this.records.delete(task);
+	}
+}
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -6,13 +6,14 @@
 	mustRunAlone, taskState, type Job, type Task,
 } from './job.js';
 import {
-	crashEvidence, describeRun, hasCrashed, incarnationKey, isGivenUp, mergeCrashes, recordsOfCrash, type CrashEvidence, type CrashRecord,
+	crashEvidence, CrashRecords, describeRun, hasCrashed, incarnationKey, isGivenUp, mergeCrashes, recordsOfCrash, type CrashEvidence,
 } from './crash.js';
 import {leaseExpiryMs} from './lease.js';
 import {
 	allResources, runKey, runState, type Minion, type MinionRecord, type Run,
 } from './minion.js';
 import {taskResources} from './placement.js';
+import {endProbation, noteFailure, resetFailures} from './quarantine.js';
 import {recordRunTime} from './slowness.js';
 
 /** How a run ended, as reported by its minion. */
@@ -74,12 +75,6 @@
 	onTaskFailed: (task: Task, reason: string) => void;
 };
 
-/** Number of consecutive failures after which a minion is quarantined. */
-const failuresUntilQuarantine = 2;
-
-/** Length of a minion's first quarantine and the limit of its doubling, in milliseconds. */
-const quarantineMs = {first: 1000, max: 8000} as const;
-
 /** A run without progress is stalled after this many times its expected run time. */
 const stalledFactor = 3;
 
@@ -98,9 +93,6 @@
 /** Maximum number of tasks completed for previous dispatchers that are kept for resubmitted jobs. */
 const maxInheritedDoneTasks = 2000;
 
-/** Maximum number of tasks whose crashes are kept for resubmitted jobs. */
-const maxCrashRecords = 2000;
-
 /** Manages the runs in a pool of minions, including runs inherited from the cell's previous dispatchers. */
 export class Runs {
 	private readonly pool: MinionPool;
@@ -109,8 +101,7 @@
 	private readonly startedAt: number;
 	/** Names of tasks completed for a previous dispatcher whose job has not been resubmitted. */
 	private readonly inheritedDoneTasks = new Set<string>();
-	/** Crashes by the name of the task, also of jobs that have ended: a caller without an answer submits its job again. */
-	private readonly crashes = new Map<string, CrashRecord>();
+	private readonly crashes = new CrashRecords();
 
 	constructor(pool: MinionPool, dependencies: RunDependencies, leaseMs: number) {
 		this.pool = pool;
@@ -277,8 +268,7 @@
 		minion.bornAt = bornAt;
 		this.dependencies.report('minion-reborn', {minion: minion.record.id, bornAt});
 		minion.isSynced = false;
-		minion.consecutiveFailures = 0;
-		minion.quarantinedUntil = 0;
+		resetFailures(minion);
 		for (const run of minion.runs.values()) {
 			this.stopUnansweredAgain(run);
 		}
@@ -361,9 +351,7 @@
 	private recordCrash(incarnation: string, runs: readonly Run[]): void {
 		for (const [name, record] of recordsOfCrash(incarnation, runs)) {
 			const task = this.dependencies.findTask(name);
-			const crashes = mergeCrashes(mergeCrashes(this.crashes.get(name), task?.crashes), record)!;
-			this.crashes.delete(name);
-			this.crashes.set(name, crashes);
+			const crashes = this.crashes.add(name, mergeCrashes(task?.crashes, record)!);
 			if (task !== undefined) {
 				task.crashes = crashes;
 				task.job.onTaskCrashed(name, crashes);
@@ -372,11 +360,6 @@
 				}
 			}
 		}
-
-		while (this.crashes.size > maxCrashRecords) {
-			const [oldest] = this.crashes.keys();
-			this.crashes.delete(oldest!);
-		}
 	}
 
 	private handleRunEnd(minion: Minion, end: RunEnd): void {
@@ -399,9 +382,7 @@
 		removeRun(this.pool, run);
 		if (end.kind === endKind.done) {
 			this.crashes.delete(end.task);
-			minion.consecutiveFailures = 0;
-			minion.isOnProbation = false;
-			minion.quarantineMs = 0;
+			endProbation(minion);
 			if (assignedTask === undefined) {
 				this.handleInheritedDone(end.task);
 				return;
@@ -430,15 +411,9 @@
 	}
 
 	private recordFailure(minion: Minion): void {
-		minion.consecutiveFailures += 1;
-		if (minion.consecutiveFailures < failuresUntilQuarantine) {
-			return;
+		if (noteFailure(minion, this.dependencies.now())) {
+			this.dependencies.report('minion-quarantined', {minion: minion.record.id, failures: minion.consecutiveFailures, forMs: minion.quarantineMs});
 		}
-
-		minion.quarantineMs = Math.min(quarantineMs.max, Math.max(quarantineMs.first, minion.quarantineMs * 2));
-		minion.quarantinedUntil = this.dependencies.now() + minion.quarantineMs;
-		minion.isOnProbation = true;
-		this.dependencies.report('minion-quarantined', {minion: minion.record.id, failures: minion.consecutiveFailures, forMs: minion.quarantineMs});
 	}
 
 	/** Marks the task of an inherited run as done, or remembers it until its job is resubmitted. */
