Don't give up a completed task when the crash of an earlier minion is noticed late

What callers saw: a job that goes on with its next step could be answered as failed because of a task that had completed.

Cause: a crash is recorded for every task that had a run on the minion, also if the run ended with the lease, and the task has completed elsewhere before the crash was noticed. The third crash then gave the job up.

Change: a crash is not recorded for a completed task. The test failed before (outcome failed after the third crash).

--- a/packages/chivestream-dispatch/src/__tests__/crash.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/crash.test.ts
@@ -201,6 +201,28 @@
 	});
 });
 
+describe('a task that has completed', () => {
+	test('is not given up when an earlier minion of it turns out to have crashed', () => {
+		const recorded = createDispatcher(['m1', 'm2']);
+		const outcomes = recorded.submit(longJob(otherId, {
+			crashes: {
+				[`${otherId}.0.0.0`]: {
+					incarnations: ['x@1', 'y@1'], wasAlone: false, isSuspect: false, isOnlySuspect: false,
+				},
+			},
+			steps: [longJob(otherId).steps[0]!, {...longJob(otherId).steps[0]!, dependsOn: [0]}],
+		}));
+		const [first] = recorded.starts;
+		confirm(recorded, first!);
+		expireLease(recorded, first!);
+		const second = recorded.starts[1]!;
+		confirm(recorded, second);
+		recorded.report(second.minion.record.id, [], [[second.task, second.number, 'done']]);
+		recorded.restart(first!.minion.record.id);
+		expect(outcomes).toEqual([]);
+	});
+});
+
 describe('a task beside one that crashes its minions', () => {
 	test('is not given up, and completes', () => {
 		const recorded = createDispatcher(['m1', 'm2', 'm3', 'm4']);
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -351,6 +351,11 @@
 	private recordCrash(incarnation: string, runs: readonly Run[]): void {
 		for (const [name, record] of recordsOfCrash(incarnation, runs)) {
 			const task = this.dependencies.findTask(name);
+			if (task?.state === taskState.done) {
+				// It completed on another minion before this crash was noticed.
+				continue;
+			}
+
 			const crashes = this.crashes.add(name, mergeCrashes(task?.crashes, record)!);
 			if (task !== undefined) {
 				task.crashes = crashes;
