Stand-in: await the restart of a crashed minion when it is closed

A minion that was closed while it restarted could start a server after that, which nothing closed, and a failed restart was an unhandled rejection without a context. The timers of its runs are cleared, too.

--- a/packages/chivestream-site-stand-ins/src/minion.ts
+++ b/packages/chivestream-site-stand-ins/src/minion.ts
@@ -138,7 +138,7 @@
 		if (!activeRuns.has(key)) {
 			if (options.isDeadly?.(task) === true) {
 				setTimeout(() => {
-					void crashUnder(task, key);
+					restart = crashUnder(task, key);
 				}, deadlyDelayMs);
 			}
 
@@ -238,6 +238,8 @@
 	const {address} = server;
 	let isDown = false;
 	let isClosed = false;
+	/** The restart after the last crash; fails if the minion could not listen again. */
+	let restart = Promise.resolve();
 
 	const crash = () => {
 		for (const activeRun of activeRuns.values()) {
@@ -316,6 +318,12 @@
 		async close() {
 			isClosed = true;
 			clearInterval(leaseTimer);
+			for (const {timer} of activeRuns.values()) {
+				clearTimeout(timer);
+			}
+
+			// A restart in progress still starts a server.
+			await restart;
 			await server.close();
 		},
 	};
