Release a job that was submitted to an earlier claim of the dispatcher

What callers saw: nothing; a task ran on two minions at the same time (TWICE).

Timeline (z0): 48.08 h4 claims the cell; 48.35 it is paused for 881 ms; 48.47 h1 submits job 17 to it; 48.94 h1 takes h4 for lost, and h2, which has claimed the cell, runs the job with mayHaveRun; 49.23 h4 wakes, gives up its claim and claims the cell anew with a higher token. Only then does it read the submission from its connection. For h4 the job is new, so it does not wait until all minions have reported their runs, and it starts run 33 beside the run of h2.

Cause: a submission was valid for the host, whatever its claim. So a host that was paused acted on a permission that had run out meanwhile.

Change: a submission names the claim that its sender knows, and a dispatcher releases it under any other claim. Earlier builds leave it out and are served as before.

--- a/packages/chivestream-host/src/dispatcher-table.ts
+++ b/packages/chivestream-host/src/dispatcher-table.ts
@@ -135,13 +135,12 @@
 			return undefined;
 		}
 
-		const name = cellName(record.zone, cell, status.cellCount);
+		const target = {cell: cellName(record.zone, cell, status.cellCount), claim: claim.token};
 		return {
 			name: record.name,
-			cell: name,
-			claim: claim.token,
+			...target,
 			submit: (job, callbacks) => {
-				link.submit(toJobMessage(job, name, this.options.now()), callbacks);
+				link.submit(toJobMessage(job, target, this.options.now()), callbacks);
 			},
 			cancel(id) {
 				link.cancel(id);
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -134,7 +134,10 @@
 			isDispatcher: host => this.peers.isDispatcher(host.name),
 			submit: (message, {settle, onTaskCrashed}) => {
 				const service = this.claim.serviceOfCell(message.cell);
-				if (service === undefined) {
+				// A submission to an earlier claim may have waited for long, for example while this process was paused. The job may run for
+				// another dispatcher by now.
+				const isOutdated = message.claim !== undefined && message.claim !== service?.token;
+				if (service === undefined || isOutdated) {
 					settle({kind: 'released', doneTasks: []});
 				} else {
 					service.dispatcher.submit(fromJobMessage(message, now()), settle, onTaskCrashed);
--- a/packages/chivestream-host/src/job-client.ts
+++ b/packages/chivestream-host/src/job-client.ts
@@ -44,9 +44,10 @@
 const retryAfterMs = 1000;
 
 /** Converts a job to its message, whose times are relative to `now`, in milliseconds. */
-export const toJobMessage = (job: JobRequest, cell: string, now: number): JobMessage => ({
+export const toJobMessage = (job: JobRequest, {cell, claim}: Pick<DispatcherHandle, 'cell' | 'claim'>, now: number): JobMessage => ({
 	id: job.id,
 	cell,
+	claim,
 	payload: job.payload,
 	steps: [...job.steps],
 	route: job.route,
@@ -62,7 +63,7 @@
 });
 
 /** Converts a received message to a job, whose times are on the local monotonic clock, in milliseconds. */
-export const fromJobMessage = ({objectiveInMs, deadlineInMs, cell, ...message}: JobMessage, now: number): JobRequest => ({
+export const fromJobMessage = ({objectiveInMs, deadlineInMs, cell, claim, ...message}: JobMessage, now: number): JobRequest => ({
 	...message,
 	objectiveDeadline: now + objectiveInMs,
 	deadline: now + deadlineInMs,
--- a/packages/chivestream-host/src/message-schemas.ts
+++ b/packages/chivestream-host/src/message-schemas.ts
@@ -55,6 +55,7 @@
 const jobMessageSchema: z.ZodType<JobMessage> = z.object({
 	id: z.string(),
 	cell: z.string(),
+	claim: z.number().optional(),
 	payload: z.string(),
 	steps: z.array(stepSchema).min(1),
 	route: z.string(),
--- a/packages/chivestream-host/src/messages.ts
+++ b/packages/chivestream-host/src/messages.ts
@@ -44,6 +44,8 @@
 	id: string;
 	/** Name of the cell to which it is submitted. */
 	cell: string;
+	/** Fencing token of the claim to which it is submitted; left out by earlier builds. */
+	claim?: number;
 	payload: string;
 	steps: Step[];
 	route: string;
