--- a/packages/chivestream-dispatch/src/isolation.ts
+++ b/packages/chivestream-dispatch/src/isolation.ts
@@ -16,7 +16,7 @@
 /** Number of empty minions from which one may be lost to a task that has probably crashed one already. */
 const spareMinions = 3;
 
-/** How long such a task waits for empty minions, in milliseconds. */
+/** How long such a task waits for empty minions, in milliseconds. Most crashed minions are back by then. */
 const maxSpareMinionsWaitMs = 3000;
 
 /** Isolates the tasks of a dispatcher that may crash their minions. Times are milliseconds of the monotonic clock. */
@@ -82,6 +82,7 @@
 const expectedEmptyAt = (minion: Minion): number =>
 	Math.max(...[...minion.runs.values()].map(run => run.requestedAt + run.expectedMs));
 
+/** The minion that is expected to be empty first, among those that may run the task. */
 const firstEmptyMinion = (task: Task, minions: Iterable<Minion>, now: number): Minion | undefined => {
 	const required = taskResources(task);
 	let best: Minion | undefined;
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -138,6 +138,9 @@
 				// another dispatcher by now.
 				const isOutdated = message.claim !== undefined && message.claim !== service?.token;
 				if (service === undefined || isOutdated) {
+					report('submission-released', {
+						job: message.id, cell: message.cell, claim: message.claim, ownClaim: service?.token,
+					});
 					settle({kind: 'released', doneTasks: []});
 				} else {
 					service.dispatcher.submit(fromJobMessage(message, now()), settle, onTaskCrashed);
