Log the runs that a new dispatcher finds, and what it knows of the jobs that it takes over

The logs had neither, so that a second run could not be told to come from a paused dispatcher, a renewed lease of its predecessor, or an incomplete table of minions. Both events occur at changes of a dispatcher only.

No change of behavior.

--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -310,6 +310,17 @@
 				}
 			}
 		}
+
+		if (job.request.mayHaveRun) {
+			this.dependencies.report('job-taken-over', {
+				job: job.request.id,
+				submission: job.request.submission,
+				done: job.tasks.filter(({state}) => state === taskState.done).length,
+				running: job.tasks.filter(({state}) => state === taskState.running).length,
+				unplaced: job.tasks.filter(task => isUnplaced(task)).length,
+				hasObservedInheritedRuns: this.hasObservedInheritedRuns(this.dependencies.now()),
+			});
+		}
 	}
 
 	/** Whether every inherited run has been reported, or has ended because its lease has expired. */
@@ -441,6 +452,9 @@
 			task: taskName, number, assignedTask: undefined, expectedMs: 0, now: this.dependencies.now(), state: runState.running, isInherited: true,
 		});
 		const task = this.dependencies.findTask(taskName);
+		this.dependencies.report('run-inherited', {
+			task: taskName, run: number, minion: minion.record.id, taskState: task?.state,
+		});
 		if (task !== undefined && isUnplaced(task)) {
 			task.lastRunNumber = Math.max(task.lastRunNumber, number);
 			assignRun(run, task, task.step.estimateMs);
