--- a/packages/chivestream-dispatch/src/__fixtures__/recorded-dispatcher.ts
+++ b/packages/chivestream-dispatch/src/__fixtures__/recorded-dispatcher.ts
@@ -61,8 +61,8 @@
 	...changes,
 });
 
-/** Creates a dispatcher with registered minions that have not reported their runs yet. */
-export const createRecordedDispatcher = (records: readonly MinionRecord[]): RecordedDispatcher => {
+/** Creates a dispatcher with registered minions that have not reported their runs yet; `claim` is its fencing token. */
+export const createRecordedDispatcher = (records: readonly MinionRecord[], claim = 1): RecordedDispatcher => {
 	let time = 0;
 	let isRegistryComplete = true;
 	const starts: Run[] = [];
@@ -78,7 +78,9 @@
 			stops.push(run);
 		},
 		otherCells: () => otherCells,
+		claim,
 		isRegistryComplete: () => isRegistryComplete,
+		knowsMinionsOfClaim: () => true,
 		report() {
 			// Tests check requests and outcomes, not log events.
 		},
--- a/packages/chivestream-dispatch/src/__fixtures__/simulation.ts
+++ b/packages/chivestream-dispatch/src/__fixtures__/simulation.ts
@@ -220,7 +220,9 @@
 			});
 		},
 		otherCells: () => [],
+		claim: 1,
 		isRegistryComplete: () => true,
+		knowsMinionsOfClaim: () => true,
 		report() {
 			// Log events are not evaluated.
 		},
--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -433,8 +433,8 @@
 		recorded.advance(10);
 		recorded.report('m', [[task(1), 1]], [[task(0), 1, 'done']]);
 		recorded.dispatcher.release();
-		expect(outcomes).toEqual([{kind: outcomeKind.released, doneTasks: [task(0)]}]);
+		expect(outcomes).toEqual([{kind: outcomeKind.released, doneTasks: [task(0)], minionsByTask: {[task(1)]: ['m']}}]);
 		expect(recorded.stops).toHaveLength(0);
-		expect(recorded.submit(jobRequest('00000000000000dd'))).toEqual([{kind: outcomeKind.released, doneTasks: []}]);
+		expect(recorded.submit(jobRequest('00000000000000dd'))).toEqual([{kind: outcomeKind.released, doneTasks: [], minionsByTask: {}}]);
 	});
 });
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -22,6 +22,9 @@
 	Runs, type MinionReport, type RunDependencies, type StartAnswer,
 } from './runs.js';
 import {isGivenUp, type CrashEvidence} from './crash.js';
+import {
+	grantLease, isLeaseSufficient, leaseExpiryMs, leaseLengths, type LeaseLengths,
+} from './lease.js';
 import {compareWaitingJobs} from './job-order.js';
 
 /** Free capacity of another cell, as last published by it. */
@@ -41,7 +44,7 @@
 };
 
 /** Dependencies and callbacks of a dispatcher. */
-export type DispatchDependencies = Pick<RunDependencies, 'now' | 'requestStart' | 'requestStop' | 'report' | 'isRegistryComplete'> & {
+export type DispatchDependencies = Pick<RunDependencies, 'now' | 'requestStart' | 'requestStop' | 'report' | 'claim' | 'isRegistryComplete' | 'knowsMinionsOfClaim'> & {
 	/** Random numbers from 0 to 1, to spread retries. */
 	random: Random;
 	/** Free capacity of other cells, nearest first. The dispatcher lowers `freeTasks` of the returned object when it redirects a job there. */
@@ -83,6 +86,7 @@
 	readonly jobs = new Map<string, Job>();
 	private readonly dependencies: DispatchDependencies;
 	private readonly bounds: DispatchBounds;
+	private readonly leaseLengths: LeaseLengths;
 	private readonly policy: DispatchPolicy;
 	private readonly runs: Runs;
 	private readonly unplaceableSizes = new UnplaceableSizes();
@@ -99,6 +103,7 @@
 		this.dependencies = dependencies;
 		this.policy = policy;
 		this.bounds = bounds;
+		this.leaseLengths = leaseLengths(bounds.leaseMs);
 		this.startedAt = dependencies.now();
 		this.runs = new Runs(this.pool, {
 			...dependencies,
@@ -111,12 +116,12 @@
 			onTaskFailed: ({job}, reason) => {
 				this.settleJob(job, {kind: outcomeKind.failed, reason});
 			},
-		}, bounds.leaseMs);
+		}, this.leaseLengths);
 	}
 
-	/** Updates the minions from the registry. Minions missing from it get no new work, and are removed if they have no runs. */
-	setMinions(records: readonly MinionRecord[]): void {
-		this.runs.setMinions(records);
+	/** Updates the minions from the registry; see `Runs.setMinions`. */
+	setMinions(records: readonly MinionRecord[], unregistered: readonly MinionRecord[] = []): void {
+		this.runs.setMinions(records, unregistered);
 		this.largestCapacities = largestCapacities(this.pool);
 		this.schedule();
 	}
@@ -124,12 +129,13 @@
 	/**
 	 * Submits a job. `settle` receives its outcome exactly once; it may be called before `submit` returns. If the job was
 	 * already submitted, for example over another path, it continues, and both submitters receive its outcome. `onTaskCrashed`
-	 * receives the crashes under each task, for the submission to the next dispatcher if this one is lost.
+	 * receives the crashes under each task, for the submission to the next dispatcher if this one is lost. No task of the job runs after
+	 * `leaseEndsAt`, which the submitting host extends.
 	 */
-	submit(request: JobRequest, settle: Job['settle'], onTaskCrashed: Job['onTaskCrashed'] = () => undefined): void {
+	submit(request: JobRequest, settle: Job['settle'], onTaskCrashed: Job['onTaskCrashed'] = () => undefined, leaseEndsAt: Job['leaseEndsAt'] = () => Infinity): void {
 		const now = this.dependencies.now();
 		if (this.isLeaving) {
-			settle({kind: outcomeKind.released, doneTasks: []});
+			settle({kind: outcomeKind.released, doneTasks: [], minionsByTask: {}});
 			return;
 		}
 
@@ -147,10 +153,16 @@
 				onTaskCrashed(task, crashes);
 			};
 
+			const existingLeaseEndsAt = existing.leaseEndsAt;
+			// A host that submits the job again, over another stream, no longer extends the lease on its earlier submission. The hosts of
+			// several copies extend theirs independently, and each may submit the job elsewhere once its own lease has expired.
+			existing.leaseEndsAt = request.submission > existing.request.submission
+				? leaseEndsAt
+				: () => Math.min(existingLeaseEndsAt(), leaseEndsAt());
 			return;
 		}
 
-		const job = createJob(request, now, {settle, onTaskCrashed});
+		const job = createJob(request, now, {settle, onTaskCrashed, leaseEndsAt});
 		this.jobs.set(request.id, job);
 		// For a resubmitted job, keeps the tasks that completed or are still running for a previous dispatcher.
 		this.runs.restoreTasks(job);
@@ -166,7 +178,7 @@
 
 		this.recordTaskSizes(job);
 		this.schedule();
-		if (!job.isSettled && !job.hasStarted) {
+		if (!job.isSettled && !job.hasStarted && !this.awaitsLease(job, now)) {
 			const aheadMs = workAheadMs(job, this.jobs.values(), this.policy.compare(now));
 			this.redirectOrRefuse(job, {now, aheadMs, parallelTaskCount: this.parallelTaskCount()});
 		}
@@ -215,6 +227,16 @@
 		this.schedule();
 	}
 
+	/** Length of the lease that a minion may be granted now, in milliseconds of its clock; undefined if it must not be extended. */
+	grantLease(minion: Minion): number | undefined {
+		return grantLease(minion, this.leaseLengths, this.dependencies.now());
+	}
+
+	/** Places the tasks that have waited for the lease on their job, after a host has extended it. */
+	resume(): void {
+		this.schedule();
+	}
+
 	/** Records when a minion's incarnation started, as reported by the registry or the minion. */
 	recordIncarnation(minion: Minion, bornAt: number): void {
 		this.runs.recordIncarnation(minion, bornAt);
@@ -245,7 +267,9 @@
 			job.isSettled = true;
 			const doneTasks = job.tasks.filter(task => task.state === taskState.done).map(task => task.name);
 			const crashes = crashesOf(job);
-			job.settle({kind: outcomeKind.released, doneTasks, ...(crashes !== undefined && {crashes})});
+			job.settle({
+				kind: outcomeKind.released, doneTasks, minionsByTask: this.minionsByTask(job), ...(crashes !== undefined && {crashes}),
+			});
 		}
 
 		this.jobs.clear();
@@ -276,6 +300,19 @@
 		return count;
 	}
 
+	/** Whether the lease on a job is too short for some minions, until its host extends it. */
+	private awaitsLease(job: Job, now: number): boolean {
+		return job.leaseEndsAt() < now + leaseExpiryMs(this.leaseLengths.usualMs);
+	}
+
+	/** Ids of the minions on which each task of a job may be running. */
+	private minionsByTask(job: Job): Record<string, string[]> {
+		return Object.fromEntries(job.tasks.flatMap(({name}) => {
+			const runs = this.pool.runsByTask.get(name);
+			return runs === undefined ? [] : [[name, [...runs].map(run => run.minion.record.id)] as const];
+		}));
+	}
+
 	private meanTaskMillicores(): number {
 		return this.observedMeanMillicores === 0 ? defaultTaskMillicores : this.observedMeanMillicores;
 	}
@@ -312,21 +349,22 @@
 			return;
 		}
 
-		// Inherited runs were started for a previous dispatcher of this cell.
-		const hasObservedInheritedRuns = this.runs.hasObservedInheritedRuns(now);
 		const view: PoolView = {
-			now, farFactor: this.bounds.farFactor, expectedSlowness: minion => expectedSlowness(this.pool, minion), reservation: this.isolation.reservation,
+			now,
+			farFactor: this.bounds.farFactor,
+			expectedSlowness: minion => expectedSlowness(this.pool, minion),
+			isLeaseSufficient: (minion, task) => isLeaseSufficient(minion, task.job.leaseEndsAt(), this.leaseLengths, now),
+			reservation: this.isolation.reservation,
 		};
 		waiting.sort(this.policy.compare(now));
 		for (const job of waiting) {
-			// Another dispatcher may have started tasks of the job, which may still be running on a minion that has not reported yet.
-			// Unlike `request.mayHaveRun`, `job.mayHaveRun` also covers starts that this dispatcher has requested and recorded.
-			if (!hasObservedInheritedRuns && job.request.mayHaveRun) {
+			// Its caller may have sent the job to another host by now.
+			if (now > job.request.deadline) {
 				continue;
 			}
 
 			for (const task of job.tasks) {
-				if (isPlaceable(task) && !this.pool.runsByTask.has(task.name)) {
+				if (isPlaceable(task) && !this.pool.runsByTask.has(task.name) && this.runs.hasObservedRuns(task, now)) {
 					this.place(task, view);
 				}
 			}
@@ -344,6 +382,10 @@
 			return;
 		}
 
+		if (this.awaitsLease(task.job, view.now)) {
+			return;
+		}
+
 		this.unplaceableSizes.add(task);
 		this.isolation.reserve(task, this.pool.minions.values(), view.now);
 		view.reservation = this.isolation.reservation;
--- a/packages/chivestream-dispatch/src/job.ts
+++ b/packages/chivestream-dispatch/src/job.ts
@@ -50,6 +50,18 @@
 	doneTasks?: readonly string[];
 	/** Crashes of minions under the tasks of the job for previous dispatchers, by the name of the task. */
 	crashes?: Readonly<Record<string, CrashRecord>>;
+	/** Submissions to other dispatchers whose runs may still be alive; left out by earlier builds. */
+	previousSubmissions?: readonly PreviousSubmission[];
+};
+
+/** A submission of a job to a dispatcher that no longer has the job. */
+export type PreviousSubmission = {
+	/** Fencing token of the claim of that dispatcher. */
+	claim: number;
+	/** When all its runs of the job have ended at the latest, in milliseconds of the host's monotonic clock. */
+	leaseEndsAt: number;
+	/** Ids of the minions on which each task may be running, by the name of the task; undefined if the dispatcher was lost. */
+	minionsByTask?: Readonly<Record<string, readonly string[]>>;
 };
 
 /** States of a task. */
@@ -102,6 +114,8 @@
 	settle: (outcome: Outcome) => void;
 	/** Receives the crashes under a task whenever another one is known. */
 	onTaskCrashed: (task: string, crashes: CrashRecord) => void;
+	/** Until when the dispatcher may run the job, in milliseconds of the host's monotonic clock; the host that submitted it extends this. */
+	leaseEndsAt: () => number;
 };
 
 /** Run numbers reserved for each submission of a job, so that the numbers of the next submission are higher. */
@@ -126,9 +140,9 @@
 export const jobIdOfTask = (name: string): string => name.slice(0, name.indexOf('.'));
 
 /** Creates a job with its tasks; tasks of steps without dependencies can be placed at once. */
-export const createJob = (request: JobRequest, arrivedAt: number, {settle, onTaskCrashed}: Pick<Job, 'settle' | 'onTaskCrashed'>): Job => {
+export const createJob = (request: JobRequest, arrivedAt: number, callbacks: Pick<Job, 'settle' | 'onTaskCrashed' | 'leaseEndsAt'>): Job => {
 	const job: Job = {
-		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasStarted: false, isSettled: false, settle, onTaskCrashed,
+		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasStarted: false, isSettled: false, ...callbacks,
 	};
 	for (const [stepIndex, step] of request.steps.entries()) {
 		for (let index = 0; index < step.count; index += 1) {
--- a/packages/chivestream-dispatch/src/minion-pool.ts
+++ b/packages/chivestream-dispatch/src/minion-pool.ts
@@ -37,6 +37,7 @@
 	isSynced: false,
 	isReachable: true,
 	reportedAt: Number.NEGATIVE_INFINITY,
+	leaseEndsAt: Number.NEGATIVE_INFINITY,
 	runsLostInSilence: [],
 	isUnregistered: false,
 	runs: new Map(),
--- a/packages/chivestream-dispatch/src/minion.ts
+++ b/packages/chivestream-dispatch/src/minion.ts
@@ -82,6 +82,8 @@
 	isReachable: boolean;
 	/** When the minion last reported its runs. */
 	reportedAt: number;
+	/** When every run under the leases that the minion was granted has ended at the latest. */
+	leaseEndsAt: number;
 	/** Runs that ended with the lease since that report; the minion may have crashed under one of them. */
 	runsLostInSilence: Run[];
 	/** Whether the minion is missing from the registry; it gets no new work. */
--- a/packages/chivestream-dispatch/src/outcome.ts
+++ b/packages/chivestream-dispatch/src/outcome.ts
@@ -16,11 +16,17 @@
 	released: 'released',
 } as const;
 
-/** The outcome of a job, with the reason, the target cell, or the names of the completed tasks and the crashes under the others. */
+/** The outcome of a job, with the reason, the target cell, or the names of the completed tasks and what is known of the others. */
 export type Outcome
 	= | {kind: typeof outcomeKind.completed}
 		| {kind: typeof outcomeKind.failed; reason: string}
 		| {kind: typeof outcomeKind.refused; reason: string; retryAfterMs: number}
 		| {kind: typeof outcomeKind.abandoned; reason: string}
 		| {kind: typeof outcomeKind.redirected; cell: string}
-		| {kind: typeof outcomeKind.released; doneTasks: string[]; crashes?: Readonly<Record<string, CrashRecord>>};
+		| {
+			kind: typeof outcomeKind.released;
+			doneTasks: string[];
+			crashes?: Readonly<Record<string, CrashRecord>>;
+			/** Ids of the minions on which each task may be running, by the name of the task; left out by earlier builds. */
+			minionsByTask?: Readonly<Record<string, readonly string[]>>;
+		};
--- a/packages/chivestream-dispatch/src/placement.ts
+++ b/packages/chivestream-dispatch/src/placement.ts
@@ -19,6 +19,8 @@
 	farFactor: number;
 	/** Returns the expected ratio of actual to estimated run time on a minion. */
 	expectedSlowness: (minion: Minion) => number;
+	/** Whether the leases on a minion and on the job of a task leave enough time to start the task there. */
+	isLeaseSufficient: (minion: Minion, task: Task) => boolean;
 	/** The minion that gets no new runs until it is empty, and the task that then runs alone there. */
 	reservation?: Reservation | undefined;
 };
@@ -117,7 +119,8 @@
 	let best: Placement | undefined;
 	for (const minion of minions) {
 		const isReserved = view.reservation?.minion === minion && view.reservation.task !== task;
-		if (isReserved || (isAlone && minion.runs.size > 0) || !isUsable(minion, view.now) || !isEligible(minion, task) || !fits(freeResources(minion), required)) {
+		if (isReserved || (isAlone && minion.runs.size > 0) || !isUsable(minion, view.now) || !isEligible(minion, task) || !fits(freeResources(minion), required)
+			|| !view.isLeaseSufficient(minion, task)) {
 			continue;
 		}
 
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -3,12 +3,12 @@
 	addRun, expectedSlowness, slownessOfKind, registerMinion, removeRun, type MinionPool,
 } from './minion-pool.js';
 import {
-	mustRunAlone, taskState, type Job, type Task,
+	mustRunAlone, taskState, type Job, type PreviousSubmission, type Task,
 } from './job.js';
 import {
 	crashEvidence, CrashRecords, describeRun, hasCrashed, incarnationKey, isGivenUp, mergeCrashes, recordsOfCrash, type CrashEvidence,
 } from './crash.js';
-import {leaseExpiryMs} from './lease.js';
+import {leaseExpiryMs, type LeaseLengths} from './lease.js';
 import {
 	allResources, runKey, runState, type Minion, type MinionRecord, type Run,
 } from './minion.js';
@@ -65,8 +65,12 @@
 	requestStop: (run: Run) => void;
 	/** Writes a log event. */
 	report: (event: string, fields: Record<string, unknown>) => void;
+	/** Fencing token of the claim under which this dispatcher runs jobs. */
+	claim: number;
 	/** Whether every minion that may run tasks is registered. After an outage of the registry some are missing for a while. */
 	isRegistryComplete: () => boolean;
+	/** Whether all minions that the dispatcher with this claim may have used by then are registered; time as in `now`. */
+	knowsMinionsOfClaim: (claim: number, until: number) => boolean;
 	/** Finds a task by name among the current jobs. */
 	findTask: (name: string) => Task | undefined;
 	/** Called when a task has completed. */
@@ -82,13 +86,13 @@
 const stalledMinMs = 400;
 
 /** How long an inherited run may wait for its job to be resubmitted before it is stopped, in milliseconds. */
-const inheritedRunGraceMs = 600;
+const inheritedRunGraceMs = 350;
 
 /**
  * Number of ticks that must pass as well. After a pause of this process the time is over at once, but jobs that were
  * resubmitted during the pause are not processed yet.
  */
-const inheritedRunGraceTicks = 8;
+const inheritedRunGraceTicks = 5;
 
 /** Maximum number of tasks completed for previous dispatchers that are kept for resubmitted jobs. */
 const maxInheritedDoneTasks = 2000;
@@ -97,30 +101,39 @@
 export class Runs {
 	private readonly pool: MinionPool;
 	private readonly dependencies: RunDependencies;
-	private readonly leaseMs: number;
+	private readonly leaseLengths: LeaseLengths;
 	private readonly startedAt: number;
 	/** Names of tasks completed for a previous dispatcher whose job has not been resubmitted. */
 	private readonly inheritedDoneTasks = new Set<string>();
 	private readonly crashes = new CrashRecords();
 
-	constructor(pool: MinionPool, dependencies: RunDependencies, leaseMs: number) {
+	constructor(pool: MinionPool, dependencies: RunDependencies, leaseLengths: LeaseLengths) {
 		this.pool = pool;
 		this.dependencies = dependencies;
-		this.leaseMs = leaseMs;
+		this.leaseLengths = leaseLengths;
 		this.startedAt = dependencies.now();
 	}
 
-	/** Applies the current registry. Minions missing from it get no new work, and are removed if they have no runs. */
-	setMinions(records: readonly MinionRecord[]): void {
+	/**
+	 * Applies the current registry. Minions missing from it get no new work, and are removed if they have reported that they have no runs.
+	 * Unregistered minions that may have runs of a previous dispatcher are added.
+	 */
+	setMinions(records: readonly MinionRecord[], unregistered: readonly MinionRecord[] = []): void {
 		const ids = new Set(records.map(record => record.id));
 		for (const record of records) {
 			this.recordIncarnation(registerMinion(this.pool, record), record.bornAt);
 		}
 
+		for (const record of unregistered) {
+			if (!this.pool.minions.has(record.id)) {
+				registerMinion(this.pool, record);
+			}
+		}
+
 		for (const minion of this.pool.minions.values()) {
 			if (!ids.has(minion.record.id)) {
 				minion.isUnregistered = true;
-				if (minion.runs.size === 0) {
+				if (minion.runs.size === 0 && hasReported(minion)) {
 					this.pool.minions.delete(minion.record.id);
 				}
 			}
@@ -152,6 +165,11 @@
 			this.handleRunEnd(minion, end);
 		}
 
+		if (!hasReported(minion)) {
+			// The previous dispatcher may have renewed the lease until this report fenced it off.
+			minion.leaseEndsAt = this.dependencies.now() + leaseExpiryMs(this.leaseLengths.longestMs);
+		}
+
 		if (!minion.isSynced || !minion.isReachable) {
 			minion.isSynced = true;
 			minion.isReachable = true;
@@ -318,15 +336,29 @@
 				done: job.tasks.filter(({state}) => state === taskState.done).length,
 				running: job.tasks.filter(({state}) => state === taskState.running).length,
 				unplaced: job.tasks.filter(task => isUnplaced(task)).length,
-				hasObservedInheritedRuns: this.hasObservedInheritedRuns(this.dependencies.now()),
+				unobserved: job.tasks.filter(task => isUnplaced(task) && !this.hasObservedRuns(task, this.dependencies.now())).length,
 			});
 		}
 	}
 
+	/**
+	 * Whether no run of a task is alive that other dispatchers have started and this one does not know: its minion has reported to this
+	 * dispatcher, or the lease on the job has expired.
+	 */
+	hasObservedRuns({name, job: {request}}: Task, now: number): boolean {
+		const {mayHaveRun, previousSubmissions} = request;
+		if (previousSubmissions === undefined) {
+			return !mayHaveRun || this.hasObservedInheritedRuns(now);
+		}
+
+		return previousSubmissions.every(previous => previous.claim === this.dependencies.claim
+			|| now >= previous.leaseEndsAt || this.hasObservedRunsOf(previous, name));
+	}
+
 	/** Whether every inherited run has been reported, or has ended because its lease has expired. */
 	hasObservedInheritedRuns(now: number): boolean {
 		// An earlier dispatcher sent its last renewal before this one started, or has dropped its jobs since.
-		if (now >= this.startedAt + leaseExpiryMs(this.leaseMs)) {
+		if (now >= this.startedAt + leaseExpiryMs(this.leaseLengths.longestMs)) {
 			return true;
 		}
 
@@ -350,6 +382,19 @@
 		this.stop(run);
 	}
 
+	/** Whether no run of a task is alive that one previous dispatcher has started and this one does not know. */
+	private hasObservedRunsOf({claim, leaseEndsAt, minionsByTask}: PreviousSubmission, taskName: string): boolean {
+		if (minionsByTask !== undefined) {
+			return (minionsByTask[taskName] ?? []).every(id => {
+				const minion = this.pool.minions.get(id);
+				return minion !== undefined && hasReported(minion);
+			});
+		}
+
+		return this.dependencies.isRegistryComplete() && this.dependencies.knowsMinionsOfClaim(claim, leaseEndsAt)
+			&& this.pool.minions.size > 0 && !this.hasUnsyncedMinions();
+	}
+
 	/** Requests the stop of a run again whose start got no answer: an incarnation that has not seen the stop still carries out the start. */
 	private stopUnansweredAgain(run: Run): void {
 		if (run.startConfirmedAt === undefined && run.stopConfirmedAt !== undefined) {
@@ -526,6 +571,9 @@
 	}
 }
 
+/** Whether a minion has reported its runs to this dispatcher, and so refuses earlier ones. */
+const hasReported = (minion: Minion): boolean => minion.reportedAt > Number.NEGATIVE_INFINITY;
+
 /** Whether a task is neither running nor done here. A blocked one may have run elsewhere: the steps before it were complete there. */
 const isUnplaced = (task: Task): boolean => task.state === taskState.waiting || task.state === taskState.blocked;
 
--- a/packages/chivestream-host/src/__tests__/claim-manager.test.ts
+++ b/packages/chivestream-host/src/__tests__/claim-manager.test.ts
@@ -34,7 +34,9 @@
 		hostsKnownAt: () => undefined,
 		isZoneDiscovered: () => false,
 		isRegistryComplete: () => true,
+		knowsMinionsOfClaim: () => true,
 		minions: () => [],
+		unregisteredMinions: () => [],
 		cellsOfOtherHosts: () => [],
 		followMinions() {
 			// The minions are fixed.
--- a/packages/chivestream-host/src/__tests__/job-client.test.ts
+++ b/packages/chivestream-host/src/__tests__/job-client.test.ts
@@ -50,6 +50,10 @@
 		report() {
 			// Tests check only what is submitted.
 		},
+		async untilAwake() {
+			// The process is never paused.
+		},
+		releasedRunsMs: () => 1090,
 		dispatcherOfCell: cell => handles.find(handle => handle.cell === cell),
 		dispatcherForJob: () => handles[0],
 		async untilChange(deadline) {
@@ -78,7 +82,7 @@
 	});
 
 	test('is resubmitted to another cell only when nothing of the lost dispatcher can still run', async () => {
-		const client = createClient([{name: 'd1', cell: 'y/1 of 1', answers: [{kind: 'lost'}]}, {name: 'd2', cell: 'z/1 of 1', answers: []}]);
+		const client = createClient([{name: 'd1', cell: 'y/1 of 1', answers: [{kind: 'lost', leaseEndsAt: 1300}]}, {name: 'd2', cell: 'z/1 of 1', answers: []}]);
 		const first = client.handles[0]!;
 		client.options.dispatcherOfCell = () => undefined;
 		client.options.dispatcherForJob = () => client.submitted.length === 0 ? first : client.handles[1];
@@ -86,13 +90,49 @@
 		expect(client.submitted.map(({name, at}) => [name, at])).toEqual([['d1', 0], ['d2', 1300]]);
 	});
 
+	test('is resubmitted to another cell after its release once the runs have ended, and at once if there are none', async () => {
+		for (const [minionsByTask, at] of [[{t: ['m']}, 1090], [undefined, 1090], [{}, 0]] as const) {
+			const answers: RemoteOutcome[] = [{kind: outcomeKind.released, doneTasks: [], ...(minionsByTask !== undefined && {minionsByTask: {...minionsByTask}})}];
+			const client = createClient([{name: 'd1', cell: 'y/1 of 1', answers}, {
+				name: 'd2', cell: 'z/1 of 1', claim: 2, answers: [],
+			}]);
+			const first = client.handles[0]!;
+			client.options.dispatcherOfCell = () => undefined;
+			client.options.dispatcherForJob = () => client.submitted.length === 0 ? first : client.handles[1];
+			// eslint-disable-next-line no-await-in-loop -- the cases are independent
+			expect(await runJob(client.options, job).outcome).toEqual({kind: outcomeKind.completed});
+			expect(client.submitted.map(submission => [submission.name, submission.at])).toEqual([['d1', 0], ['d2', at]]);
+		}
+	});
+
+	test('names its lost and its released submissions to the next dispatcher, until their runs have ended', async () => {
+		const released: RemoteOutcome = {kind: outcomeKind.released, doneTasks: [], minionsByTask: {t: ['m']}};
+		const client = createClient([{answers: [{kind: 'lost', leaseEndsAt: 50}, released]}]);
+		client.options.untilChange = async () => {
+			client.handles[0]!.claim = 2;
+		};
+
+		expect(await runJob(client.options, job).outcome).toEqual({kind: outcomeKind.completed});
+		expect(client.submitted.map(submission => submission.job.previousSubmissions)).toEqual([
+			[], [{claim: 1, leaseEndsAt: 50}], [{claim: 1, leaseEndsAt: 50}, {claim: 1, leaseEndsAt: 1090, minionsByTask: {t: ['m']}}],
+		]);
+	});
+
+	test('is not submitted again after its deadline, when its caller may have sent it elsewhere', async () => {
+		const client = createClient([{answers: [{kind: 'lost', leaseEndsAt: 0}]}]);
+		client.options.now = () => client.submitted.length === 0 ? 0 : job.deadline;
+		const outcome = await runJob(client.options, job).outcome;
+		expect(outcome.kind).toBe(outcomeKind.abandoned);
+		expect(client.submitted).toHaveLength(1);
+	});
+
 	test('goes to the next dispatcher with the crashes that the lost one had reported', async () => {
 		const crashes = {
 			t: {
 				incarnations: ['m@1'], wasAlone: true, isSuspect: true, isOnlySuspect: false,
 			},
 		};
-		const client = createClient([{answers: [{kind: 'lost'}], crashes}]);
+		const client = createClient([{answers: [{kind: 'lost', leaseEndsAt: 1300}], crashes}]);
 		expect(await runJob(client.options, job).outcome).toEqual({kind: outcomeKind.completed});
 		expect(client.submitted.map(submission => submission.job.crashes)).toEqual([undefined, crashes]);
 	});
--- a/packages/chivestream-host/src/__tests__/minion-session.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-session.test.ts
@@ -3,7 +3,7 @@
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
 import {createRandom} from 'chivestream-core';
-import {crashEvidence, Dispatcher} from 'chivestream-dispatch';
+import {crashEvidence, Dispatcher, type JobRequest} from 'chivestream-dispatch';
 import {decodeMinionEntry} from 'chivestream-platform';
 import {
 	availability, Checker, startMinionStandIn, type MinionStandIn,
@@ -21,8 +21,25 @@
 	id, zone: 'z', upstream: 'desk', checker: new Checker(), capacity: 32_000, leaseMs, workMs: () => 10_000, ...(at !== undefined && {at}),
 });
 
+/** A job of one task, which takes as long as the stand-in minion runs tasks. */
+const createJob = (): JobRequest => ({
+	id: '00000000000000aa',
+	payload: 'x',
+	steps: [{
+		count: 1, millicores: 14_000, memoryMb: 64, accelerators: 0, estimateMs: 10_000, dependsOn: [],
+	}],
+	route: 'r',
+	upstream: 'desk',
+	priority: 0,
+	maxAttempts: 3,
+	objectiveDeadline: performance.now() + 60_000,
+	deadline: performance.now() + 60_000,
+	submission: 0,
+	mayHaveRun: false,
+});
+
 /** Starts a session with the minion; its dispatcher sends start requests over the session. */
-const startSession = (standIn: MinionStandIn) => {
+const startSession = (standIn: MinionStandIn, claim = token) => {
 	const now = () => performance.now();
 	const events: Array<{event: string; fields: Record<string, unknown>}> = [];
 	const dispatcher: Dispatcher = new Dispatcher({
@@ -38,14 +55,15 @@
 			events.push({event, fields});
 		},
 		otherCells: () => [],
+		claim,
 		isRegistryComplete: () => true,
+		knowsMinionsOfClaim: () => true,
 	}, {leaseMs, farFactor: 1});
 	dispatcher.setMinions([decodeMinionEntry(standIn.id, Buffer.from(standIn.createRegistryEntry()))!]);
 	const session = runMinionSession({
 		minion: dispatcher.pool.minions.get(standIn.id)!,
 		dispatcher,
-		token,
-		leaseMs,
+		token: claim,
 		now,
 		recentDelayMs: () => 0,
 		report() {
@@ -89,21 +107,7 @@
 	minion = await startMinion('i-1');
 	const {dispatcher, events} = startSession(minion);
 	await until(() => dispatcher.pool.minions.get('i-1')!.isSynced);
-	dispatcher.submit({
-		id: '00000000000000aa',
-		payload: 'x',
-		steps: [{
-			count: 1, millicores: 14_000, memoryMb: 64, accelerators: 0, estimateMs: 10_000, dependsOn: [],
-		}],
-		route: 'r',
-		upstream: 'desk',
-		priority: 0,
-		maxAttempts: 3,
-		objectiveDeadline: performance.now() + 60_000,
-		deadline: performance.now() + 60_000,
-		submission: 0,
-		mayHaveRun: false,
-	}, () => undefined);
+	dispatcher.submit(createJob(), () => undefined);
 	await until(() => minion!.runningTasks().length > 0);
 	minion.setAvailability(availability.silent);
 	await until(() => dispatcher.pool.minions.get('i-1')!.runs.size === 0);
@@ -115,3 +119,31 @@
 		evidence: crashEvidence.replaced, runs: [{task: '00000000000000aa.0.0.0'}],
 	});
 });
+
+// The next dispatcher does not renew the lease, as no host has submitted the job to it yet.
+test('a run of the previous dispatcher is not given up while its minion is silent and its lease has not expired', async () => {
+	minion = await startMinion('i-1');
+	const first = startSession(minion);
+	await until(() => first.dispatcher.pool.minions.get('i-1')!.isSynced);
+	first.dispatcher.submit(createJob(), () => undefined);
+	await until(() => minion!.runningTasks().length > 0);
+	first.dispatcher.release();
+	controller.abort();
+	controller = new AbortController();
+	const {dispatcher} = startSession(minion, token + 64);
+	const handleReport = dispatcher.handleReport.bind(dispatcher);
+	dispatcher.handleReport = (...reported) => {
+		minion!.setAvailability(availability.silent);
+		handleReport(...reported);
+	};
+
+	let runningAtExpiry: number | undefined;
+	const handleLeaseExpiry = dispatcher.handleLeaseExpiry.bind(dispatcher);
+	dispatcher.handleLeaseExpiry = expired => {
+		runningAtExpiry ??= minion!.runningTasks().length;
+		handleLeaseExpiry(expired);
+	};
+
+	await until(() => runningAtExpiry !== undefined);
+	expect(runningAtExpiry).toBe(0);
+});
--- a/packages/chivestream-host/src/__tests__/peer-server.test.ts
+++ b/packages/chivestream-host/src/__tests__/peer-server.test.ts
@@ -1,9 +1,9 @@
 import {EventEmitter} from 'node:events';
-import {expect, test} from '@jest/globals';
+import {describe, expect, test} from '@jest/globals';
 import {
-	type HostRecord, type HostStatus, type PeerReply, type PeerRequest,
+	type Acknowledgement, type HostRecord, type HostStatus, type PeerReply, type PeerRequest,
 } from '../messages.js';
-import {PeerServer} from '../peer-server.js';
+import {PeerServer, type PeerServerOptions} from '../peer-server.js';
 import {type ReplyStream} from '../peer-service.js';
 import {silenceTimeoutMs} from '../timing.js';
 
@@ -13,6 +13,8 @@
 
 const slowIntervalMs = 600;
 
+const jobLeaseMs = 1300;
+
 const status: HostStatus = {
 	claims: [], cellCount: 1, isLeaving: false, declarationsVersion: 1, nextInMs: slowIntervalMs,
 };
@@ -36,7 +38,7 @@
 		this.replies.push({at: this.now(), reply});
 	}
 
-	request(request: PeerRequest): void {
+	request(request: PeerRequest & Acknowledgement): void {
 		this.emit('data', request);
 	}
 }
@@ -50,14 +52,16 @@
 	},
 };
 
-test('the other host is never left without a message for longer than its silence timeout, before, during and after a job', () => {
-	let now = 0;
-	let settle = () => {
-		// Replaced by the submission.
-	};
+type Submission = Parameters<PeerServerOptions['submit']>[1];
 
+/** A server with one stream, on a clock that the test sets. */
+const createServer = (options: Partial<PeerServerOptions> = {}) => {
+	let now = 0;
+	const submissions: Submission[] = [];
 	const server = new PeerServer({
 		now: () => now,
+		elapsed: () => now,
+		jobLeaseMs: () => jobLeaseMs,
 		report() {
 			// Not of interest.
 		},
@@ -70,27 +74,45 @@
 			// Not of interest.
 		},
 		isDispatcher: () => false,
-		submit(_, {settle: settleJob}) {
-			settle = () => {
-				settleJob({kind: 'completed'});
-			};
+		onLeaseExtended() {
+			// Not of interest.
+		},
+		submit(_, callbacks) {
+			submissions.push(callbacks);
 		},
 		cancel() {
 			// Not of interest.
 		},
+		...options,
 	});
 	const stream = new RecordedStream(() => now);
 	// The server uses only these parts of a stream.
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 	server.accept(stream as unknown as ReplyStream);
 	stream.request({type: 'hello', host, status});
+	return {
+		server,
+		stream,
+		submissions,
+		setTime(time: number) {
+			now = time;
+		},
+	};
+};
+
+test('the other host is never left without a message for longer than its silence timeout, before, during and after a job', () => {
+	const {
+		server, stream, submissions, setTime,
+	} = createServer();
+	let now = 0;
 	const tickMs = 200;
 	for (let tick = 1; tick <= 40; tick += 1) {
 		now = (tick * tickMs) + (tick % 3);
+		setTime(now);
 		if (tick === 10) {
 			stream.request(submit);
 		} else if (tick === 15) {
-			settle();
+			submissions[0]!.settle({kind: 'completed'});
 		}
 
 		server.sendStatus(false);
@@ -110,3 +132,32 @@
 	expect(sentBetween(11, 15)).toBeGreaterThanOrEqual(4);
 	expect(sentBetween(20, 40)).toBeLessThanOrEqual(8);
 });
+
+describe('the lease on the jobs of a stream', () => {
+	// A dispatcher that was paused started jobs from its sockets, which had been sent to another cell meanwhile.
+	test('has ended when a submission is read that was sent before a pause of this host', () => {
+		let extensions = 0;
+		const {stream, submissions, setTime} = createServer({
+			onLeaseExtended() {
+				extensions += 1;
+			},
+		});
+		setTime(2100);
+		stream.request({...submit, acknowledgedSentAt: 0});
+		expect(submissions[0]!.leaseEndsAt()).toBeLessThan(2100);
+		expect(stream.replies.at(-1)?.reply).toMatchObject({type: 'status', isReplyWanted: true});
+		stream.request({type: 'status', status, acknowledgedSentAt: 2100});
+		expect(submissions[0]!.leaseEndsAt()).toBeGreaterThan(2100 + jobLeaseMs - 100);
+		expect(extensions).toBe(1);
+	});
+
+	test('ends before the other host may submit the jobs elsewhere, however late its messages are read', () => {
+		const {stream, submissions, setTime} = createServer();
+		stream.request({...submit, acknowledgedSentAt: 0});
+		for (const [time, acknowledgedSentAt] of [[200, 150], [900, 150], [1400, 200]] as const) {
+			setTime(time);
+			stream.request({type: 'status', status, acknowledgedSentAt});
+			expect(submissions[0]!.leaseEndsAt()).toBeLessThan(acknowledgedSentAt + jobLeaseMs);
+		}
+	});
+});
--- a/packages/chivestream-host/src/__tests__/timing.test.ts
+++ b/packages/chivestream-host/src/__tests__/timing.test.ts
@@ -1,6 +1,10 @@
 import {expect, test} from '@jest/globals';
+import {jobLeaseMs} from 'chivestream-dispatch';
 import {hostTiming, silenceTimeoutMs, statusIntervalMs} from '../timing.js';
 
+/** Longest lease that a minion grants, in milliseconds. */
+const leaseMs = 1000;
+
 /** Number of dispatchers to which a host is linked in another zone, on average. */
 const dispatchersOfOtherZones = 8;
 
@@ -24,7 +28,7 @@
 		statusIntervalMs({
 			isDispatching: true, isToDispatcher, isSameZone, hostsOfZone: 3,
 		});
-	expect(silenceTimeoutMs(interval(false, true))).toBeLessThan(hostTiming.otherCellDelayMs);
+	expect(silenceTimeoutMs(interval(false, true))).toBeLessThan(jobLeaseMs(leaseMs));
 	expect(interval(true, false)).toBe(hostTiming.heartbeatMs);
 	expect(interval(false, false)).toBe(3 * hostTiming.heartbeatMs);
 });
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -34,8 +34,12 @@
 	isZoneDiscovered: () => boolean;
 	/** Whether every minion that may run tasks is registered. */
 	isRegistryComplete: () => boolean;
+	/** Whether all minions that the dispatcher with this claim may have used by a time are registered or unregistered ones that are known. */
+	knowsMinionsOfClaim: (claim: number, until: number) => boolean;
 	/** Registered minions of the zone. */
 	minions: () => MinionRecord[];
+	/** Unregistered minions of the zone on which tasks of other dispatchers may be running. */
+	unregisteredMinions: () => readonly MinionRecord[];
 	/** Free capacity of the cells for which other hosts dispatch, nearest first. */
 	cellsOfOtherHosts: () => CellCapacity[];
 	/** Starts to follow the records of the minions, which goes on until the signal aborts. */
@@ -240,6 +244,7 @@
 			random: this.random,
 			report,
 			isRegistryComplete: () => this.options.isRegistryComplete(),
+			knowsMinionsOfClaim: (claim, until) => this.options.knowsMinionsOfClaim(claim, until),
 			otherCells: () => this.otherCells(cell),
 			onFenced: () => {
 				this.handleFenced(cell, service);
@@ -250,7 +255,7 @@
 		this.services.set(cell, service);
 		this.choices[cell] = {kind: 'follow', record: self};
 		this.lastClaimChangeAt = now();
-		service.setMinions(minions);
+		service.setMinions(minions, this.minionsOfCell(this.options.unregisteredMinions(), cell));
 		if (this.followController === undefined) {
 			this.followController = new AbortController();
 			this.options.followMinions(this.followController.signal);
--- a/packages/chivestream-host/src/declarations-follower.ts
+++ b/packages/chivestream-host/src/declarations-follower.ts
@@ -25,6 +25,8 @@
 export class DeclarationsFollower {
 	/** Undefined until the first declarations arrive. */
 	current: Declarations | undefined;
+	/** When a request to the store last failed, on the monotonic clock. */
+	lastFailureAt = Number.NEGATIVE_INFINITY;
 	private readonly store: StoreClient;
 	private readonly report: Report;
 	private readonly now: () => number;
@@ -125,6 +127,7 @@
 	}
 
 	private recordFailure(error: Error): void {
+		this.lastFailureAt = this.now();
 		if (!this.isStoreUnavailable) {
 			this.isStoreUnavailable = true;
 			this.report('store-lost', {reason: error.message});
--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -22,6 +22,8 @@
 	report: Report;
 	/** Whether every minion that may run tasks is registered. */
 	isRegistryComplete: () => boolean;
+	/** Whether all minions that the dispatcher with this claim may have used by a time are registered. */
+	knowsMinionsOfClaim: (claim: number, until: number) => boolean;
 	/** Free capacity of other cells, nearest first. */
 	otherCells: () => CellCapacity[];
 	/** Called when a minion refuses a request because another dispatcher has sent it a higher token. */
@@ -49,7 +51,9 @@
 			random: options.random,
 			report: options.report,
 			otherCells: options.otherCells,
+			claim: options.token,
 			isRegistryComplete: options.isRegistryComplete,
+			knowsMinionsOfClaim: options.knowsMinionsOfClaim,
 			requestStart: (run, task) => {
 				this.sessions.get(run.minion.record.id)?.start(run, task);
 			},
@@ -59,9 +63,16 @@
 		}, {leaseMs: options.leaseMs, farFactor: options.farFactor});
 	}
 
-	/** Applies the registered minions of the cell; starts a session for each new minion or new address. */
-	setMinions(records: readonly MinionRecord[]): void {
-		this.dispatcher.setMinions(records);
+	/** The unregistered minions on which tasks may be running. */
+	unregisteredMinions(): MinionRecord[] {
+		return [...this.dispatcher.pool.minions.values()]
+			.filter(minion => minion.isUnregistered && (minion.runs.size > 0 || !minion.isSynced))
+			.map(({record}) => record);
+	}
+
+	/** Applies the minions of the cell, see `Runs.setMinions`; starts a session for each new minion or new address. */
+	setMinions(records: readonly MinionRecord[], unregistered: readonly MinionRecord[] = []): void {
+		this.dispatcher.setMinions(records, unregistered);
 		for (const [id, minion] of this.dispatcher.pool.minions) {
 			const existing = this.sessions.get(id);
 			if (existing?.address !== minion.record.address) {
@@ -78,7 +89,9 @@
 		for (const [id, session] of this.sessions) {
 			const minion = this.dispatcher.pool.minions.get(id);
 			session.unregisteredAt = minion?.isUnregistered === false ? undefined : session.unregisteredAt ?? now;
-			if (minion === undefined || (session.unregisteredAt !== undefined && now > session.unregisteredAt + unregisteredMinionRetentionMs)) {
+			const mayBeRemoved = minion === undefined || now > minion.leaseEndsAt;
+			const isGone = session.unregisteredAt !== undefined && now > session.unregisteredAt + unregisteredMinionRetentionMs;
+			if (minion === undefined || (isGone && mayBeRemoved)) {
 				session.controller.abort();
 				this.sessions.delete(id);
 				if (minion !== undefined) {
@@ -106,10 +119,10 @@
 
 		const controller = new AbortController();
 		const {
-			token, leaseMs, now, recentDelayMs, report, onFenced,
+			token, now, recentDelayMs, report, onFenced,
 		} = this.options;
 		const session = runMinionSession({
-			minion, dispatcher: this.dispatcher, token, leaseMs, now, recentDelayMs, report, onFenced, signal: controller.signal,
+			minion, dispatcher: this.dispatcher, token, now, recentDelayMs, report, onFenced, signal: controller.signal,
 		});
 		this.sessions.set(id, {...session, controller, unregisteredAt: undefined});
 	}
--- a/packages/chivestream-host/src/dispatcher-table.ts
+++ b/packages/chivestream-host/src/dispatcher-table.ts
@@ -20,6 +20,8 @@
 	link: (name: string) => PeerLink | undefined;
 	/** Open links to the dispatchers of other zones. */
 	otherZoneDispatchers: () => PeerLink[];
+	/** Whether this process has read its sockets since its last pause. */
+	isAwake: () => boolean;
 };
 
 /** Finds reachable dispatchers, and notifies code that waits for a change of them. */
@@ -106,7 +108,7 @@
 	}
 
 	private ofLocalCell(cell: number): DispatcherHandle | undefined {
-		const {self} = this.options;
+		const {self, isAwake} = this.options;
 		const service = this.options.services().get(cell);
 		if (service !== undefined) {
 			return {
@@ -114,7 +116,8 @@
 				cell: this.localCellName(cell),
 				claim: service.token,
 				submit(job, {settle, onTaskCrashed}) {
-					service.dispatcher.submit(job, settle, onTaskCrashed);
+					// The caller holds no lease, but its connection may have broken during a pause.
+					service.dispatcher.submit(job, settle, onTaskCrashed, () => isAwake() ? Infinity : Number.NEGATIVE_INFINITY);
 				},
 				cancel(id) {
 					service.dispatcher.cancel(id);
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -3,6 +3,7 @@
 import {createServer, type Server as HttpServer} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {jobLeaseMs, leaseExpiryMs, type MinionRecord} from 'chivestream-dispatch';
 import {createStoreClient, readinessPath} from 'chivestream-platform';
 import {parseAddress} from 'chivestream-settings';
 import {createRecentMaximum} from './answer-timeout.js';
@@ -10,6 +11,7 @@
 import {createCallerService, type CallerService} from './caller-service.js';
 import {DeclarationsFollower} from './declarations-follower.js';
 import {DispatcherTable} from './dispatcher-table.js';
+import {createElapsedClock} from './elapsed-clock.js';
 import {followHostRegistry} from './host-registry.js';
 import {type DispatchService} from './dispatch-service.js';
 import {type Report} from './host-log.js';
@@ -17,6 +19,7 @@
 import {type HostRecord, type HostStatus, type PeerReply} from './messages.js';
 import {createHostMetrics, type HostMetrics} from './metrics.js';
 import {MinionFollower} from './minion-follower.js';
+import {createPauseGuard, type PauseGuard} from './pause-guard.js';
 import {PeerServer} from './peer-server.js';
 import {serveStreams} from './peer-service.js';
 import {PeerTable} from './peer-table.js';
@@ -60,6 +63,7 @@
 	private hostsKnownAt: number | undefined;
 	/** By how much the ticks of this process were late, in milliseconds. */
 	private readonly delay = createRecentMaximum();
+	private readonly pauseGuard: PauseGuard;
 	private lastTickAt = performance.now();
 	private lastHeartbeatAt = 0;
 	private lastPublishedDispatchers = '';
@@ -79,6 +83,10 @@
 			writeLine(event, fields);
 		};
 
+		const elapsed = createElapsedClock(now, () => Date.now());
+		this.pauseGuard = createPauseGuard({
+			now, elapsed, thresholdMs: hostTiming.heartbeatMs + hostTiming.pauseThresholdMs, recoveryMs: hostTiming.pauseRecoveryMs,
+		});
 		this.report = report;
 		this.record = {
 			name: settings.host.name,
@@ -100,6 +108,7 @@
 			store: this.store,
 			report,
 			now,
+			lastStoreFailureAt: () => this.declarations.lastFailureAt,
 			onChange: () => {
 				this.handleMinionChange();
 			},
@@ -116,14 +125,17 @@
 			onDeclarations: declarations => {
 				this.declarations.applyIfNewer(declarations, 'peer');
 			},
-			onMinions: (from, minions) => {
+			onMinions: (from, minions, unregistered) => {
 				if (!this.isDispatching() && from.zone === this.record.zone) {
-					this.minions.replace(minions);
+					this.minions.replace(minions, unregistered);
 				}
 			},
+			jobLeaseMs: () => this.jobLeaseMs(),
 		});
 		this.peerServer = new PeerServer({
 			now,
+			elapsed,
+			jobLeaseMs: () => this.jobLeaseMs(),
 			report,
 			initialReplies: to => this.initialReplies(to),
 			localStatus: () => this.status(),
@@ -132,7 +144,12 @@
 				this.peers.recordStatus(host, status);
 			},
 			isDispatcher: host => this.peers.isDispatcher(host.name),
-			submit: (message, {settle, onTaskCrashed}) => {
+			onLeaseExtended: () => {
+				for (const service of this.claim.services.values()) {
+					service.dispatcher.resume();
+				}
+			},
+			submit: (message, {settle, onTaskCrashed, leaseEndsAt}) => {
 				const service = this.claim.serviceOfCell(message.cell);
 				// A submission to an earlier claim may have waited for long, for example while this process was paused. The job may run for
 				// another dispatcher by now.
@@ -141,9 +158,9 @@
 					report('submission-released', {
 						job: message.id, cell: message.cell, claim: message.claim, ownClaim: service?.token,
 					});
-					settle({kind: 'released', doneTasks: []});
+					settle({kind: 'released', doneTasks: [], minionsByTask: {}});
 				} else {
-					service.dispatcher.submit(fromJobMessage(message, now()), settle, onTaskCrashed);
+					service.dispatcher.submit(fromJobMessage(message, now()), settle, onTaskCrashed, leaseEndsAt);
 				}
 			},
 			cancel: id => {
@@ -163,12 +180,18 @@
 			hostsKnownAt: () => this.hostsKnownAt,
 			isZoneDiscovered: () => this.hostsKnownAt !== undefined && this.peers.isZoneDiscovered(),
 			isRegistryComplete: () => this.minions.isComplete(),
+			knowsMinionsOfClaim: (claim, until) => {
+				const heardAt = this.peers.claimHeardAt(claim);
+				return heardAt !== undefined && heardAt > until - this.jobLeaseMs() - hostTiming.heartbeatMs;
+			},
 			minions: () => this.zoneMinions(),
+			unregisteredMinions: () => this.minions.unregistered,
 			followMinions: signal => {
 				this.runLoop('minions', async () => this.minions.follow(signal), signal);
 			},
 			onClaimChange: () => {
 				this.publishStatus();
+				this.publishMinions();
 			},
 			onClaimLost: () => {
 				this.evaluate();
@@ -182,6 +205,7 @@
 			services: () => this.claim.services,
 			link: name => this.peers.findOpenLink(name),
 			otherZoneDispatchers: () => this.peers.otherZoneDispatchers(),
+			isAwake: () => this.pauseGuard.isAwake(),
 		});
 		this.readinessServer = this.createReadinessServer();
 		this.callers = createCallerService({
@@ -191,6 +215,8 @@
 			runJob: job => runJob({
 				now,
 				report,
+				untilAwake: async () => this.untilAwake(),
+				releasedRunsMs: () => leaseExpiryMs(this.settings.bounds.leaseMs),
 				dispatcherOfCell: cell => this.dispatcherHandles.ofCell(cell),
 				dispatcherForJob: id => this.dispatcherHandles.forJob(id),
 				untilChange: async deadline => this.dispatcherHandles.waitForChange(deadline),
@@ -339,11 +365,27 @@
 			},
 			{type: 'dispatchers', hosts: this.knownDispatchers()},
 			...(current === undefined ? [] : [{type: 'declarations', declarations: current} as const]),
-			...(this.isDispatching() ? [{type: 'minions', minions: this.zoneMinions()} as const] : []),
+			...(this.isDispatching() ? [this.minionsMessage()] : []),
 		];
 	}
 
-	private zoneMinions() {
+	private minionsMessage(): PeerReply {
+		const unregistered = [...this.claim.services.values()].flatMap(service => service.unregisteredMinions());
+		return {type: 'minions', minions: this.zoneMinions(), unregistered};
+	}
+
+	private async untilAwake(): Promise<void> {
+		while (!this.pauseGuard.isAwake()) {
+			await sleep(hostTiming.tickMs);
+		}
+	}
+
+	/** Length of the lease on a submitted job, in milliseconds. */
+	private jobLeaseMs(): number {
+		return jobLeaseMs(this.settings.bounds.leaseMs);
+	}
+
+	private zoneMinions(): MinionRecord[] {
 		return [...this.minions.table.values()].filter(minion => minion.zone === this.record.zone);
 	}
 
@@ -372,9 +414,15 @@
 
 	private handleMinionChange(): void {
 		if (this.isDispatching()) {
-			const minions = this.zoneMinions();
-			this.claim.setMinions(minions);
-			this.peerServer.sendToZone(this.record.zone, {type: 'minions', minions});
+			this.claim.setMinions(this.zoneMinions());
+			this.publishMinions();
+		}
+	}
+
+	/** Sends the minions of the zone to its other hosts, each of which may be the next dispatcher. */
+	private publishMinions(): void {
+		if (this.isDispatching()) {
+			this.peerServer.sendToZone(this.record.zone, this.minionsMessage());
 		}
 	}
 
@@ -407,6 +455,10 @@
 			const now = this.now();
 			const pausedMs = now - this.lastTickAt - intervalMs;
 			this.delay.record(pausedMs);
+			if (!this.pauseGuard.isAwake()) {
+				this.report('waiting-for-sockets', {pausedMs: Math.round(pausedMs)});
+			}
+
 			if (pausedMs > hostTiming.pauseThresholdMs) {
 				this.report('frozen', {forMs: Math.round(pausedMs)});
 				this.claim.releaseAll('this host was paused');
--- a/packages/chivestream-host/src/job-client.ts
+++ b/packages/chivestream-host/src/job-client.ts
@@ -1,7 +1,7 @@
 /** Submits the jobs of this host's callers to dispatchers, and resubmits those that a dispatcher loses or releases. */
 /* eslint-disable no-await-in-loop -- iterations are sequential */
 import {
-	outcomeKind, type CrashRecord, type JobRequest, type Outcome,
+	outcomeKind, type CrashRecord, type JobRequest, type Outcome, type PreviousSubmission,
 } from 'chivestream-dispatch';
 import {type Report} from './host-log.js';
 import {type JobMessage} from './messages.js';
@@ -26,6 +26,10 @@
 	/** The monotonic clock, in milliseconds. */
 	now: () => number;
 	report: Report;
+	/** Resolves at once, or after a pause of this process when its sockets have been read. */
+	untilAwake: () => Promise<void>;
+	/** Time after the release of a job by a dispatcher in which its runs may go on, in milliseconds. */
+	releasedRunsMs: () => number;
 	/** The dispatcher of the cell with this name, if it is reachable. */
 	dispatcherOfCell: (cell: string) => DispatcherHandle | undefined;
 	/** The dispatcher to which the job with this id belongs, or another one if that is unreachable. */
@@ -60,15 +64,24 @@
 	mayHaveRun: job.mayHaveRun,
 	...(job.doneTasks !== undefined && {doneTasks: [...job.doneTasks]}),
 	...(job.crashes !== undefined && {crashes: {...job.crashes}}),
+	previousSubmissions: (job.previousSubmissions ?? []).map(({leaseEndsAt, ...previous}) => ({...previous, leaseEndsInMs: leaseEndsAt - now})),
 });
 
 /** Converts a received message to a job, whose times are on the local monotonic clock, in milliseconds. */
-export const fromJobMessage = ({objectiveInMs, deadlineInMs, cell, claim, ...message}: JobMessage, now: number): JobRequest => ({
+export const fromJobMessage = ({objectiveInMs, deadlineInMs, cell, claim, previousSubmissions, ...message}: JobMessage, now: number): JobRequest => ({
 	...message,
 	objectiveDeadline: now + objectiveInMs,
 	deadline: now + deadlineInMs,
+	...(previousSubmissions !== undefined && {
+		previousSubmissions: previousSubmissions.map(({leaseEndsInMs, ...previous}) => ({...previous, leaseEndsAt: now + leaseEndsInMs})),
+	}),
 });
 
+/** A previous submission of a job, with the cell to whose minions its runs are confined. */
+type CellSubmission = PreviousSubmission & {cell: string};
+
+const hasNoRuns = ({minionsByTask}: PreviousSubmission): boolean => minionsByTask !== undefined && Object.keys(minionsByTask).length === 0;
+
 /** Submits a job, and resubmits it after each loss, release or redirection until it has an outcome. */
 export const runJob = (options: JobClientOptions, request: JobRequest): PendingJob => {
 	const {now, report} = options;
@@ -76,16 +89,25 @@
 	let currentDispatcher: DispatcherHandle | undefined;
 	let job = request;
 	let cell: string | undefined;
-	/** The cell in which tasks of a lost or released submission may still run, and until when. */
-	let lostSubmission: {cell: string; until: number} | undefined;
+	/** Submissions to dispatchers that no longer have the job, as long as their runs may be alive. */
+	let previousSubmissions: CellSubmission[] = [];
 	/** Token of the claim whose dispatcher released the job last, or 0; a handle that still has this token is out of date. */
 	let releasedClaim = 0;
 
 	const findDispatcher = async (): Promise<DispatcherHandle | undefined> => {
-		const searchDeadline = Math.min(job.deadline, now() + hostTiming.findDispatcherTimeoutMs + (lostSubmission === undefined ? 0 : hostTiming.otherCellDelayMs));
-		while (!controller.signal.aborted) {
+		const runsEndAt = Math.max(now(), ...previousSubmissions.map(({leaseEndsAt}) => leaseEndsAt));
+		const searchDeadline = Math.min(job.deadline, runsEndAt + hostTiming.findDispatcherTimeoutMs);
+		for (;;) {
+			// The caller may have left during a pause, and sent the job elsewhere.
+			await options.untilAwake();
+			if (controller.signal.aborted || now() >= job.deadline) {
+				return undefined;
+			}
+
+			previousSubmissions = previousSubmissions.filter(({leaseEndsAt}) => now() < leaseEndsAt);
 			const found = (cell === undefined ? undefined : options.dispatcherOfCell(cell)) ?? options.dispatcherForJob(job.id);
-			const isSafe = lostSubmission === undefined || found?.cell === lostSubmission.cell || now() >= lostSubmission.until;
+			// The next dispatcher of the same cell reads from its minions which tasks run.
+			const isSafe = previousSubmissions.every(previous => previous.cell === found?.cell);
 			if (found !== undefined && isSafe && found.claim !== releasedClaim) {
 				return found;
 			}
@@ -94,19 +116,20 @@
 				return undefined;
 			}
 
-			await options.untilChange(Math.min(searchDeadline, lostSubmission?.until ?? searchDeadline));
+			await options.untilChange(Math.min(searchDeadline, ...previousSubmissions.map(({leaseEndsAt}) => leaseEndsAt)));
 		}
-
-		return undefined;
 	};
 
 	/**
 	 * Prepares the next submission. The same cell may take it at once, since its next dispatcher reads from the minions which tasks
-	 * run. Another cell may take it only when nothing of the previous submission can still run.
+	 * run. Another cell may take it only when nothing of the previous submissions can still run.
 	 */
-	const prepareResubmission = (from: DispatcherHandle, doneTasks: readonly string[]) => {
-		cell = from.cell;
-		lostSubmission = {cell, until: now() + hostTiming.otherCellDelayMs};
+	const prepareResubmission = (previous: CellSubmission, doneTasks: readonly string[]) => {
+		cell = previous.cell;
+		if (!hasNoRuns(previous)) {
+			previousSubmissions = [...previousSubmissions, previous];
+		}
+
 		job = {
 			...job, submission: job.submission + 1, mayHaveRun: true, doneTasks: [...job.doneTasks ?? [], ...doneTasks],
 		};
@@ -129,7 +152,7 @@
 			}
 
 			currentDispatcher = found;
-			const submitted = job;
+			const submitted = {...job, previousSubmissions: previousSubmissions.map(({cell: _, ...previous}) => previous)};
 			const outcome = await new Promise<RemoteOutcome>(resolve => {
 				found.submit(submitted, {settle: resolve, onTaskCrashed: recordCrashes});
 			});
@@ -141,14 +164,17 @@
 			switch (outcome.kind) {
 				case 'lost': {
 					report('dispatcher-lost', {job: job.id, dispatcher: found.name, submission: job.submission});
-					prepareResubmission(found, []);
+					prepareResubmission({cell: found.cell, claim: found.claim, leaseEndsAt: outcome.leaseEndsAt}, []);
 					break;
 				}
 
 				case outcomeKind.released: {
 					releasedClaim = found.claim;
 					job = {...job, ...(outcome.crashes !== undefined && {crashes: {...job.crashes, ...outcome.crashes}})};
-					prepareResubmission(found, outcome.doneTasks);
+					const {doneTasks, minionsByTask} = outcome;
+					prepareResubmission({
+						cell: found.cell, claim: found.claim, leaseEndsAt: now() + options.releasedRunsMs(), ...(minionsByTask !== undefined && {minionsByTask}),
+					}, doneTasks);
 					break;
 				}
 
--- a/packages/chivestream-host/src/message-schemas.ts
+++ b/packages/chivestream-host/src/message-schemas.ts
@@ -52,6 +52,8 @@
 
 const crashesSchema = z.record(z.string(), crashRecordSchema);
 
+const minionsByTaskSchema = z.record(z.string(), z.array(z.string()));
+
 const jobMessageSchema: z.ZodType<JobMessage> = z.object({
 	id: z.string(),
 	cell: z.string(),
@@ -68,6 +70,9 @@
 	mayHaveRun: z.boolean(),
 	doneTasks: z.array(z.string()).optional(),
 	crashes: crashesSchema.optional(),
+	previousSubmissions: z.array(z.object({
+		claim: z.number(), leaseEndsInMs: z.number(), minionsByTask: minionsByTaskSchema.optional(),
+	})).optional(),
 });
 
 const outcomeSchema: z.ZodType<Outcome> = z.discriminatedUnion('kind', [
@@ -76,7 +81,9 @@
 	z.object({kind: z.literal(outcomeKind.refused), reason: z.string(), retryAfterMs: z.number()}),
 	z.object({kind: z.literal(outcomeKind.abandoned), reason: z.string()}),
 	z.object({kind: z.literal(outcomeKind.redirected), cell: z.string()}),
-	z.object({kind: z.literal(outcomeKind.released), doneTasks: z.array(z.string()), crashes: crashesSchema.optional()}),
+	z.object({
+		kind: z.literal(outcomeKind.released), doneTasks: z.array(z.string()), crashes: crashesSchema.optional(), minionsByTask: minionsByTaskSchema.optional(),
+	}),
 ]);
 
 const declarationsSchema: z.ZodType<Declarations> = z.object({
@@ -129,12 +136,15 @@
 		type: z.literal('task-crashed'), id: z.string(), submission: z.number(), task: z.string(), crashes: crashRecordSchema,
 	}),
 	z.object({type: z.literal('declarations'), declarations: declarationsSchema}),
-	z.object({type: z.literal('minions'), minions: z.array(minionRecordSchema)}),
+	z.object({type: z.literal('minions'), minions: z.array(minionRecordSchema), unregistered: z.array(minionRecordSchema).optional()}),
 ]);
 
 const isStatusMessage = (message: unknown): message is {type: 'status'; status: HostStatus} =>
 	isRecord(message) && message.type === 'status' && isHostStatus(message.status);
 
+/** Returns a time that was added to a message; undefined if there is none. */
+export const readTime = (value: unknown): number | undefined => typeof value === 'number' && Number.isFinite(value) ? value : undefined;
+
 /** Validates a message from the host that opened the stream; throws if it is invalid. */
 export const parsePeerRequest = (message: unknown): PeerRequest => isStatusMessage(message) ? message : peerRequestSchema.parse(message);
 
--- a/packages/chivestream-host/src/messages.ts
+++ b/packages/chivestream-host/src/messages.ts
@@ -1,6 +1,6 @@
 /** Messages between entry hosts, sent as JSON over one stream in each direction. */
 import {
-	type CrashRecord, type MinionRecord, type Outcome, type Step,
+	type CrashRecord, type MinionRecord, type Outcome, type PreviousSubmission, type Step,
 } from 'chivestream-dispatch';
 import {type Declarations} from 'chivestream-platform';
 
@@ -58,8 +58,19 @@
 	mayHaveRun: boolean;
 	doneTasks?: string[];
 	crashes?: Record<string, CrashRecord>;
+	/** As in `JobRequest`, with the time until the lease ends. */
+	previousSubmissions?: Array<Omit<PreviousSubmission, 'leaseEndsAt'> & {leaseEndsInMs: number}>;
 };
 
+/**
+ * Added to each message from the host that opened the stream: the `sentAt` of the last message received over the stream. It extends the
+ * lease on the jobs submitted over the stream. Left out before the first message, and by earlier builds.
+ */
+export type Acknowledgement = {acknowledgedSentAt?: number};
+
+/** Added to each message from the host that accepted the stream: when it was sent, on a clock of that host. Left out by earlier builds. */
+export type Timestamp = {sentAt?: number};
+
 /** A message from the host that opened the stream. */
 export type PeerRequest
 	= | {type: 'hello'; host: HostRecord; status: HostStatus}
@@ -70,11 +81,13 @@
 /** A message from the host that accepted the stream. */
 export type PeerReply
 	= | {type: 'hello'; host: HostRecord; status: HostStatus; hosts: HostRecord[]}
-		| {type: 'status'; status: HostStatus}
+	/** With `isReplyWanted`, the other host acknowledges the message at once. */
+		| {type: 'status'; status: HostStatus; isReplyWanted?: boolean}
 	/** The dispatchers of all zones that the sender has recorded. */
 		| {type: 'dispatchers'; hosts: HostRecord[]}
 		| {type: 'settled'; id: string; submission: number; outcome: Outcome}
 	/** The crashes of minions under a task of a submitted job; its host passes them on to the next dispatcher if this one is lost. */
 		| {type: 'task-crashed'; id: string; submission: number; task: string; crashes: CrashRecord}
 		| {type: 'declarations'; declarations: Declarations}
-		| {type: 'minions'; minions: MinionRecord[]};
+	/** The registered minions of the zone, and the unregistered ones on which tasks may run. */
+		| {type: 'minions'; minions: MinionRecord[]; unregistered?: MinionRecord[]};
--- a/packages/chivestream-host/src/minion-follower.ts
+++ b/packages/chivestream-host/src/minion-follower.ts
@@ -24,26 +24,45 @@
 
 const isSameRecord = (one: MinionRecord, other: MinionRecord): boolean => JSON.stringify(one) === JSON.stringify(other);
 
+/** Dependencies and callbacks of a `MinionFollower`. Times are milliseconds of the monotonic clock. */
+export type MinionFollowerOptions = {
+	store: StoreClient;
+	report: Report;
+	now: () => number;
+	/** When any other request of this host to the store last failed. */
+	lastStoreFailureAt: () => number;
+	onChange: () => void;
+};
+
 /** Holds the registered minions by id and keeps them up to date. */
 export class MinionFollower {
 	readonly table = new Map<string, MinionRecord>();
+	/** Unregistered minions on which tasks may be running, as last received from a dispatcher. */
+	unregistered: readonly MinionRecord[] = [];
 	/** Minions whose entries are no longer in the store, with the time until which they stay in the table. */
 	private readonly missing = new Map<string, number>();
 	private readonly store: StoreClient;
 	private readonly report: Report;
 	private readonly now: () => number;
 	private readonly onChange: () => void;
+	private readonly lastStoreFailureAt: () => number;
+	private readonly startedAt: number;
 	private lastFailureAt = Number.NEGATIVE_INFINITY;
+	/** Whether all entries were read since the last call of `follow`. */
+	private isRead = false;
 
-	constructor(options: {store: StoreClient; report: Report; now: () => number; onChange: () => void}) {
+	constructor(options: MinionFollowerOptions) {
 		this.store = options.store;
 		this.report = options.report;
 		this.now = options.now;
 		this.onChange = options.onChange;
+		this.lastStoreFailureAt = options.lastStoreFailureAt;
+		this.startedAt = options.now();
 	}
 
-	/** Replaces the table by that of another host. */
-	replace(records: readonly MinionRecord[]): void {
+	/** Replaces the table by that of a dispatcher. */
+	replace(records: readonly MinionRecord[], unregistered: readonly MinionRecord[]): void {
+		this.unregistered = unregistered;
 		this.table.clear();
 		this.missing.clear();
 		for (const record of records) {
@@ -51,10 +70,12 @@
 		}
 	}
 
-	/** Whether every minion that lives is in the table, as far as is known: entries that expired during an outage of the store are written
-	 * again after it. */
+	/**
+	 * Whether every minion that lives and reaches the store is in the table. Entries that expired during an outage of the store are written
+	 * again after it; a host that has just started doesn't know of earlier outages.
+	 */
 	isComplete(): boolean {
-		return this.now() >= this.lastFailureAt + reregistrationMs;
+		return this.isRead && this.now() >= Math.max(this.startedAt, this.outageEndedAt()) + reregistrationMs;
 	}
 
 	/** Reads the table once, so that it is available when this host starts to dispatch. */
@@ -65,6 +86,7 @@
 	/** Reads changes from the store until the signal aborts. */
 	async follow(signal: AbortSignal): Promise<void> {
 		let offset: number | undefined;
+		this.isRead = false;
 		while (!signal.aborted) {
 			offset = offset === undefined ? await this.readAll(signal) : await this.readChanges(offset, signal);
 			this.removeExpired();
@@ -91,9 +113,15 @@
 		}
 
 		this.applyRecords(result.value.records);
+		this.isRead = true;
 		return result.value.end;
 	}
 
+	/** When a request of this host to the store last failed. */
+	private outageEndedAt(): number {
+		return Math.max(this.lastFailureAt, this.lastStoreFailureAt());
+	}
+
 	private async readChanges(offset: number, signal: AbortSignal): Promise<number | undefined> {
 		const result = await this.store.readChanges(topic.minions, offset, waitMs, answerTimeoutMs);
 		if (signal.aborted) {
@@ -143,7 +171,7 @@
 
 	private markMissing(id: string): void {
 		if (!this.missing.has(id)) {
-			const wasStoreUnavailable = this.now() - this.lastFailureAt < reregistrationMs;
+			const wasStoreUnavailable = this.now() - this.outageEndedAt() < reregistrationMs;
 			this.missing.set(id, wasStoreUnavailable ? this.now() + reregistrationMs : this.now());
 		}
 	}
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Failure} from 'chivestream-core';
 import {
-	crashEvidence, leaseExpiryMs, runKey, startAnswer, type Dispatcher, type Minion, type Run, type Task,
+	crashEvidence, runKey, startAnswer, type Dispatcher, type Minion, type Run, type Task,
 } from 'chivestream-dispatch';
 import {
 	createMinionClient, refusal, wasClosedByPeer, wasRefused, type MinionClient, type Refusal,
@@ -18,8 +18,6 @@
 	dispatcher: Dispatcher;
 	/** Fencing token for the minion's first incarnation that the session meets; each later one uses the next token. */
 	token: number;
-	/** Longest lease that a minion grants, in milliseconds. */
-	leaseMs: number;
 	/** The monotonic clock, in milliseconds. */
 	now: () => number;
 	/** By how much this process has recently handled its events late, in milliseconds. */
@@ -67,7 +65,7 @@
 /** Starts the session; it ends when the signal aborts. */
 export const runMinionSession = (options: MinionSessionOptions): MinionSession => {
 	const {
-		minion, dispatcher, leaseMs, now, report, signal,
+		minion, dispatcher, now, report, signal,
 	} = options;
 	const {id, address} = minion.record;
 	const client: MinionClient = createMinionClient(id, address);
@@ -76,7 +74,6 @@
 	let {bornAt} = minion.record;
 	let {token} = options;
 	let endCursor = 0;
-	let leaseSentAt = Number.NEGATIVE_INFINITY;
 	let wake: (() => void) | undefined;
 
 	/** When the minion last closed a connection that had a request in progress, unless it has answered since. */
@@ -101,18 +98,16 @@
 	const sendStopRequest = async ({task, number}: Run) =>
 		send(async timeoutMs => client.stop(task, number, token, timeoutMs), result => result.isOk());
 
-	/** End of a lease granted now, on the minion's clock; undefined before its first answer. */
-	const leaseDeadline = (): number | undefined =>
-		minionClock === undefined ? undefined : Math.round(minionClock.time + (now() - minionClock.at) + leaseMs);
+	/** End of a lease granted now, on the minion's clock; undefined before its first answer, or if the lease must not be extended. */
+	const grantLease = (): number | undefined => {
+		const grantedMs = minionClock === undefined ? undefined : dispatcher.grantLease(minion);
+		return minionClock === undefined || grantedMs === undefined ? undefined : Math.floor(minionClock.time + (now() - minionClock.at) + grantedMs);
+	};
 
 	/** Sends one request for the ends of runs, and applies its answer. */
 	const pollOnce = async (waitMs: number, renewsLease: boolean): Promise<Result<void, Failure | Refusal>> => {
 		const sentAt = now();
-		const deadline = renewsLease ? leaseDeadline() : undefined;
-		if (deadline !== undefined) {
-			leaseSentAt = sentAt;
-		}
-
+		const deadline = renewsLease ? grantLease() : undefined;
 		const hold = async (timeoutMs: number) => client.hold({
 			token, acknowledgedCursor: endCursor, waitMs, leaseDeadline: deadline,
 		}, timeoutMs);
@@ -209,7 +204,7 @@
 
 			const hasAnswered = await poll(minion.isSynced && minion.runs.size > 0 ? holdWaitMs : 0, minion.isReachable);
 			if (!hasAnswered && !signal.aborted) {
-				if (now() > leaseSentAt + leaseExpiryMs(leaseMs)) {
+				if (now() > minion.leaseEndsAt) {
 					dispatcher.handleLeaseExpiry(minion);
 				}
 
@@ -221,13 +216,12 @@
 	};
 
 	const sendStart = async (run: Run, task: Task) => {
-		const deadline = leaseDeadline();
+		const deadline = grantLease();
 		if (deadline === undefined) {
 			dispatcher.handleStartAnswer(run, startAnswer.refused);
 			return;
 		}
 
-		leaseSentAt = now();
 		wake?.();
 		const result = await send(async timeoutMs => client.start({
 			task: run.task, number: run.number, payload: task.job.request.payload, token, leaseDeadline: deadline,
--- a/packages/chivestream-host/src/peer-link.ts
+++ b/packages/chivestream-host/src/peer-link.ts
@@ -3,15 +3,18 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Job, type Outcome} from 'chivestream-dispatch';
 import {reachability, type Reachability} from './election.js';
-import {parsePeerReply} from './message-schemas.js';
+import {parsePeerReply, readTime} from './message-schemas.js';
 import {
-	type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest,
+	type Acknowledgement, type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest, type Timestamp,
 } from './messages.js';
 import {openStream, type RequestStream} from './peer-service.js';
 import {hostTiming, silenceTimeoutMs, timerToleranceMs} from './timing.js';
 
-/** Outcome of a job that was submitted to another host; `lost` if the stream broke before the outcome arrived. */
-export type RemoteOutcome = Outcome | {kind: 'lost'};
+/**
+ * Outcome of a job that was submitted to another host; `lost` if the stream broke before the outcome arrived. No task of the job runs there
+ * after `leaseEndsAt`, in milliseconds of the monotonic clock.
+ */
+export type RemoteOutcome = Outcome | {kind: 'lost'; leaseEndsAt: number};
 
 /** Callbacks of a job that was submitted to another host. */
 export type SubmissionCallbacks = Pick<Job, 'onTaskCrashed'> & {
@@ -25,6 +28,8 @@
 	record: HostRecord;
 	/** The monotonic clock, in milliseconds. */
 	now: () => number;
+	/** Length of the lease on a submitted job, in milliseconds. */
+	jobLeaseMs: () => number;
 	/** The record and status of this host, which are sent when a stream opens. */
 	helloContent: () => {host: HostRecord; status: HostStatus};
 	/** Called for each reply except the outcomes of jobs. */
@@ -58,6 +63,8 @@
 	/** When the oldest of an unbroken series of pending jobs was submitted. */
 	private pendingSince = Number.NEGATIVE_INFINITY;
 	private isUp = false;
+	/** The `sentAt` of the last message received over the current stream. */
+	private lastSentAt: number | undefined;
 	private sentDeclarationsVersion = -1;
 	private sentClaimsKey = '';
 	/** Ends the current stream if its other end has been silent for too long. */
@@ -102,7 +109,7 @@
 	/** Submits a job. */
 	submit(job: JobMessage, callbacks: SubmissionCallbacks): void {
 		if (this.stream === undefined || !this.isUp) {
-			callbacks.settle({kind: 'lost'});
+			callbacks.settle({kind: 'lost', leaseEndsAt: Number.NEGATIVE_INFINITY});
 			return;
 		}
 
@@ -151,7 +158,8 @@
 	private send(request: PeerRequest): void {
 		if (this.stream?.writable) {
 			this.lastRequestAt = this.options.now();
-			this.stream.write(request);
+			const message: PeerRequest & Acknowledgement = this.lastSentAt === undefined ? request : {...request, acknowledgedSentAt: this.lastSentAt};
+			this.stream.write(message);
 		}
 	}
 
@@ -168,8 +176,10 @@
 
 			const pending = [...this.pending.values()];
 			this.pending.clear();
+			// This host has acknowledged no later message of the dispatcher, which counts the lease from when it sent the message.
+			const leaseEndsAt = this.lastReplyTime + this.options.jobLeaseMs();
 			for (const {settle} of pending) {
-				settle({kind: 'lost'});
+				settle({kind: 'lost', leaseEndsAt});
 			}
 
 			this.options.onChange(this, reason);
@@ -183,6 +193,7 @@
 		const {now} = this.options;
 		const {stream, close} = openStream(this.record.address);
 		this.stream = stream;
+		this.lastSentAt = undefined;
 		let lastStreamReplyAt = now();
 		return new Promise(resolve => {
 			let hasEnded = false;
@@ -211,10 +222,11 @@
 			};
 
 			signal.addEventListener('abort', abort);
-			stream.on('data', (reply: PeerReply) => {
+			stream.on('data', (reply: PeerReply & Timestamp) => {
 				lastStreamReplyAt = now();
 				this.lastReplyTime = lastStreamReplyAt;
 				try {
+					this.lastSentAt = readTime(reply.sentAt) ?? this.lastSentAt;
 					this.handleReply(parsePeerReply(reply));
 				} catch (error) {
 					finish(`${invalidMessagePrefix}: ${String(error)}`);
@@ -260,6 +272,10 @@
 			const hasChanged = this.status === undefined || claimsKey(this.status) !== claimsKey(reply.status) || this.status.isLeaving !== reply.status.isLeaving;
 			this.status = reply.status;
 			this.options.onReply(this, reply);
+			if (this.pending.size > 0 || reply.isReplyWanted === true) {
+				this.send({type: 'status', status: this.options.helloContent().status});
+			}
+
 			if (hasChanged) {
 				this.options.onChange(this, 'status');
 			}
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -1,8 +1,8 @@
 /** Streams that other hosts have opened to this one: receives their jobs, and sends them outcomes, status and updates. */
 import {type Job} from 'chivestream-dispatch';
-import {parsePeerRequest} from './message-schemas.js';
+import {parsePeerRequest, readTime} from './message-schemas.js';
 import {
-	type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest,
+	type Acknowledgement, type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest, type Timestamp,
 } from './messages.js';
 import {type ReplyStream} from './peer-service.js';
 import {type Report} from './host-log.js';
@@ -12,6 +12,10 @@
 export type PeerServerOptions = {
 	/** The monotonic clock, in milliseconds. */
 	now: () => number;
+	/** A clock that never runs slower than real time, in milliseconds; see `createElapsedClock`. */
+	elapsed: () => number;
+	/** Length of the lease on a submitted job, in milliseconds. */
+	jobLeaseMs: () => number;
 	report: Report;
 	/** Messages for a host that has just opened a stream. */
 	initialReplies: (to: HostRecord) => PeerReply[];
@@ -24,7 +28,9 @@
 	/** Whether a host dispatches. It uses the free capacity in each status, and so gets them all. */
 	isDispatcher: (host: HostRecord) => boolean;
 	/** Submits a job to a local dispatcher; the callbacks receive its outcome and the crashes under its tasks. */
-	submit: (job: JobMessage, callbacks: Pick<Job, 'settle' | 'onTaskCrashed'>) => void;
+	submit: (job: JobMessage, callbacks: Pick<Job, 'settle' | 'onTaskCrashed' | 'leaseEndsAt'>) => void;
+	/** Called when the lease on jobs that have waited for it was extended. */
+	onLeaseExtended: () => void;
 	/** Cancels a job whose caller or host has disconnected. */
 	cancel: (id: string) => void;
 };
@@ -41,6 +47,10 @@
 	statusDueAt: number;
 	/** Time between messages that was last announced to the host, in milliseconds. It takes this one for lost if it waits much longer. */
 	announcedMs: number;
+	/** When the lease on the jobs submitted over this stream ends, on the `elapsed` clock. */
+	leaseEndsAt: number;
+	/** Whether the host was asked to extend that lease and has not answered yet. */
+	isReplyAwaited: boolean;
 	/** IDs of the jobs submitted over this stream that have no outcome yet. */
 	jobs: Set<string>;
 	hasEnded: boolean;
@@ -67,6 +77,8 @@
 			lastReplyAt: Number.NEGATIVE_INFINITY,
 			statusDueAt: Infinity,
 			announcedMs: 0,
+			leaseEndsAt: Number.NEGATIVE_INFINITY,
+			isReplyAwaited: false,
 			jobs: new Set(),
 			hasEnded: false,
 		};
@@ -75,7 +87,7 @@
 			this.closeAttachment(attachment);
 		};
 
-		stream.on('data', (request: PeerRequest) => {
+		stream.on('data', (request: PeerRequest & Acknowledgement) => {
 			attachment.lastRequestAt = this.options.now();
 			try {
 				this.handleRequest(attachment, request);
@@ -152,11 +164,29 @@
 	private send(attachment: Attachment, reply: PeerReply): void {
 		if (!attachment.hasEnded && attachment.stream.writable) {
 			attachment.lastReplyAt = this.options.now();
-			attachment.stream.write(reply);
+			const message: PeerReply & Timestamp = {...reply, sentAt: this.options.elapsed()};
+			attachment.stream.write(message);
 		}
 	}
 
-	private handleRequest(attachment: Attachment, message: PeerRequest): void {
+	/** Extends the lease on the jobs of a stream: it is counted from when this host sent the message that the other one acknowledges. */
+	private extendLease(attachment: Attachment, acknowledgedSentAt: number): void {
+		const leaseEndsAt = acknowledgedSentAt + this.options.jobLeaseMs() - hostTiming.jobLeaseMarginMs;
+		attachment.leaseEndsAt = Math.max(attachment.leaseEndsAt, leaseEndsAt);
+		if (attachment.isReplyAwaited && this.hasFullLease(attachment)) {
+			attachment.isReplyAwaited = false;
+			this.options.onLeaseExtended();
+		}
+	}
+
+	private hasFullLease({leaseEndsAt}: Attachment): boolean {
+		return leaseEndsAt > this.options.elapsed() + this.options.jobLeaseMs() - hostTiming.jobLeaseRenewalMs;
+	}
+
+	private handleRequest(attachment: Attachment, message: PeerRequest & Acknowledgement): void {
+		const elapsed = this.options.elapsed();
+		// Earlier builds acknowledge nothing.
+		this.extendLease(attachment, Math.min(elapsed, readTime(message.acknowledgedSentAt) ?? elapsed));
 		const request = parsePeerRequest(message);
 		switch (request.type) {
 			case 'hello': {
@@ -202,7 +232,13 @@
 		// The host of a pending job must detect quickly that this one is lost.
 		attachment.statusDueAt = Math.min(attachment.statusDueAt, this.options.now() + hostTiming.heartbeatMs - timerToleranceMs);
 		this.attachmentByJob.set(id, attachment);
+		if (!this.hasFullLease(attachment) && !attachment.isReplyAwaited) {
+			attachment.isReplyAwaited = true;
+			this.send(attachment, {type: 'status', status: {...this.options.localStatus(), nextInMs: hostTiming.heartbeatMs}, isReplyWanted: true});
+		}
+
 		this.options.submit(job, {
+			leaseEndsAt: () => this.options.now() + attachment.leaseEndsAt - this.options.elapsed(),
 			settle: outcome => {
 				attachment.jobs.delete(id);
 				if (this.attachmentByJob.get(id) === attachment) {
--- a/packages/chivestream-host/src/peer-table.ts
+++ b/packages/chivestream-host/src/peer-table.ts
@@ -24,13 +24,18 @@
 	onChange: () => void;
 	/** Called with the declarations (routes and the size limit of request bodies) that another host has sent. */
 	onDeclarations: (declarations: Declarations) => void;
-	/** Called with the minion records that a dispatcher has sent, and with the record of that dispatcher's host. */
-	onMinions: (from: HostRecord, minions: MinionRecord[]) => void;
+	/** Called with the registered and the unregistered minions that a dispatcher has sent, and with the record of its host. */
+	onMinions: (from: HostRecord, minions: MinionRecord[], unregistered: MinionRecord[]) => void;
+	/** Length of the lease on a submitted job, in milliseconds. */
+	jobLeaseMs: () => number;
 };
 
 /** Interval at which unreachable candidates are replaced, in milliseconds. */
 const linkUpdateIntervalMs = 500;
 
+/** Maximum number of claims whose dispatchers are remembered. */
+const maxAnnouncedClaims = 64;
+
 /** Key of the link to a seed address whose host has not sent its name yet. */
 const seedKey = (address: string): string => `seed ${address}`;
 
@@ -47,6 +52,8 @@
 	private readonly dispatchers = new Map<string, HostRecord>();
 	/** Dispatchers of the local zone, by host name, as received from hosts of this zone. */
 	private readonly localDispatchers = new Map<string, HostRecord>();
+	/** The link over which the minions of each claim were received. */
+	private readonly announcedClaims = new Map<number, PeerLink>();
 	/** Number of failed attempts to reach a host of each other zone. */
 	private readonly failedAttempts = new Map<string, number>();
 	/** When the current attempt to reach a host of each other zone started. */
@@ -106,6 +113,11 @@
 		return (this.links.get(name)?.status?.claims.length ?? 0) > 0;
 	}
 
+	/** When the dispatcher with a claim was last heard of, if it has sent its minions; undefined otherwise. On the monotonic clock. */
+	claimHeardAt(claim: number): number | undefined {
+		return this.announcedClaims.get(claim)?.lastReplyAt();
+	}
+
 	/** All known hosts, including this one. */
 	allHosts(): HostRecord[] {
 		return [this.options.self, ...this.knownHosts.values()];
@@ -283,6 +295,14 @@
 		}
 	}
 
+	private recordClaim(token: number, link: PeerLink): void {
+		this.announcedClaims.set(token, link);
+		if (this.announcedClaims.size > maxAnnouncedClaims) {
+			const [oldest] = this.announcedClaims.keys();
+			this.announcedClaims.delete(oldest!);
+		}
+	}
+
 	private recordLocalDispatcher(record: HostRecord, isDispatcher: boolean): void {
 		if (isDispatcher) {
 			this.localDispatchers.set(record.name, record);
@@ -316,6 +336,7 @@
 		this.links.set(record.name, new PeerLink({
 			record,
 			now: this.options.now,
+			jobLeaseMs: this.options.jobLeaseMs,
 			helloContent: () => ({host: this.options.self, status: this.options.localStatus()}),
 			onReply: (link, reply) => {
 				this.handleReply(link, reply);
@@ -344,7 +365,11 @@
 			}
 
 			case 'minions': {
-				this.options.onMinions(link.record, reply.minions);
+				for (const {token} of link.status?.claims ?? []) {
+					this.recordClaim(token, link);
+				}
+
+				this.options.onMinions(link.record, reply.minions, reply.unregistered ?? []);
 				break;
 			}
 
--- a/packages/chivestream-host/src/timing.ts
+++ b/packages/chivestream-host/src/timing.ts
@@ -1,21 +1,23 @@
 /** Intervals and timeouts of the communication between entry hosts, in milliseconds. */
 
-/** Fixed intervals and timeouts. A silent dispatcher is given up sooner than callers resubmit a job, so that a job never has two home
- * dispatchers at once. */
+/** Fixed intervals and timeouts. */
 export const hostTiming = {
 	/** Interval of the status messages from a dispatcher to the hosts of its zone and to those with a pending job. */
 	heartbeatMs: 200,
 	/** A dispatcher drops the jobs of a host that has been silent or disconnected for this long. */
 	submitterTimeoutMs: 700,
-	/** Time after the loss of a dispatcher before its jobs may start in another cell. By then that dispatcher has dropped them
-	 * (see `submitterTimeoutMs`), and the longest lease has expired. */
-	otherCellDelayMs: 1300,
+	/** The dispatcher that runs a job counts the lease on it as shorter by this. */
+	jobLeaseMarginMs: 20,
+	/** A dispatcher asks the submitting host for a renewal if this part of the lease on a new job has passed. */
+	jobLeaseRenewalMs: 250,
 	/** Pause before the next attempt to connect to an unreachable host. */
 	reconnectDelayMs: 150,
 	/** Interval of the periodic checks on a host that dispatches; other hosts run them once per heartbeat. */
 	tickMs: 50,
 	/** The process counts as paused if a periodic check is late by more than this. */
 	pauseThresholdMs: 600,
+	/** After a pause, jobs of this host's callers wait this long until the sockets have been read. */
+	pauseRecoveryMs: 100,
 	/** How long a job waits until a dispatcher is reachable. */
 	findDispatcherTimeoutMs: 700,
 	/** Hosts of the zone that have been silent for longer are ignored in the choice of dispatchers. */
