Refuse an odd registry entry of a minion, and say so once

Seen by operators: a minion whose entry another writer had replaced once, with a start time far in the future, got no work again after it had written its own entry: all later incarnations count as earlier ones. Cause: the decoder took any number for `born` and for the amounts, any key for an id, bytes that are no UTF-8, and ports with leading zeros; nothing was logged.

--- /dev/null
+++ b/packages/chivestream-host/src/__tests__/odd-records.test.ts
@@ -0,0 +1,99 @@
+import {
+	afterEach, describe, expect, test,
+} from '@jest/globals';
+import {startSite, until, type TestSite} from '../__fixtures__/site.js';
+
+let site: TestSite | undefined;
+
+afterEach(async () => {
+	await site?.close();
+	site = undefined;
+});
+
+const hostCount = 3;
+const minionCount = 3;
+const nestingDepth = 50_000;
+
+let nextJob = 0;
+
+const nextJobId = (): string => {
+	nextJob += 1;
+	return nextJob.toString(16).padStart(16, '0');
+};
+
+const start = async (): Promise<TestSite> => {
+	site = await startSite(hostCount, minionCount, {initiallyRegistered: minionCount - 1});
+	await site.untilReady();
+	return site;
+};
+
+/** Every host serves a job, puts later declarations in force, and a minion that registers later is used. */
+const expectFollowing = async (testSite: TestSite) => {
+	const {hosts, eventCounts} = testSite;
+	const serve = async (count: number, prefix: string) => {
+		for (const hostIndex of hosts.keys()) {
+			// eslint-disable-next-line no-await-in-loop -- one job after the other
+			expect(await testSite.submit(hostIndex, {
+				id: nextJobId(), count, workMs: 5, prefix,
+			})).toMatchObject({status: 200, body: {state: 'completed'}});
+		}
+	};
+
+	await serve(2, '/read/');
+	testSite.declare(2, ['/read/', '/tag/']);
+	await until(async () => {
+		const results = await Promise.all([...hosts.keys()].map(async hostIndex => testSite.get(hostIndex, '/tag/')));
+		return results.every(({status}) => status === 200);
+	});
+	const registeredBefore = eventCounts.get('minion-registered') ?? 0;
+	testSite.register(minionCount);
+	await until(() => (eventCounts.get('minion-registered') ?? 0) > registeredBefore);
+	await serve(2 * minionCount, '/tag/');
+	expect(eventCounts.get('loop-failed')).toBeUndefined();
+	expect(eventCounts.get('unexpected-error')).toBeUndefined();
+};
+
+describe('an odd entry among those of the minions', () => {
+	const deep = `${'['.repeat(nestingDepth)}${']'.repeat(nestingDepth)}`;
+	const replacements: Array<[string, RegExp, string]> = [
+		['nested deeply', /"labels":\[[^\]]*\]/v, `"labels":${deep}`],
+		['with a start time beyond all dates', /"born":\d+/v, '"born":1e300'],
+		['with a start time far in the future', /"born":\d+/v, `"born":${Date.UTC(2200)}`],
+		['with endless room', /"cpu":\d+/v, '"cpu":1e300'],
+		['with a number that is read as infinity', /"cpu":\d+/v, '"cpu":1e400'],
+		['with a port out of range', /"address":"[^"]*"/v, '"address":"127.0.0.1:99999"'],
+		['with thousands of labels', /"labels":\[[^\]]*\]/v, `"labels":${JSON.stringify(Array.from({length: 5000}, () => 'label'))}`],
+	];
+
+	test('beside the others costs no host its work', async () => {
+		const testSite = await start();
+		const entry = testSite.minions[0]!.createRegistryEntry();
+		for (const [index, [name, field, replacement]] of replacements.entries()) {
+			const odd = entry.replace(field, replacement);
+			expect([name, odd === entry]).toEqual([name, false]);
+			testSite.store.write('keyed.servers', `i-odd-${index}`, odd);
+		}
+
+		for (const key of ['', '__proto__', 'i\n1', 'i\u{FFFD}']) {
+			testSite.store.write('keyed.servers', key, key === '__proto__' ? '{"__proto__":{}}' : entry);
+		}
+
+		const refusedBefore = testSite.eventCounts.get('minion-refused') ?? 0;
+		await until(() => (testSite.eventCounts.get('minion-refused') ?? 0) > refusedBefore);
+		await expectFollowing(testSite);
+	});
+
+	test.each(replacements)('%s in place of each of them costs no host its work', async (_, field, replacement) => {
+		const testSite = await start();
+		testSite.register(0);
+		for (const minion of testSite.minions) {
+			testSite.store.write('keyed.servers', minion.id, minion.createRegistryEntry().replace(field, replacement));
+		}
+
+		// One read of the dispatcher has ended without another record in between.
+		const readsBefore = testSite.store.requestCounts.get('/api/log-read') ?? 0;
+		await until(() => (testSite.store.requestCounts.get('/api/log-read') ?? 0) > readsBefore + (4 * hostCount));
+		testSite.register(minionCount - 1);
+		await expectFollowing(testSite);
+	});
+});
--- a/packages/chivestream-host/src/minion-follower.ts
+++ b/packages/chivestream-host/src/minion-follower.ts
@@ -6,6 +6,8 @@
 	decodeMinionEntry, topic, type KeyedRecord, type StoreClient,
 } from 'chivestream-platform';
 import {type Report} from './host-log.js';
+import {RefusedRecords} from './refused-records.js';
+import {isInFuture} from './timing.js';
 
 /** How long a read waits for new records, in milliseconds. */
 const waitMs = 500;
@@ -29,6 +31,7 @@
 	readonly table = new Map<string, MinionRecord>();
 	/** Minions whose entries are no longer in the store, with the time until which they stay in the table. */
 	private readonly missing = new Map<string, number>();
+	private readonly refused: RefusedRecords;
 	private readonly store: StoreClient;
 	private readonly report: Report;
 	private readonly now: () => number;
@@ -38,6 +41,7 @@
 	constructor(options: {store: StoreClient; report: Report; now: () => number; onChange: () => void}) {
 		this.store = options.store;
 		this.report = options.report;
+		this.refused = new RefusedRecords(options.report, 'minion-refused');
 		this.now = options.now;
 		this.onChange = options.onChange;
 	}
@@ -84,6 +88,7 @@
 		}
 
 		const registeredIds = new Set(result.value.records.map(record => record.key));
+		this.refused.retain(registeredIds);
 		for (const id of this.table.keys()) {
 			if (!registeredIds.has(id)) {
 				this.markMissing(id);
@@ -116,7 +121,7 @@
 	private applyRecords(records: readonly KeyedRecord[]): void {
 		let isChanged = false;
 		for (const {key, value} of records) {
-			const record = value === undefined ? undefined : decodeMinionEntry(key, value);
+			const record = this.decode(key, value);
 			if (record === undefined) {
 				if (this.table.has(key)) {
 					this.markMissing(key);
@@ -141,6 +146,28 @@
 		}
 	}
 
+	private decode(key: string, value: Uint8Array | undefined): MinionRecord | undefined {
+		if (value === undefined) {
+			this.refused.forget(key);
+			return undefined;
+		}
+
+		const record = decodeMinionEntry(key, value, reason => {
+			this.refused.note(key, reason);
+		});
+		// No later incarnation would succeed it.
+		if (record !== undefined && isInFuture(record.bornAt)) {
+			this.refused.note(key, 'born: in the future');
+			return undefined;
+		}
+
+		if (record !== undefined) {
+			this.refused.forget(key);
+		}
+
+		return record;
+	}
+
 	private markMissing(id: string): void {
 		if (!this.missing.has(id)) {
 			const wasStoreUnavailable = this.now() - this.lastFailureAt < reregistrationMs;
--- a/packages/chivestream-host/src/timing.ts
+++ b/packages/chivestream-host/src/timing.ts
@@ -88,3 +88,9 @@
 	const slowMs = hostTiming.heartbeatMs * zoneSizeFactor(hostsOfZone);
 	return isDispatching && isToDispatcher ? slowMs : Math.max(slowMs, idleStatusFactor * hostTiming.heartbeatMs);
 };
+
+/** By how much the clocks of two machines may differ, in milliseconds. */
+const maxClockDifferenceMs = 3_600_000;
+
+/** Whether a start, in milliseconds since the Unix epoch, is later than the clock of any machine. */
+export const isInFuture = (bornAt: number): boolean => bornAt > Date.now() + maxClockDifferenceMs;
--- a/packages/chivestream-settings/src/address.ts
+++ b/packages/chivestream-settings/src/address.ts
@@ -7,12 +7,13 @@
 	port: number;
 };
 
-const ip4Pattern = /^(?<ip>[\d.]+):(?<port>\d{1,5})$/v;
-const ip6Pattern = /^\[(?<ip>[0-9a-f:.]+)\]:(?<port>\d{1,5})$/iv;
+const ip4Pattern = /^(?<ip>[\d.]+):(?<port>0|[1-9]\d{0,4})$/v;
+const ip6Pattern = /^\[(?<ip>[0-9a-f:.]+)\]:(?<port>0|[1-9]\d{0,4})$/iv;
 const maxPort = 65_535;
 const unspecifiedIps = new Set(['0.0.0.0', '::']);
 
-/** Parses `ip:port` or `[ip6]:port`; returns undefined if the text has neither form or the port exceeds 65535. */
+/** Parses `ip:port` or `[ip6]:port`; returns undefined if the text has neither form, or the port has a leading zero or
+ * exceeds 65535. */
 export const parseAddress = (text: string): Address | undefined => {
 	const groups = (ip4Pattern.exec(text) ?? ip6Pattern.exec(text))?.groups;
 	const {ip = '', port = ''} = groups ?? {};
