--- a/packages/chivestream-host/src/__tests__/malformed-input.test.ts
+++ b/packages/chivestream-host/src/__tests__/malformed-input.test.ts
@@ -49,6 +49,23 @@
 	});
 });
 
+test('a job whose times no message can carry costs no other job of its host', async () => {
+	const testSite = await start(2, 2);
+	const dispatcher = await testSite.dispatcherIndex();
+	const other = 1 - dispatcher;
+	await until(() => testSite.hosts[other]!.host.isReady());
+	const inProgress = testSite.submit(other, {id: jobId(1), count: 1, workMs: 1500});
+	await until(() => testSite.minions.some(minion => minion.runningTasks().length > 0));
+	const response = await request(`http://${testSite.hosts[other]!.settings.listen.callers}/read/${jobId(2)}`, {
+		method: 'POST', headers: {host: 'lens.example'}, body: '{"best_effort":true,"steps":[{"estimate_ms":1e308},{"estimate_ms":1e308,"depends_on":[0]}]}', reset: true,
+	});
+	await response.body.dump();
+	expect(await inProgress).toMatchObject({status: 200, body: {state: 'completed'}});
+	expect(testSite.eventCounts.get('peer-message-invalid')).toBeUndefined();
+	expect(testSite.eventCounts.get('dispatcher-lost')).toBeUndefined();
+	expect(response.statusCode).toBe(400);
+});
+
 describe('a message of another host', () => {
 	const types = ['hello', 'status', 'submit', 'cancel', 'settled', 'none'];
 	const message = fc.record({
