--- a/packages/chivestream-host/src/__tests__/minion-follower.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-follower.test.ts
@@ -3,8 +3,8 @@
 	afterEach, expect, test,
 } from '@jest/globals';
 import {type KeyedRecord, type StoreClient, type TopicChanges} from 'chivestream-platform';
-import {type Failure} from 'chivestream-core';
-import {Ok, type Result} from 'ts-results-es';
+import {Failure, failureCode} from 'chivestream-core';
+import {Err, Ok, type Result} from 'ts-results-es';
 import {until} from '../__fixtures__/site.js';
 import {MinionFollower} from '../minion-follower.js';
 
@@ -86,3 +86,15 @@
 	await until(() => counts.reads > 2);
 	expect(follower.table.get('i-1')?.bornAt).toBe(entry.born);
 });
+
+test('after a page that cannot be decoded the whole list is read again', async () => {
+	let records = [record('i-1', entry)];
+	const {follower, counts} = follow(() => records, [
+		new Err(new Failure(failureCode.protocolError, 'truncated', {step: 'read', peer: 'store'})),
+	]);
+	await until(() => counts.reads > 0);
+	records = [record('i-1', entry), record('i-2', entry)];
+	await until(() => counts.reads > 1);
+	expect(counts.snapshots).toBe(2);
+	expect([...follower.table.keys()]).toEqual(['i-1', 'i-2']);
+});
--- a/packages/chivestream-host/src/minion-follower.ts
+++ b/packages/chivestream-host/src/minion-follower.ts
@@ -1,6 +1,7 @@
 /** Follows the registered minions in the platform's store. */
 /* eslint-disable no-await-in-loop -- iterations are sequential */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {failureCode} from 'chivestream-core';
 import {type MinionRecord} from 'chivestream-dispatch';
 import {
 	decodeMinionEntry, topic, type KeyedRecord, type StoreClient,
@@ -107,7 +108,8 @@
 
 		if (result.isErr()) {
 			this.lastFailureAt = this.now();
-			return offset;
+			// The same records would be read again from the same offset.
+			return result.error.code === failureCode.protocolError ? undefined : offset;
 		}
 
 		if (result.value === undefined) {
