Refuse odd declarations, and say so once

Seen by operators: none here, as the store accepts only valid declarations; if it let one version of 1e300 through, no later version was put in force, and an objective that overflows broke the streams between hosts. Cause: any number was accepted; a refused record was logged with each read. Result: odd-records.test, "a version that no later one succeeds" and "an objective that no message can carry": hosts didn't put version 3 in force, or jobs failed, before; they pass now.

--- a/packages/chivestream-host/src/__tests__/odd-records.test.ts
+++ b/packages/chivestream-host/src/__tests__/odd-records.test.ts
@@ -28,7 +28,7 @@
 };
 
 /** Every host serves a job, puts later declarations in force, and a minion that registers later is used. */
-const expectFollowing = async (testSite: TestSite) => {
+const expectFollowing = async (testSite: TestSite, version = 2) => {
 	const {hosts, eventCounts} = testSite;
 	const serve = async (count: number, prefix: string) => {
 		for (const hostIndex of hosts.keys()) {
@@ -40,7 +40,7 @@
 	};
 
 	await serve(2, '/read/');
-	testSite.declare(2, ['/read/', '/tag/']);
+	testSite.declare(version, ['/read/', '/tag/']);
 	await until(async () => {
 		const results = await Promise.all([...hosts.keys()].map(async hostIndex => testSite.get(hostIndex, '/tag/')));
 		return results.every(({status}) => status === 200);
@@ -97,3 +97,25 @@
 		await expectFollowing(testSite);
 	});
 });
+
+describe('an odd record of the configuration', () => {
+	const config = (version: string, fields: string) => `{"version":${version},"routes":[{${fields}}]}`;
+	const fields = '"name":"r0","host":"lens.example","path_prefix":"/read/","service":"desk"';
+
+	test.each<[string, string, string]>([
+		['with a version that no later one succeeds', 'config', config('1e300', fields)],
+		['with an objective that no message can carry', 'config', config('2', `${fields},"target_latency_ms":1e308,"stretch":1e308`)],
+		['that is nested deeply', 'config', config('2', `${fields},"priority":${'['.repeat(nestingDepth)}${']'.repeat(nestingDepth)}`)],
+		['under another key', '__proto__', config('1e300', fields)],
+	])('%s costs no host its work, and is logged once', async (_, key, value) => {
+		const testSite = await start();
+		testSite.store.write('keyed.op', key, value);
+		const refusals = () => testSite.eventCounts.get('declarations-unreadable') ?? 0;
+		const expectedRefusals = key === 'config' ? hostCount : 0;
+		await until(() => refusals() >= expectedRefusals);
+		const readsBefore = testSite.store.requestCounts.get('/api/log-newest') ?? 0;
+		await until(() => (testSite.store.requestCounts.get('/api/log-newest') ?? 0) > readsBefore + (4 * hostCount));
+		await expectFollowing(testSite, 3);
+		expect(refusals()).toBe(expectedRefusals);
+	});
+});
--- a/packages/chivestream-host/src/declarations-follower.ts
+++ b/packages/chivestream-host/src/declarations-follower.ts
@@ -5,6 +5,7 @@
 	declarationsKey, decodeDeclarations, topic, type Declarations, type KeyedRecord, type StoreClient,
 } from 'chivestream-platform';
 import {type Report} from './host-log.js';
+import {RefusedRecords} from './refused-records.js';
 
 /**
  * How long a read waits for new records, in milliseconds: short enough to give up a silent connection well within the time in
@@ -25,6 +26,7 @@
 export class DeclarationsFollower {
 	/** Undefined until the first declarations arrive. */
 	current: Declarations | undefined;
+	private readonly refused: RefusedRecords;
 	private readonly store: StoreClient;
 	private readonly report: Report;
 	private readonly now: () => number;
@@ -35,6 +37,7 @@
 	constructor(options: {store: StoreClient; report: Report; now: () => number; onChange: () => void}) {
 		this.store = options.store;
 		this.report = options.report;
+		this.refused = new RefusedRecords(options.report, 'declarations-unreadable');
 		this.now = options.now;
 		this.onChange = options.onChange;
 	}
@@ -107,10 +110,11 @@
 				continue;
 			}
 
-			const declarations = decodeDeclarations(value);
-			if (declarations === undefined) {
-				this.report('declarations-unreadable', {bytes: value.length});
-			} else {
+			const declarations = decodeDeclarations(value, reason => {
+				this.refused.note(key, reason);
+			});
+			if (declarations !== undefined) {
+				this.refused.forget(key);
 				this.applyIfNewer(declarations, 'store');
 			}
 		}
