--- a/packages/chivestream-host/src/declarations-follower.ts
+++ b/packages/chivestream-host/src/declarations-follower.ts
@@ -5,6 +5,7 @@
 	declarationsKey, decodeDeclarations, topic, type Declarations, type KeyedRecord, type StoreClient,
 } from 'chivestream-platform';
 import {type Report} from './host-log.js';
+import {RefusedRecords} from './refused-records.js';
 
 /**
  * How long a read waits for new records, in milliseconds: short enough to give up a silent connection well within the time in
@@ -27,6 +28,7 @@
 	current: Declarations | undefined;
 	/** When a request to the store last failed, on the monotonic clock. */
 	lastFailureAt = Number.NEGATIVE_INFINITY;
+	private readonly refused: RefusedRecords;
 	private readonly store: StoreClient;
 	private readonly report: Report;
 	private readonly now: () => number;
@@ -37,6 +39,7 @@
 	constructor(options: {store: StoreClient; report: Report; now: () => number; onChange: () => void}) {
 		this.store = options.store;
 		this.report = options.report;
+		this.refused = new RefusedRecords(options.report, 'declarations-unreadable');
 		this.now = options.now;
 		this.onChange = options.onChange;
 	}
@@ -109,10 +112,11 @@
 				continue;
 			}
 
-			const declarations = decodeDeclarations(value);
-			if (declarations === undefined) {
-				this.report('declarations-unreadable', {bytes: value.length});
-			} else {
+			const declarations = decodeDeclarations(value, reason => {
+				this.refused.note(key, reason);
+			});
+			if (declarations !== undefined) {
+				this.refused.forget(key);
 				this.applyIfNewer(declarations, 'store');
 			}
 		}
--- a/packages/chivestream-host/src/minion-follower.ts
+++ b/packages/chivestream-host/src/minion-follower.ts
@@ -1,11 +1,14 @@
 /** Follows the registered minions in the platform's store. */
 /* eslint-disable no-await-in-loop -- iterations are sequential */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {failureCode} from 'chivestream-core';
 import {type MinionRecord} from 'chivestream-dispatch';
 import {
 	decodeMinionEntry, topic, type KeyedRecord, type StoreClient,
 } from 'chivestream-platform';
 import {type Report} from './host-log.js';
+import {RefusedRecords} from './refused-records.js';
+import {isInFuture} from './timing.js';
 
 /** How long a read waits for new records, in milliseconds. */
 const waitMs = 500;
@@ -41,6 +44,7 @@
 	unregistered: readonly MinionRecord[] = [];
 	/** Minions whose entries are no longer in the store, with the time until which they stay in the table. */
 	private readonly missing = new Map<string, number>();
+	private readonly refused: RefusedRecords;
 	private readonly store: StoreClient;
 	private readonly report: Report;
 	private readonly now: () => number;
@@ -54,6 +58,7 @@
 	constructor(options: MinionFollowerOptions) {
 		this.store = options.store;
 		this.report = options.report;
+		this.refused = new RefusedRecords(options.report, 'minion-refused');
 		this.now = options.now;
 		this.onChange = options.onChange;
 		this.lastStoreFailureAt = options.lastStoreFailureAt;
@@ -106,6 +111,7 @@
 		}
 
 		const registeredIds = new Set(result.value.records.map(record => record.key));
+		this.refused.retain(registeredIds);
 		for (const id of this.table.keys()) {
 			if (!registeredIds.has(id)) {
 				this.markMissing(id);
@@ -130,7 +136,8 @@
 
 		if (result.isErr()) {
 			this.lastFailureAt = this.now();
-			return offset;
+			// The same records would be read again from the same offset.
+			return result.error.code === failureCode.protocolError ? undefined : offset;
 		}
 
 		if (result.value === undefined) {
@@ -144,7 +151,7 @@
 	private applyRecords(records: readonly KeyedRecord[]): void {
 		let isChanged = false;
 		for (const {key, value} of records) {
-			const record = value === undefined ? undefined : decodeMinionEntry(key, value);
+			const record = this.decode(key, value);
 			if (record === undefined) {
 				if (this.table.has(key)) {
 					this.markMissing(key);
@@ -169,6 +176,28 @@
 		}
 	}
 
+	private decode(key: string, value: Uint8Array | undefined): MinionRecord | undefined {
+		if (value === undefined) {
+			this.refused.forget(key);
+			return undefined;
+		}
+
+		const record = decodeMinionEntry(key, value, reason => {
+			this.refused.note(key, reason);
+		});
+		// No later incarnation would succeed it.
+		if (record !== undefined && isInFuture(record.bornAt)) {
+			this.refused.note(key, 'born: in the future');
+			return undefined;
+		}
+
+		if (record !== undefined) {
+			this.refused.forget(key);
+		}
+
+		return record;
+	}
+
 	private markMissing(id: string): void {
 		if (!this.missing.has(id)) {
 			const wasStoreUnavailable = this.now() - this.outageEndedAt() < reregistrationMs;
