Cancel a job at any host, wherever it runs

What callers saw: a DELETE of a running job was answered with 410 ("no such job"). Cause: a DELETE was answered without a look at the jobs in progress. Changed: the asked host ends the job if it holds it, and asks all hosts to which it has a link. A dispatcher that has the job, or runs of it, settles it with the new outcome `cancelled` and stops the runs. The origin answers its caller with 200 and the state `cancelled`, and doesn't submit the job again. If nobody has the job, the linked hosts are asked again and ask the hosts attached to them, since between two dispatchers only the origin knows it. Answers: 200 if a dispatcher had it, or only an origin had it and every linked host has answered; 410 if all have answered and none knows it; else 503, so that the caller asks again. Cost: a DELETE of an unknown job is asked of all attached hosts of all linked hosts; one of a running job only of the linked hosts. Limits: an attached host that left a question unanswered is asked again but not waited for, as its stream may be dead.

--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -438,3 +438,62 @@
 		expect(recorded.submit(jobRequest('00000000000000dd'))).toEqual([{kind: outcomeKind.released, doneTasks: []}]);
 	});
 });
+
+describe('a job that a caller cancels', () => {
+	test('is settled for each submitter, its runs are stopped, and none of its tasks starts any more', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m')]);
+		recorded.report('m');
+		const outcomes = recorded.submit(jobRequest(jobId, {objectiveDeadline: 9000, deadline: 9000}, 3));
+		const copyOutcomes = recorded.submit(jobRequest(jobId, {objectiveDeadline: 9000, deadline: 9000}, 3));
+		for (const run of recorded.starts) {
+			recorded.dispatcher.handleStartAnswer(run, startAnswer.started);
+		}
+
+		expect(recorded.dispatcher.cancelJob(jobId)).toBe(true);
+		expect(outcomes).toEqual([{kind: outcomeKind.cancelled}]);
+		expect(copyOutcomes).toEqual([{kind: outcomeKind.cancelled}]);
+		expect(recorded.stops.map(run => run.task)).toEqual([task(0), task(1)]);
+		recorded.advance(10);
+		recorded.report('m', [], [[task(0), 1, 'interrupted'], [task(1), 1, 'interrupted']]);
+		recorded.dispatcher.tick();
+		expect(recorded.starts).toHaveLength(2);
+	});
+
+	test('has a run stopped whose start is answered only after that', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m')]);
+		recorded.report('m');
+		recorded.submit(jobRequest(jobId));
+		recorded.dispatcher.cancelJob(jobId);
+		expect(recorded.stops).toHaveLength(0);
+		recorded.dispatcher.handleStartAnswer(recorded.starts[0]!, startAnswer.started);
+		expect(recorded.stops.map(run => run.task)).toEqual([task(0)]);
+	});
+
+	test('is known by the runs of a previous dispatcher alone, which are stopped at once', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m')]);
+		recorded.report('m', [[task(0), 1], [task(0, '00000000000000bb'), 1]]);
+		expect(recorded.dispatcher.cancelJob(jobId)).toBe(true);
+		expect(recorded.stops.map(run => run.task)).toEqual([task(0)]);
+	});
+
+	test('is unknown if there is neither the job nor a run of it, and the other jobs go on', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m')]);
+		recorded.report('m');
+		const outcomes = recorded.submit(jobRequest('00000000000000bb'));
+		expect(recorded.dispatcher.cancelJob(jobId)).toBe(false);
+		expect(outcomes).toEqual([]);
+		expect(recorded.stops).toHaveLength(0);
+	});
+
+	test('gives its room to the jobs that wait', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m', {capacity: {millicores: 14_000, memoryMb: 1024, accelerators: 0}})]);
+		recorded.report('m');
+		recorded.submit(jobRequest(jobId, {objectiveDeadline: 9000, deadline: 9000}));
+		recorded.submit(jobRequest('00000000000000bb', {objectiveDeadline: 9000, deadline: 9000}));
+		recorded.dispatcher.handleStartAnswer(recorded.starts[0]!, startAnswer.started);
+		recorded.dispatcher.cancelJob(jobId);
+		recorded.advance(10);
+		recorded.report('m', [], [[task(0), 1, 'interrupted']]);
+		expect(recorded.starts.map(run => run.task)).toEqual([task(0), task(0, '00000000000000bb')]);
+	});
+});
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -181,6 +181,30 @@
 		}
 	}
 
+	/**
+	 * Cancels a job at a caller's request: settles it for all its submitters, and stops its runs, also those of a previous dispatcher
+	 * whose job has not been resubmitted. Returns whether there was a job or a run.
+	 */
+	cancelJob(id: string): boolean {
+		const job = this.jobs.get(id);
+		if (job !== undefined) {
+			this.settleJob(job, {kind: outcomeKind.cancelled});
+		}
+
+		let hasRuns = false;
+		for (const [name, runs] of this.pool.runsByTask) {
+			if (jobIdOfTask(name) === id) {
+				hasRuns = true;
+				for (const run of runs) {
+					this.runs.unassignAndStop(run);
+				}
+			}
+		}
+
+		this.schedule();
+		return job !== undefined || hasRuns;
+	}
+
 	/** Applies a minion's report that carries this dispatcher's fencing token. */
 	handleReport(minion: Minion, report: MinionReport): void {
 		this.runs.handleReport(minion, report);
--- a/packages/chivestream-dispatch/src/outcome.ts
+++ b/packages/chivestream-dispatch/src/outcome.ts
@@ -14,6 +14,8 @@
 	redirected: 'redirected',
 	/** The dispatcher is shutting down; the cell's next dispatcher takes over the current runs. */
 	released: 'released',
+	/** A caller has cancelled the job; the stop of its runs is requested, and it must not be submitted again. */
+	cancelled: 'cancelled',
 } as const;
 
 /** The outcome of a job, with the reason, the target cell, or the names of the completed tasks and the crashes under the others. */
@@ -23,4 +25,5 @@
 		| {kind: typeof outcomeKind.refused; reason: string; retryAfterMs: number}
 		| {kind: typeof outcomeKind.abandoned; reason: string}
 		| {kind: typeof outcomeKind.redirected; cell: string}
-		| {kind: typeof outcomeKind.released; doneTasks: string[]; crashes?: Readonly<Record<string, CrashRecord>>};
+		| {kind: typeof outcomeKind.released; doneTasks: string[]; crashes?: Readonly<Record<string, CrashRecord>>}
+		| {kind: typeof outcomeKind.cancelled};
--- a/packages/chivestream-host/src/__fixtures__/site.ts
+++ b/packages/chivestream-host/src/__fixtures__/site.ts
@@ -27,6 +27,8 @@
 	/** Submits a job of `count` tasks to a host. Each task takes `workMs`; a negative value makes it fail after that time. */
 	submit: (hostIndex: number, job: {id: string; count: number; workMs: number; prefix?: string; callerTimeoutMs?: number}) => Promise<CallerResult>;
 	get: (hostIndex: number, path: string) => Promise<CallerResult>;
+	/** Cancels a job at a host; asks again for as long as the host answers with 503. */
+	cancel: (hostIndex: number, id: string) => Promise<CallerResult>;
 	/** The text of a host's metrics. */
 	metrics: (hostIndex: number) => Promise<string>;
 	/** Publishes declarations with one route for each path prefix. */
@@ -51,6 +53,7 @@
 const heartbeatMs = 300;
 const usableByteValues = 250;
 const portsPerHost = 4;
+const unavailableStatus = 503;
 
 /** A loopback address derived from the process id, so that concurrent test processes share no ports. */
 const loopbackIp = (index: number): string => {
@@ -141,10 +144,10 @@
 	const hosts: TestSite['hosts'] = [];
 	const settings: HostSettings[] = [];
 
-	const call = async (hostIndex: number, path: string, body?: unknown, callerTimeoutMs?: number): Promise<CallerResult> => {
+	const call = async (hostIndex: number, path: string, body?: unknown, callerTimeoutMs?: number, method: 'GET' | 'POST' | 'DELETE' = body === undefined ? 'GET' : 'POST'): Promise<CallerResult> => {
 		const {status, ...rest} = await request(`http://${settings[hostIndex]!.listen.callers}${path}`, {
 			dispatcher: agent,
-			method: body === undefined ? 'GET' : 'POST',
+			method,
 			headers: {host: hostName, ...(callerTimeoutMs !== undefined && {'chivestream-deadline-ms': String(callerTimeoutMs)})},
 			...(body !== undefined && {body: JSON.stringify(body)}),
 		}).then(async response => ({
@@ -193,6 +196,15 @@
 			}, callerTimeoutMs);
 		},
 		get: async (hostIndex, path) => call(hostIndex, path),
+		async cancel(hostIndex, id) {
+			for (;;) {
+				// eslint-disable-next-line no-await-in-loop -- one request after the other
+				const result = await call(hostIndex, `/read/${id}`, undefined, undefined, 'DELETE');
+				if (result.status !== unavailableStatus) {
+					return result;
+				}
+			}
+		},
 		async metrics(hostIndex) {
 			const {body} = await request(`http://${settings[hostIndex]!.listen.metrics}/metrics`, {dispatcher: agent});
 			return body.text();
--- a/packages/chivestream-host/src/__tests__/malformed-input.test.ts
+++ b/packages/chivestream-host/src/__tests__/malformed-input.test.ts
@@ -50,7 +50,7 @@
 });
 
 describe('a message of another host', () => {
-	const types = ['hello', 'status', 'submit', 'cancel', 'settled', 'none'];
+	const types = ['hello', 'status', 'submit', 'cancel', 'settled', 'cancel-job', 'cancel-job-answer', 'none'];
 	const message = fc.record({
 		type: fc.constantFrom(...types),
 		host: fc.oneof(fc.constant(null), fc.jsonValue(), fc.constant({
@@ -59,6 +59,8 @@
 		status: fc.oneof(fc.jsonValue(), fc.constant({claims: [{cell: 0, token: 1, freeTasks: 1}], cellCount: 1})),
 		job: fc.oneof(fc.jsonValue(), fc.constant({id: jobId(7), cell: 'z/1 of 1', steps: [null]})),
 		id: fc.jsonValue(),
+		request: fc.jsonValue(),
+		finding: fc.jsonValue(),
 	}, {requiredKeys: ['type']});
 
 	test('of any shape costs its stream, not the process', async () => {
--- a/packages/chivestream-host/src/__tests__/peer-server.test.ts
+++ b/packages/chivestream-host/src/__tests__/peer-server.test.ts
@@ -78,6 +78,7 @@
 		cancel() {
 			// Not of interest.
 		},
+		cancelJob: async () => ({finding: 'unknown', isComplete: true}),
 	});
 	const stream = new RecordedStream(() => now);
 	// The server uses only these parts of a stream.
--- a/packages/chivestream-host/src/caller-service.ts
+++ b/packages/chivestream-host/src/caller-service.ts
@@ -11,6 +11,7 @@
 } from 'chivestream-platform';
 import polka from 'polka';
 import {type Report} from './host-log.js';
+import {cancelResult, type CancelResult} from './job-cancellation.js';
 import {type PendingJob} from './job-client.js';
 
 /** Dependencies and callbacks of the service. */
@@ -20,6 +21,8 @@
 	report: Report;
 	declarations: () => Declarations | undefined;
 	runJob: (job: JobRequest) => PendingJob;
+	/** Cancels a job wherever it is. */
+	cancelJob: (id: string) => Promise<CancelResult>;
 	/** Number of jobs of a route that haven't started; only those at this host's dispatchers are counted. */
 	pendingJobs: (route: string) => number;
 	/** Whether the host is shutting down; connections then close after their next answer. */
@@ -166,6 +169,11 @@
 				break;
 			}
 
+			case outcomeKind.cancelled: {
+				answer(response, status.ok, encodeJobState(callerJobState.cancelled));
+				break;
+			}
+
 			case outcomeKind.redirected:
 			case outcomeKind.released: {
 				answerError(response, status.timedOut, 'given up, may have run');
@@ -230,6 +238,24 @@
 		options.onAnswer(response.statusCode, tookMs);
 	};
 
+	const cancel = async (response: ServerResponse, id: string) => {
+		switch (await options.cancelJob(id)) {
+			case cancelResult.cancelled: {
+				answer(response, status.ok, encodeJobState(callerJobState.cancelled));
+				break;
+			}
+
+			case cancelResult.unknown: {
+				answerError(response, status.gone, 'no such job');
+				break;
+			}
+
+			case cancelResult.unsettled: {
+				answerError(response, status.unavailable, 'not known to be cancelled: some host has not answered', notReadyRetrySeconds);
+			}
+		}
+	};
+
 	const handle = async (request: IncomingMessage, response: ServerResponse) => {
 		const declarations = options.declarations();
 		if (declarations === undefined) {
@@ -255,13 +281,27 @@
 			return;
 		}
 
-		if (request.method === 'POST') {
-			await submit(request, response, route, subpath);
-		} else if (request.method === 'GET' || request.method === 'DELETE') {
-			// The outcome of a job is sent only to the caller that submitted it, and the job ends with that connection.
-			answerError(response, status.gone, 'no such job');
-		} else {
-			answerError(response, status.methodNotAllowed, 'no such method');
+		const {method = ''} = request;
+		switch (method) {
+			case 'POST': {
+				await submit(request, response, route, subpath);
+				break;
+			}
+
+			case 'DELETE': {
+				await cancel(response, subpath);
+				break;
+			}
+
+			case 'GET': {
+				// The outcome of a job is sent only to the caller that submitted it, and the job ends with that connection.
+				answerError(response, status.gone, 'no such job');
+				break;
+			}
+
+			default: {
+				answerError(response, status.methodNotAllowed, 'no such method');
+			}
 		}
 	};
 
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -171,6 +171,16 @@
 		}
 	}
 
+	/** Cancels a job at a caller's request; returns whether a dispatcher of this host had it or runs of it. */
+	cancelJob(id: string): boolean {
+		let isFound = false;
+		for (const {dispatcher} of this.services.values()) {
+			isFound = dispatcher.cancelJob(id) || isFound;
+		}
+
+		return isFound;
+	}
+
 	private localCandidate(): Candidate {
 		const {self, isLeaving} = this.options;
 		return {
--- a/packages/chivestream-host/src/dispatcher-table.ts
+++ b/packages/chivestream-host/src/dispatcher-table.ts
@@ -80,6 +80,11 @@
 		return this.forJob('') !== undefined;
 	}
 
+	/** Whether the dispatcher of each cell of the local zone is reachable. */
+	hasAllLocal(): boolean {
+		return [...this.options.choices().keys()].every(cell => this.ofLocalCell(cell) !== undefined);
+	}
+
 	/** Resolves when the reachable dispatchers may have changed, at the latest at a deadline on the monotonic clock. */
 	async waitForChange(deadline: number): Promise<void> {
 		await new Promise<void>(resolve => {
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -7,12 +7,15 @@
 import {parseAddress} from 'chivestream-settings';
 import {createRecentMaximum} from './answer-timeout.js';
 import {runBackgroundLoop} from './background-loop.js';
+import {CallerJobs} from './caller-jobs.js';
 import {createCallerService, type CallerService} from './caller-service.js';
+import {CancelledJobs} from './cancelled-jobs.js';
 import {DeclarationsFollower} from './declarations-follower.js';
 import {DispatcherTable} from './dispatcher-table.js';
 import {followHostRegistry} from './host-registry.js';
 import {type DispatchService} from './dispatch-service.js';
 import {type Report} from './host-log.js';
+import {JobCancellation} from './job-cancellation.js';
 import {fromJobMessage, runJob} from './job-client.js';
 import {type HostRecord, type HostStatus, type PeerReply} from './messages.js';
 import {createHostMetrics, type HostMetrics} from './metrics.js';
@@ -50,6 +53,9 @@
 	private readonly peers: PeerTable;
 	private readonly peerServer: PeerServer;
 	private readonly callers: CallerService;
+	private readonly callerJobs: CallerJobs;
+	private readonly cancelledJobs: CancelledJobs;
+	private readonly cancellation: JobCancellation;
 	private readonly claim: ClaimManager;
 	private readonly dispatcherHandles: DispatcherTable;
 	private readonly controller = new AbortController();
@@ -121,6 +127,7 @@
 					this.minions.replace(minions);
 				}
 			},
+			cancelHere: id => this.cancellation.cancelHere(id),
 		});
 		this.peerServer = new PeerServer({
 			now,
@@ -133,6 +140,11 @@
 			},
 			isDispatcher: host => this.peers.isDispatcher(host.name),
 			submit: (message, {settle, onTaskCrashed}) => {
+				if (this.cancelledJobs.has(message.id)) {
+					settle({kind: 'cancelled'});
+					return;
+				}
+
 				const service = this.claim.serviceOfCell(message.cell);
 				// A submission to an earlier claim may have waited for long, for example while this process was paused. The job may run for
 				// another dispatcher by now.
@@ -149,6 +161,7 @@
 			cancel: id => {
 				this.claim.cancel(id);
 			},
+			cancelJob: async (id, asksHosts) => this.cancellation.handleRequest(id, asksHosts),
 		});
 		this.claim = new ClaimManager({
 			self: this.record,
@@ -184,10 +197,9 @@
 			otherZoneDispatchers: () => this.peers.otherZoneDispatchers(),
 		});
 		this.readinessServer = this.createReadinessServer();
-		this.callers = createCallerService({
-			now,
-			report,
-			declarations: () => this.declarations.current,
+		this.cancelledJobs = new CancelledJobs(now);
+		this.callerJobs = new CallerJobs({
+			cancelledJobs: this.cancelledJobs,
 			runJob: job => runJob({
 				now,
 				report,
@@ -195,6 +207,23 @@
 				dispatcherForJob: id => this.dispatcherHandles.forJob(id),
 				untilChange: async deadline => this.dispatcherHandles.waitForChange(deadline),
 			}, job),
+		});
+		this.cancellation = new JobCancellation({
+			now,
+			report,
+			cancelledJobs: this.cancelledJobs,
+			stopJob: id => this.claim.cancelJob(id),
+			endJob: id => this.callerJobs.end(id),
+			linkedHosts: () => this.peers.openLinks(),
+			attachedHosts: () => this.peerServer.attachedHosts(),
+			hasAllDispatchers: () => this.dispatcherHandles.hasAllLocal(),
+		});
+		this.callers = createCallerService({
+			now,
+			report,
+			declarations: () => this.declarations.current,
+			runJob: job => this.callerJobs.run(job),
+			cancelJob: async id => this.cancellation.cancel(id),
 			pendingJobs: route => this.pendingJobs(route),
 			isLeaving: () => this.isLeaving,
 			shutdownDeadline: () => this.shutdownDeadline,
--- a/packages/chivestream-host/src/job-client.ts
+++ b/packages/chivestream-host/src/job-client.ts
@@ -161,7 +161,8 @@
 				case outcomeKind.completed:
 				case outcomeKind.failed:
 				case outcomeKind.refused:
-				case outcomeKind.abandoned: {
+				case outcomeKind.abandoned:
+				case outcomeKind.cancelled: {
 					return outcome;
 				}
 			}
--- a/packages/chivestream-host/src/message-schemas.ts
+++ b/packages/chivestream-host/src/message-schemas.ts
@@ -5,6 +5,7 @@
 import {type Declarations} from 'chivestream-platform';
 import {isReachableAddress} from 'chivestream-settings';
 import {z} from 'zod';
+import {cancelFinding} from './cancelled-jobs.js';
 import {
 	type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest,
 } from './messages.js';
@@ -77,6 +78,7 @@
 	z.object({kind: z.literal(outcomeKind.abandoned), reason: z.string()}),
 	z.object({kind: z.literal(outcomeKind.redirected), cell: z.string()}),
 	z.object({kind: z.literal(outcomeKind.released), doneTasks: z.array(z.string()), crashes: crashesSchema.optional()}),
+	z.object({kind: z.literal(outcomeKind.cancelled)}),
 ]);
 
 const declarationsSchema: z.ZodType<Declarations> = z.object({
@@ -107,12 +109,20 @@
 	labels: z.array(z.string()),
 });
 
+const cancelJobAnswerSchema = z.object({
+	type: z.literal('cancel-job-answer'), request: z.number().int(), finding: z.enum(cancelFinding), isComplete: z.boolean(),
+});
+
 /** Schema of a message from the host that opened the stream. */
 const peerRequestSchema: z.ZodType<PeerRequest> = z.discriminatedUnion('type', [
 	z.object({type: z.literal('hello'), host: hostRecordSchema, status: hostStatusSchema}),
 	z.object({type: z.literal('status'), status: hostStatusSchema}),
 	z.object({type: z.literal('submit'), job: jobMessageSchema}),
 	z.object({type: z.literal('cancel'), id: z.string()}),
+	z.object({
+		type: z.literal('cancel-job'), id: z.string(), request: z.number().int(), asksHosts: z.boolean(),
+	}),
+	cancelJobAnswerSchema,
 ]);
 
 /** Schema of a message from the host that accepted the stream. */
@@ -130,6 +140,8 @@
 	}),
 	z.object({type: z.literal('declarations'), declarations: declarationsSchema}),
 	z.object({type: z.literal('minions'), minions: z.array(minionRecordSchema)}),
+	z.object({type: z.literal('cancel-job'), id: z.string(), request: z.number().int()}),
+	cancelJobAnswerSchema,
 ]);
 
 const isStatusMessage = (message: unknown): message is {type: 'status'; status: HostStatus} =>
--- a/packages/chivestream-host/src/messages.ts
+++ b/packages/chivestream-host/src/messages.ts
@@ -3,6 +3,7 @@
 	type CrashRecord, type MinionRecord, type Outcome, type Step,
 } from 'chivestream-dispatch';
 import {type Declarations} from 'chivestream-platform';
+import {type CancelAnswer} from './job-cancellation.js';
 
 /** One incarnation of an entry host. */
 export type HostRecord = {
@@ -60,12 +61,18 @@
 	crashes?: Record<string, CrashRecord>;
 };
 
-/** A message from the host that opened the stream. */
+/** The answer to a `cancel-job` message with the same `request` number, which was sent in the other direction. */
+type CancelJobAnswer = CancelAnswer & {type: 'cancel-job-answer'; request: number};
+
+/** A message from the host that opened the stream. An earlier build closes the stream when it receives a type that it doesn't know. */
 export type PeerRequest
 	= | {type: 'hello'; host: HostRecord; status: HostStatus}
 		| {type: 'status'; status: HostStatus}
 		| {type: 'submit'; job: JobMessage}
-		| {type: 'cancel'; id: string};
+		| {type: 'cancel'; id: string}
+	/** A caller cancels a job. If `asksHosts` is true, the receiver also asks the hosts that have opened streams to it. */
+		| {type: 'cancel-job'; id: string; request: number; asksHosts: boolean}
+		| CancelJobAnswer;
 
 /** A message from the host that accepted the stream. */
 export type PeerReply
@@ -77,4 +84,7 @@
 	/** The crashes of minions under a task of a submitted job; its host passes them on to the next dispatcher if this one is lost. */
 		| {type: 'task-crashed'; id: string; submission: number; task: string; crashes: CrashRecord}
 		| {type: 'declarations'; declarations: Declarations}
-		| {type: 'minions'; minions: MinionRecord[]};
+		| {type: 'minions'; minions: MinionRecord[]}
+	/** A caller cancels a job, which the receiver may hold. */
+		| {type: 'cancel-job'; id: string; request: number}
+		| CancelJobAnswer;
--- a/packages/chivestream-host/src/peer-link.ts
+++ b/packages/chivestream-host/src/peer-link.ts
@@ -7,7 +7,9 @@
 import {
 	type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest,
 } from './messages.js';
+import {type CancelAnswer} from './job-cancellation.js';
 import {openStream, type RequestStream} from './peer-service.js';
+import {Questions} from './questions.js';
 import {hostTiming, silenceTimeoutMs, timerToleranceMs} from './timing.js';
 
 /** Outcome of a job that was submitted to another host; `lost` if the stream broke before the outcome arrived. */
@@ -49,6 +51,7 @@
 	private readonly options: PeerLinkOptions;
 	/** Callbacks of submitted jobs, by job ID and submission number. */
 	private readonly pending = new Map<string, SubmissionCallbacks>();
+	private readonly cancelQuestions = new Questions<CancelAnswer>();
 	private readonly controller = new AbortController();
 	private stream: RequestStream | undefined;
 	private lastReplyTime = Number.NEGATIVE_INFINITY;
@@ -119,6 +122,20 @@
 		this.send({type: 'cancel', id});
 	}
 
+	/** Asks the host to cancel a job at a caller's request; see `CancelPeer.cancelJob`. */
+	async cancelJob(id: string, asksHosts: boolean, timeoutMs: number): Promise<CancelAnswer | undefined> {
+		return this.cancelQuestions.ask(request => {
+			this.send({
+				type: 'cancel-job', id, request, asksHosts,
+			});
+		}, timeoutMs);
+	}
+
+	/** Answers the host's question of this number to cancel a job. */
+	answerCancelJob(request: number, answer: CancelAnswer): void {
+		this.send({type: 'cancel-job-answer', request, ...answer});
+	}
+
 	/** Sends this host's status after a change of its claims or of the declarations version, and while jobs are pending, as the other host
 	 * drops the jobs of silent hosts. A request that was just sent serves as well. */
 	sendStatus(status: HostStatus): void {
@@ -162,6 +179,7 @@
 			const wasUp = this.isUp;
 			this.isUp = false;
 			this.stream = undefined;
+			this.cancelQuestions.abandon();
 			if (reason.includes(connectionRefusedCode)) {
 				this.refusedAt = this.options.now();
 			}
@@ -256,6 +274,11 @@
 			return;
 		}
 
+		if (reply.type === 'cancel-job-answer') {
+			this.cancelQuestions.answer(reply.request, {finding: reply.finding, isComplete: reply.isComplete});
+			return;
+		}
+
 		if (reply.type === 'status') {
 			const hasChanged = this.status === undefined || claimsKey(this.status) !== claimsKey(reply.status) || this.status.isLeaving !== reply.status.isLeaving;
 			this.status = reply.status;
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -1,11 +1,13 @@
 /** Streams that other hosts have opened to this one: receives their jobs, and sends them outcomes, status and updates. */
 import {type Job} from 'chivestream-dispatch';
+import {type CancelAnswer, type CancelPeer} from './job-cancellation.js';
 import {parsePeerRequest} from './message-schemas.js';
 import {
 	type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest,
 } from './messages.js';
 import {type ReplyStream} from './peer-service.js';
 import {type Report} from './host-log.js';
+import {Questions} from './questions.js';
 import {hostTiming, timerToleranceMs} from './timing.js';
 
 /** Dependencies and callbacks of the peer server. */
@@ -27,6 +29,8 @@
 	submit: (job: JobMessage, callbacks: Pick<Job, 'settle' | 'onTaskCrashed'>) => void;
 	/** Cancels a job whose caller or host has disconnected. */
 	cancel: (id: string) => void;
+	/** Cancels a job at a caller's request; see `JobCancellation.handleRequest`. */
+	cancelJob: (id: string, asksHosts: boolean) => Promise<CancelAnswer>;
 };
 
 /** A stream of another host and the state received over it. */
@@ -43,6 +47,7 @@
 	announcedMs: number;
 	/** IDs of the jobs submitted over this stream that have no outcome yet. */
 	jobs: Set<string>;
+	cancelQuestions: Questions<CancelAnswer>;
 	hasEnded: boolean;
 };
 
@@ -68,6 +73,7 @@
 			statusDueAt: Infinity,
 			announcedMs: 0,
 			jobs: new Set(),
+			cancelQuestions: new Questions(),
 			hasEnded: false,
 		};
 		this.attachments.add(attachment);
@@ -92,6 +98,16 @@
 		stream.on('cancelled', finish);
 	}
 
+	/** The hosts that have opened streams to this one and can be asked to cancel a job. */
+	attachedHosts(): CancelPeer[] {
+		return [...this.attachments].filter(({host}) => host !== undefined).map(attachment => ({
+			isOverdue: attachment.cancelQuestions.isOverdue,
+			cancelJob: async (id, _, timeoutMs) => attachment.cancelQuestions.ask(request => {
+				this.send(attachment, {type: 'cancel-job', id, request});
+			}, timeoutMs),
+		}));
+	}
+
 	/** Sends a message on every stream. */
 	broadcast(reply: PeerReply): void {
 		for (const attachment of this.attachments) {
@@ -193,6 +209,16 @@
 
 				break;
 			}
+
+			case 'cancel-job': {
+				void this.cancelJob(attachment, request);
+				break;
+			}
+
+			case 'cancel-job-answer': {
+				attachment.cancelQuestions.answer(request.request, {finding: request.finding, isComplete: request.isComplete});
+				break;
+			}
 		}
 	}
 
@@ -221,6 +247,10 @@
 		});
 	}
 
+	private async cancelJob(attachment: Attachment, {id, request, asksHosts}: {id: string; request: number; asksHosts: boolean}): Promise<void> {
+		this.send(attachment, {type: 'cancel-job-answer', request, ...await this.options.cancelJob(id, asksHosts)});
+	}
+
 	/** Removes a stream that has ended. Its jobs are cancelled after a grace period, unless their host has resubmitted them over another
 	 * stream by then. */
 	private closeAttachment(attachment: Attachment, graceMs: number = hostTiming.submitterTimeoutMs): void {
@@ -229,6 +259,7 @@
 		}
 
 		attachment.hasEnded = true;
+		attachment.cancelQuestions.abandon();
 		this.attachments.delete(attachment);
 		const drop = () => {
 			for (const id of attachment.jobs) {
--- a/packages/chivestream-host/src/peer-table.ts
+++ b/packages/chivestream-host/src/peer-table.ts
@@ -4,6 +4,7 @@
 import {cellName} from './cells.js';
 import {isPreferred, reachability, type Candidate} from './election.js';
 import {type Report} from './host-log.js';
+import {type CancelAnswer} from './job-cancellation.js';
 import {type HostRecord, type HostStatus, type PeerReply} from './messages.js';
 import {PeerLink} from './peer-link.js';
 import {hostTiming} from './timing.js';
@@ -26,6 +27,8 @@
 	onDeclarations: (declarations: Declarations) => void;
 	/** Called with the minion records that a dispatcher has sent, and with the record of that dispatcher's host. */
 	onMinions: (from: HostRecord, minions: MinionRecord[]) => void;
+	/** Cancels a job on this host, for a host to which this one has a link. */
+	cancelHere: (id: string) => CancelAnswer;
 };
 
 /** Interval at which unreachable candidates are replaced, in milliseconds. */
@@ -164,6 +167,11 @@
 		return link?.isOpen() ? link : undefined;
 	}
 
+	/** All open links. */
+	openLinks(): PeerLink[] {
+		return [...this.links.values()].filter(link => link.isOpen());
+	}
+
 	/** Open links to the dispatchers of other zones, except those that are shutting down. */
 	otherZoneDispatchers(): PeerLink[] {
 		const openLinks: PeerLink[] = [];
@@ -348,10 +356,16 @@
 				break;
 			}
 
+			case 'cancel-job': {
+				link.answerCancelJob(reply.request, this.options.cancelHere(reply.id));
+				break;
+			}
+
 			// Handled by the link.
 			case 'status':
 			case 'settled':
 			case 'task-crashed':
+			case 'cancel-job-answer':
 		}
 	}
 
