Show the state of a job in progress

What callers saw: a GET of a running job was answered with 410, as if no such job existed. Cause: a GET was answered without a look at the jobs in progress. Changed: the host that dispatches a job answers with `queued` or `running`, and the host that holds its connection with `running`. All other jobs and hosts answer with 410 as before; no other host is asked.

--- a/packages/chivestream-host/src/__tests__/cancel-job.test.ts
+++ b/packages/chivestream-host/src/__tests__/cancel-job.test.ts
@@ -117,6 +117,42 @@
 	});
 });
 
+// A GET of a running job was answered with 410, as if it didn't exist.
+describe('the state of a job in progress', () => {
+	const state = async (testSite: TestSite, hostIndex: number) => testSite.get(hostIndex, `/read/${id}`);
+	const inState = (name: string) => ({status: 200, body: {state: name}});
+
+	test('is shown by the host that holds it, until it has ended', async () => {
+		const testSite = await start(2, 2);
+		const holder = 1 - await testSite.dispatcherIndex();
+		const {answer} = await fill(testSite, holder, 2);
+		expect(await state(testSite, holder)).toMatchObject(inState('running'));
+		expect(await testSite.cancel(holder, id)).toMatchObject(cancelled);
+		expect(await answer).toMatchObject(cancelled);
+		expect(await state(testSite, holder)).toMatchObject(cancelled);
+	});
+
+	test('is shown by the host that dispatches it, also while none of its tasks has started', async () => {
+		const testSite = await start(1, 2, {initiallyRegistered: 0});
+		const answer = testSite.submit(0, {id, count: 1, workMs: 5});
+		await until(async () => {
+			const metrics = await testSite.metrics(0);
+			return metrics.includes('chivestream_jobs 1');
+		});
+		expect(await state(testSite, 0)).toMatchObject(inState('queued'));
+		testSite.register(2);
+		expect(await answer).toMatchObject(inState('completed'));
+		expect(await state(testSite, 0)).toMatchObject({status: 410});
+	});
+
+	test('is not shown for a job that was never submitted, even if it was cancelled', async () => {
+		const testSite = await start(1, 2);
+		expect(await state(testSite, 0)).toMatchObject({status: 410});
+		expect(await testSite.cancel(0, id)).toMatchObject({status: 410});
+		expect(await state(testSite, 0)).toMatchObject({status: 410});
+	});
+});
+
 describe('a job that no host knows', () => {
 	test.each([['alone', 1, ['z']], ['of a zone', 3, ['z']], ['of two zones', 4, ['y', 'z']]])('is answered with 410 by a host %s', async (_, hosts, zones) => {
 		const testSite = await start(hosts, 2, {zones});
--- a/packages/chivestream-host/src/caller-service.ts
+++ b/packages/chivestream-host/src/caller-service.ts
@@ -7,7 +7,7 @@
 	criticalPathMs, outcomeKind, type JobRequest, type Outcome,
 } from 'chivestream-dispatch';
 import {
-	readCallerTimeoutMs, decodeJob, encodeJobState, encodeQueueStatus, callerJobState, type DeclaredJob, type Declarations, type Route,
+	readCallerTimeoutMs, decodeJob, encodeJobState, encodeQueueStatus, callerJobState, type CallerJobState, type DeclaredJob, type Declarations, type Route,
 } from 'chivestream-platform';
 import polka from 'polka';
 import {type Report} from './host-log.js';
@@ -23,6 +23,8 @@
 	runJob: (job: JobRequest) => PendingJob;
 	/** Cancels a job wherever it is. */
 	cancelJob: (id: string) => Promise<CancelResult>;
+	/** The state of a job in progress that this host holds or dispatches, or of a recently cancelled one; undefined for any other. */
+	jobState: (id: string) => CallerJobState | undefined;
 	/** Number of jobs of a route that haven't started; only those at this host's dispatchers are counted. */
 	pendingJobs: (route: string) => number;
 	/** Whether the host is shutting down; connections then close after their next answer. */
@@ -294,8 +296,14 @@
 			}
 
 			case 'GET': {
-				// The outcome of a job is sent only to the caller that submitted it, and the job ends with that connection.
-				answerError(response, status.gone, 'no such job');
+				// Once it has ended, its outcome has been sent to the caller that submitted it, and nobody asks for it later.
+				const state = options.jobState(subpath);
+				if (state === undefined) {
+					answerError(response, status.gone, 'no such job');
+				} else {
+					answer(response, status.ok, encodeJobState(state));
+				}
+
 				break;
 			}
 
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -3,13 +3,15 @@
 import {createServer, type Server as HttpServer} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createStoreClient, readinessPath} from 'chivestream-platform';
+import {
+	callerJobState, createStoreClient, readinessPath, type CallerJobState,
+} from 'chivestream-platform';
 import {parseAddress} from 'chivestream-settings';
 import {createRecentMaximum} from './answer-timeout.js';
 import {runBackgroundLoop} from './background-loop.js';
 import {CallerJobs} from './caller-jobs.js';
 import {createCallerService, type CallerService} from './caller-service.js';
-import {CancelledJobs} from './cancelled-jobs.js';
+import {cancelFinding, CancelledJobs} from './cancelled-jobs.js';
 import {DeclarationsFollower} from './declarations-follower.js';
 import {DispatcherTable} from './dispatcher-table.js';
 import {followHostRegistry} from './host-registry.js';
@@ -224,6 +226,7 @@
 			declarations: () => this.declarations.current,
 			runJob: job => this.callerJobs.run(job),
 			cancelJob: async id => this.cancellation.cancel(id),
+			jobState: id => this.jobState(id),
 			pendingJobs: route => this.pendingJobs(route),
 			isLeaving: () => this.isLeaving,
 			shutdownDeadline: () => this.shutdownDeadline,
@@ -381,6 +384,23 @@
 		return [...new Set(localDispatchers), ...this.peers.otherZoneDispatcherRecords()];
 	}
 
+	private jobState(id: string): CallerJobState | undefined {
+		for (const {dispatcher} of this.claim.services.values()) {
+			const job = dispatcher.jobs.get(id);
+			if (job !== undefined) {
+				return job.mayHaveRun ? callerJobState.running : callerJobState.queued;
+			}
+		}
+
+		if (this.callerJobs.has(id)) {
+			// Whether a task has started is known only to the dispatcher on another host.
+			return callerJobState.running;
+		}
+
+		const finding = this.cancelledJobs.finding(id) ?? cancelFinding.unknown;
+		return finding === cancelFinding.unknown ? undefined : callerJobState.cancelled;
+	}
+
 	private pendingJobs(route: string): number {
 		let count = 0;
 		for (const service of this.claim.services.values()) {
