--- a/packages/chivestream-dispatch/src/outcome.ts
+++ b/packages/chivestream-dispatch/src/outcome.ts
@@ -14,6 +14,8 @@
 	redirected: 'redirected',
 	/** The dispatcher is shutting down; the cell's next dispatcher takes over the current runs. */
 	released: 'released',
+	/** A caller has cancelled the job; the stop of its runs is requested, and it must not be submitted again. */
+	cancelled: 'cancelled',
 } as const;
 
 /** The outcome of a job, with the reason, the target cell, or the names of the completed tasks and what is known of the others. */
@@ -29,4 +31,5 @@
 			crashes?: Readonly<Record<string, CrashRecord>>;
 			/** Ids of the minions on which each task may be running, by the name of the task; left out by earlier builds. */
 			minionsByTask?: Readonly<Record<string, readonly string[]>>;
-		};
+		}
+		| {kind: typeof outcomeKind.cancelled};
--- a/packages/chivestream-host/src/__tests__/minion-follower.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-follower.test.ts
@@ -44,6 +44,7 @@
 		report(event, fields = {}) {
 			events.push({event, fields});
 		},
+		lastStoreFailureAt: () => Number.NEGATIVE_INFINITY,
 		now: () => performance.now(),
 		onChange() {
 			// The table is of interest.
--- a/packages/chivestream-host/src/__tests__/peer-server.test.ts
+++ b/packages/chivestream-host/src/__tests__/peer-server.test.ts
@@ -83,6 +83,7 @@
 		cancel() {
 			// Not of interest.
 		},
+		cancelJob: async () => ({finding: 'unknown', isComplete: true}),
 		...options,
 	});
 	const stream = new RecordedStream(() => now);
--- a/packages/chivestream-host/src/caller-service.ts
+++ b/packages/chivestream-host/src/caller-service.ts
@@ -7,10 +7,11 @@
 	criticalPathMs, outcomeKind, type JobRequest, type Outcome,
 } from 'chivestream-dispatch';
 import {
-	readCallerTimeoutMs, decodeJob, encodeJobState, encodeQueueStatus, callerJobState, type DeclaredJob, type Declarations, type Route,
+	readCallerTimeoutMs, decodeJob, encodeJobState, encodeQueueStatus, callerJobState, type CallerJobState, type DeclaredJob, type Declarations, type Route,
 } from 'chivestream-platform';
 import polka from 'polka';
 import {type Report} from './host-log.js';
+import {cancelResult, type CancelResult} from './job-cancellation.js';
 import {type PendingJob} from './job-client.js';
 
 /** Dependencies and callbacks of the service. */
@@ -20,6 +21,10 @@
 	report: Report;
 	declarations: () => Declarations | undefined;
 	runJob: (job: JobRequest) => PendingJob;
+	/** Cancels a job wherever it is. */
+	cancelJob: (id: string) => Promise<CancelResult>;
+	/** The state of a job in progress that this host holds or dispatches, or of a recently cancelled one; undefined for any other. */
+	jobState: (id: string) => CallerJobState | undefined;
 	/** Number of jobs of a route that haven't started; only those at this host's dispatchers are counted. */
 	pendingJobs: (route: string) => number;
 	/** Whether the host is shutting down; connections then close after their next answer. */
@@ -166,6 +171,11 @@
 				break;
 			}
 
+			case outcomeKind.cancelled: {
+				answer(response, status.ok, encodeJobState(callerJobState.cancelled));
+				break;
+			}
+
 			case outcomeKind.redirected:
 			case outcomeKind.released: {
 				answerError(response, status.timedOut, 'given up, may have run');
@@ -230,6 +240,24 @@
 		options.onAnswer(response.statusCode, tookMs);
 	};
 
+	const cancel = async (response: ServerResponse, id: string) => {
+		switch (await options.cancelJob(id)) {
+			case cancelResult.cancelled: {
+				answer(response, status.ok, encodeJobState(callerJobState.cancelled));
+				break;
+			}
+
+			case cancelResult.unknown: {
+				answerError(response, status.gone, 'no such job');
+				break;
+			}
+
+			case cancelResult.unsettled: {
+				answerError(response, status.unavailable, 'not known to be cancelled: some host has not answered', notReadyRetrySeconds);
+			}
+		}
+	};
+
 	const handle = async (request: IncomingMessage, response: ServerResponse) => {
 		const declarations = options.declarations();
 		if (declarations === undefined) {
@@ -255,13 +283,33 @@
 			return;
 		}
 
-		if (request.method === 'POST') {
-			await submit(request, response, route, subpath);
-		} else if (request.method === 'GET' || request.method === 'DELETE') {
-			// The outcome of a job is sent only to the caller that submitted it, and the job ends with that connection.
-			answerError(response, status.gone, 'no such job');
-		} else {
-			answerError(response, status.methodNotAllowed, 'no such method');
+		const {method = ''} = request;
+		switch (method) {
+			case 'POST': {
+				await submit(request, response, route, subpath);
+				break;
+			}
+
+			case 'DELETE': {
+				await cancel(response, subpath);
+				break;
+			}
+
+			case 'GET': {
+				// Once it has ended, its outcome has been sent to the caller that submitted it, and nobody asks for it later.
+				const state = options.jobState(subpath);
+				if (state === undefined) {
+					answerError(response, status.gone, 'no such job');
+				} else {
+					answer(response, status.ok, encodeJobState(state));
+				}
+
+				break;
+			}
+
+			default: {
+				answerError(response, status.methodNotAllowed, 'no such method');
+			}
 		}
 	};
 
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -4,17 +4,22 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {jobLeaseMs, leaseExpiryMs, type MinionRecord} from 'chivestream-dispatch';
-import {createStoreClient, readinessPath} from 'chivestream-platform';
+import {
+	callerJobState, createStoreClient, readinessPath, type CallerJobState,
+} from 'chivestream-platform';
 import {parseAddress} from 'chivestream-settings';
 import {createRecentMaximum} from './answer-timeout.js';
 import {runBackgroundLoop} from './background-loop.js';
+import {CallerJobs} from './caller-jobs.js';
 import {createCallerService, type CallerService} from './caller-service.js';
+import {cancelFinding, CancelledJobs} from './cancelled-jobs.js';
 import {DeclarationsFollower} from './declarations-follower.js';
 import {DispatcherTable} from './dispatcher-table.js';
 import {createElapsedClock} from './elapsed-clock.js';
 import {followHostRegistry} from './host-registry.js';
 import {type DispatchService} from './dispatch-service.js';
 import {type Report} from './host-log.js';
+import {JobCancellation} from './job-cancellation.js';
 import {fromJobMessage, runJob} from './job-client.js';
 import {type HostRecord, type HostStatus, type PeerReply} from './messages.js';
 import {createHostMetrics, type HostMetrics} from './metrics.js';
@@ -53,6 +58,9 @@
 	private readonly peers: PeerTable;
 	private readonly peerServer: PeerServer;
 	private readonly callers: CallerService;
+	private readonly callerJobs: CallerJobs;
+	private readonly cancelledJobs: CancelledJobs;
+	private readonly cancellation: JobCancellation;
 	private readonly claim: ClaimManager;
 	private readonly dispatcherHandles: DispatcherTable;
 	private readonly controller = new AbortController();
@@ -131,6 +139,7 @@
 				}
 			},
 			jobLeaseMs: () => this.jobLeaseMs(),
+			cancelHere: id => this.cancellation.cancelHere(id),
 		});
 		this.peerServer = new PeerServer({
 			now,
@@ -150,6 +159,11 @@
 				}
 			},
 			submit: (message, {settle, onTaskCrashed, leaseEndsAt}) => {
+				if (this.cancelledJobs.has(message.id)) {
+					settle({kind: 'cancelled'});
+					return;
+				}
+
 				const service = this.claim.serviceOfCell(message.cell);
 				// A submission to an earlier claim may have waited for long, for example while this process was paused. The job may run for
 				// another dispatcher by now.
@@ -166,6 +180,7 @@
 			cancel: id => {
 				this.claim.cancel(id);
 			},
+			cancelJob: async (id, asksHosts) => this.cancellation.handleRequest(id, asksHosts),
 		});
 		this.claim = new ClaimManager({
 			self: this.record,
@@ -208,10 +223,9 @@
 			isAwake: () => this.pauseGuard.isAwake(),
 		});
 		this.readinessServer = this.createReadinessServer();
-		this.callers = createCallerService({
-			now,
-			report,
-			declarations: () => this.declarations.current,
+		this.cancelledJobs = new CancelledJobs(now);
+		this.callerJobs = new CallerJobs({
+			cancelledJobs: this.cancelledJobs,
 			runJob: job => runJob({
 				now,
 				report,
@@ -221,6 +235,24 @@
 				dispatcherForJob: id => this.dispatcherHandles.forJob(id),
 				untilChange: async deadline => this.dispatcherHandles.waitForChange(deadline),
 			}, job),
+		});
+		this.cancellation = new JobCancellation({
+			now,
+			report,
+			cancelledJobs: this.cancelledJobs,
+			stopJob: id => this.claim.cancelJob(id),
+			endJob: id => this.callerJobs.end(id),
+			linkedHosts: () => this.peers.openLinks(),
+			attachedHosts: () => this.peerServer.attachedHosts(),
+			hasAllDispatchers: () => this.dispatcherHandles.hasAllLocal(),
+		});
+		this.callers = createCallerService({
+			now,
+			report,
+			declarations: () => this.declarations.current,
+			runJob: job => this.callerJobs.run(job),
+			cancelJob: async id => this.cancellation.cancel(id),
+			jobState: id => this.jobState(id),
 			pendingJobs: route => this.pendingJobs(route),
 			isLeaving: () => this.isLeaving,
 			shutdownDeadline: () => this.shutdownDeadline,
@@ -394,6 +426,23 @@
 		return [...new Set(localDispatchers), ...this.peers.otherZoneDispatcherRecords()];
 	}
 
+	private jobState(id: string): CallerJobState | undefined {
+		for (const {dispatcher} of this.claim.services.values()) {
+			const job = dispatcher.jobs.get(id);
+			if (job !== undefined) {
+				return job.mayHaveRun ? callerJobState.running : callerJobState.queued;
+			}
+		}
+
+		if (this.callerJobs.has(id)) {
+			// Whether a task has started is known only to the dispatcher on another host.
+			return callerJobState.running;
+		}
+
+		const finding = this.cancelledJobs.finding(id) ?? cancelFinding.unknown;
+		return finding === cancelFinding.unknown ? undefined : callerJobState.cancelled;
+	}
+
 	private pendingJobs(route: string): number {
 		let count = 0;
 		for (const service of this.claim.services.values()) {
--- a/packages/chivestream-host/src/peer-link.ts
+++ b/packages/chivestream-host/src/peer-link.ts
@@ -7,7 +7,9 @@
 import {
 	type Acknowledgement, type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest, type Timestamp,
 } from './messages.js';
+import {type CancelAnswer} from './job-cancellation.js';
 import {openStream, type RequestStream} from './peer-service.js';
+import {Questions} from './questions.js';
 import {hostTiming, silenceTimeoutMs, timerToleranceMs} from './timing.js';
 
 /**
@@ -54,6 +56,7 @@
 	private readonly options: PeerLinkOptions;
 	/** Callbacks of submitted jobs, by job ID and submission number. */
 	private readonly pending = new Map<string, SubmissionCallbacks>();
+	private readonly cancelQuestions = new Questions<CancelAnswer>();
 	private readonly controller = new AbortController();
 	private stream: RequestStream | undefined;
 	private lastReplyTime = Number.NEGATIVE_INFINITY;
@@ -126,6 +129,20 @@
 		this.send({type: 'cancel', id});
 	}
 
+	/** Asks the host to cancel a job at a caller's request; see `CancelPeer.cancelJob`. */
+	async cancelJob(id: string, asksHosts: boolean, timeoutMs: number): Promise<CancelAnswer | undefined> {
+		return this.cancelQuestions.ask(request => {
+			this.send({
+				type: 'cancel-job', id, request, asksHosts,
+			});
+		}, timeoutMs);
+	}
+
+	/** Answers the host's question of this number to cancel a job. */
+	answerCancelJob(request: number, answer: CancelAnswer): void {
+		this.send({type: 'cancel-job-answer', request, ...answer});
+	}
+
 	/** Sends this host's status after a change of its claims or of the declarations version, and while jobs are pending, as the other host
 	 * drops the jobs of silent hosts. A request that was just sent serves as well. */
 	sendStatus(status: HostStatus): void {
@@ -170,6 +187,7 @@
 			const wasUp = this.isUp;
 			this.isUp = false;
 			this.stream = undefined;
+			this.cancelQuestions.abandon();
 			if (reason.includes(connectionRefusedCode)) {
 				this.refusedAt = this.options.now();
 			}
@@ -268,6 +286,11 @@
 			return;
 		}
 
+		if (reply.type === 'cancel-job-answer') {
+			this.cancelQuestions.answer(reply.request, {finding: reply.finding, isComplete: reply.isComplete});
+			return;
+		}
+
 		if (reply.type === 'status') {
 			const hasChanged = this.status === undefined || claimsKey(this.status) !== claimsKey(reply.status) || this.status.isLeaving !== reply.status.isLeaving;
 			this.status = reply.status;
