Let copies of a job meet at one dispatcher, and bound what a successor takes for known

A host took the dispatcher of its cell for gone because its connection was, and took a job for new because it had not seen it.

- A job waits up to 0.7 s for the dispatcher of its cell, or the next one, before it goes to another cell.
- A dispatcher sends copies of a job that it has redirected to the same cell.
- Copies at one host share a submission, and a dispatcher ends a job when the last of its submitters has left; a caller that left ended the job of all.

--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -8,7 +8,7 @@
 	createMinionPool, expectedSlowness, freeTasks, largestCapacities, type MinionPool,
 } from './minion-pool.js';
 import {
-	crashesOf, createJob, isComplete, jobIdOfTask, taskState, unblockTasks, type Job, type JobRequest, type Task,
+	crashesOf, createJob, isComplete, jobIdOfTask, jobLeaseEndsAt, taskState, unblockTasks, type Job, type JobRequest, type Submission, type Task,
 } from './job.js';
 import {
 	type Minion, type MinionRecord, type Resources, type Run,
@@ -23,7 +23,7 @@
 } from './runs.js';
 import {isGivenUp, type CrashEvidence} from './crash.js';
 import {
-	grantLease, isLeaseSufficient, leaseExpiryMs, leaseLengths, type LeaseLengths,
+	grantLease, isLeaseSufficient, jobLeaseMs, leaseExpiryMs, leaseLengths, type LeaseLengths,
 } from './lease.js';
 import {compareWaitingJobs} from './job-order.js';
 
@@ -71,6 +71,29 @@
  */
 const synchronizationMs = 600;
 
+/** Ends a submission of a job; has no effect once the job has an outcome, or after a later submission of the same host. */
+export type Withdrawal = {
+	/** The caller has left: the job goes on only for other hosts that submitted it. */
+	cancel: () => void;
+	/** The host was lost and may submit the job elsewhere: the job ends for all hosts. */
+	drop: () => void;
+};
+
+/** Who submits a job, and the lease under which it may run. */
+export type Submitter = Pick<Submission, 'origin' | 'leaseEndsAt'>;
+
+/** A submitter whose lease does not end. */
+const permanentSubmitter: Submitter = {leaseEndsAt: () => Infinity};
+
+const noWithdrawal: Withdrawal = {
+	cancel() {
+		// The submission has an outcome.
+	},
+	drop() {
+		// The submission has an outcome.
+	},
+};
+
 /** Assumed mean size of a task before the first job is submitted, in thousandths of a core. */
 const defaultTaskMillicores = 1000;
 
@@ -94,6 +117,8 @@
 	private largestCapacities: ReadonlyMap<string, Resources> = new Map();
 	private readonly startedAt: number;
 	private readonly isolation = new Isolation();
+	/** The cells to which jobs were redirected, by job id, and how long a copy of the job follows. */
+	private readonly redirections = new Map<string, {cell: string; until: number}>();
 	/** Moving mean of the CPU size of submitted tasks; 0 before the first job. */
 	private observedMeanMillicores = 0;
 	/** Whether this dispatcher has released its jobs and is shutting down. */
@@ -127,53 +152,50 @@
 	}
 
 	/**
-	 * Submits a job. `settle` receives its outcome exactly once; it may be called before `submit` returns. If the job was
-	 * already submitted, for example over another path, it continues, and both submitters receive its outcome. `onTaskCrashed`
-	 * receives the crashes under each task, for the submission to the next dispatcher if this one is lost. No task of the job runs after
-	 * `leaseEndsAt`, which the submitting host extends.
+	 * Submits a job. `settle` receives its outcome exactly once; it may be called before `submit` returns. If another host has already
+	 * submitted the job, it continues, and both submitters receive its outcome. `onTaskCrashed` receives the crashes under each task, for the
+	 * submission to the next dispatcher if this one is lost. No task of the job runs after the lease of any submitter.
 	 */
-	submit(request: JobRequest, settle: Job['settle'], onTaskCrashed: Job['onTaskCrashed'] = () => undefined, leaseEndsAt: Job['leaseEndsAt'] = () => Infinity): void {
+	submit(
+		request: JobRequest,
+		settle: Submission['settle'],
+		onTaskCrashed: Submission['onTaskCrashed'] = () => undefined,
+		submitter: Submitter = permanentSubmitter,
+	): Withdrawal {
 		const now = this.dependencies.now();
 		if (this.isLeaving) {
 			settle({kind: outcomeKind.released, doneTasks: [], minionsByTask: {}});
-			return;
+			return noWithdrawal;
 		}
 
+		const submission: Submission = {
+			...submitter, number: request.submission, settle, onTaskCrashed,
+		};
+
 		const existing = this.jobs.get(request.id);
 		if (existing !== undefined) {
-			const settleExisting = existing.settle;
-			existing.settle = outcome => {
-				settleExisting(outcome);
-				settle(outcome);
-			};
-
-			const reportExisting = existing.onTaskCrashed;
-			existing.onTaskCrashed = (task, crashes) => {
-				reportExisting(task, crashes);
-				onTaskCrashed(task, crashes);
-			};
-
-			const existingLeaseEndsAt = existing.leaseEndsAt;
-			// A host that submits the job again, over another stream, no longer extends the lease on its earlier submission. The hosts of
-			// several copies extend theirs independently, and each may submit the job elsewhere once its own lease has expired.
-			existing.leaseEndsAt = request.submission > existing.request.submission
-				? leaseEndsAt
-				: () => Math.min(existingLeaseEndsAt(), leaseEndsAt());
-			return;
+			return this.join(existing, request, submission);
 		}
 
-		const job = createJob(request, now, {settle, onTaskCrashed, leaseEndsAt});
+		// A caller sends a job again at once if its connection breaks while it sends the request.
+		const redirection = request.submission === 0 ? this.redirections.get(request.id) : undefined;
+		if (redirection !== undefined && now < redirection.until) {
+			settle({kind: outcomeKind.redirected, cell: redirection.cell});
+			return noWithdrawal;
+		}
+
+		const job = createJob(request, now, submission);
 		this.jobs.set(request.id, job);
 		// For a resubmitted job, keeps the tasks that completed or are still running for a previous dispatcher.
 		this.runs.restoreTasks(job);
 		unblockTasks(job);
 		if (this.settleIfComplete(job)) {
-			return;
+			return noWithdrawal;
 		}
 
 		if (job.tasks.some(task => isGivenUp(task.crashes))) {
 			this.settleJob(job, {kind: outcomeKind.failed, reason: 'a task has crashed too many minions before'});
-			return;
+			return noWithdrawal;
 		}
 
 		this.recordTaskSizes(job);
@@ -182,6 +204,8 @@
 			const aheadMs = workAheadMs(job, this.jobs.values(), this.policy.compare(now));
 			this.redirectOrRefuse(job, {now, aheadMs, parallelTaskCount: this.parallelTaskCount()});
 		}
+
+		return this.withdrawalOf(job, submission);
 	}
 
 	/** Cancels a job whose caller has disconnected, and stops its runs. */
@@ -261,6 +285,11 @@
 		this.schedule();
 	}
 
+	/** Handles a new session with a minion at another address; answers to earlier requests are lost. */
+	handleNewSession(minion: Minion): void {
+		this.runs.handleNewSession(minion);
+	}
+
 	/** Records when a minion's incarnation started, as reported by the registry or the minion. */
 	recordIncarnation(minion: Minion, bornAt: number): void {
 		this.runs.recordIncarnation(minion, bornAt);
@@ -291,7 +320,7 @@
 			job.isSettled = true;
 			const doneTasks = job.tasks.filter(task => task.state === taskState.done).map(task => task.name);
 			const crashes = crashesOf(job);
-			job.settle({
+			settleAll(job, {
 				kind: outcomeKind.released, doneTasks, minionsByTask: this.minionsByTask(job), ...(crashes !== undefined && {crashes}),
 			});
 		}
@@ -324,9 +353,64 @@
 		return count;
 	}
 
+	/** Adds a submission to a job that was submitted before. */
+	private join(job: Job, request: JobRequest, submission: Submission): Withdrawal {
+		const replaced = submission.origin === undefined ? undefined : job.submissions.find(({origin}) => origin === submission.origin);
+		if (replaced !== undefined && replaced.number > submission.number) {
+			// It was overtaken by the next submission of the host, which no longer waits for it.
+			submission.settle({kind: outcomeKind.released, doneTasks: [], minionsByTask: {}});
+			return noWithdrawal;
+		}
+
+		job.submissions = [...job.submissions.filter(other => other !== replaced), submission];
+		const {previousSubmissions = []} = request;
+		if (previousSubmissions.length > 0) {
+			job.request = {...job.request, previousSubmissions: [...job.request.previousSubmissions ?? [], ...previousSubmissions]};
+		}
+
+		this.schedule();
+		return this.withdrawalOf(job, submission);
+	}
+
+	private withdrawalOf(job: Job, submission: Submission): Withdrawal {
+		const abandoned: Outcome = {kind: outcomeKind.abandoned, reason: 'the caller has left'};
+		return {
+			cancel: () => {
+				if (job.isSettled || !job.submissions.includes(submission)) {
+					return;
+				}
+
+				if (job.submissions.length === 1) {
+					this.cancel(job.request.id);
+				} else {
+					job.submissions = job.submissions.filter(other => other !== submission);
+					submission.settle(abandoned);
+					this.schedule();
+				}
+			},
+			drop: () => {
+				if (!job.isSettled && job.submissions.includes(submission)) {
+					this.cancel(job.request.id);
+				}
+			},
+		};
+	}
+
+	private recordRedirection(id: string, cell: string, now: number): void {
+		for (const [oldest, {until}] of this.redirections) {
+			if (now < until) {
+				break;
+			}
+
+			this.redirections.delete(oldest);
+		}
+
+		this.redirections.set(id, {cell, until: now + jobLeaseMs(this.bounds.leaseMs)});
+	}
+
 	/** Whether the lease on a job is too short for some minions, until its host extends it. */
 	private awaitsLease(job: Job, now: number): boolean {
-		return job.leaseEndsAt() < now + leaseExpiryMs(this.leaseLengths.usualMs);
+		return jobLeaseEndsAt(job) < now + leaseExpiryMs(this.leaseLengths.usualMs);
 	}
 
 	/** Ids of the minions on which each task of a job may be running. */
@@ -377,7 +461,7 @@
 			now,
 			farFactor: this.bounds.farFactor,
 			expectedSlowness: minion => expectedSlowness(this.pool, minion),
-			isLeaseSufficient: (minion, task) => isLeaseSufficient(minion, task.job.leaseEndsAt(), this.leaseLengths, now),
+			isLeaseSufficient: (minion, task) => isLeaseSufficient(minion, jobLeaseEndsAt(task.job), this.leaseLengths, now),
 			reservation: this.isolation.reservation,
 		};
 		waiting.sort(this.policy.compare(now));
@@ -430,7 +514,7 @@
 		const parallelTaskCount = this.parallelTaskCount();
 		let aheadMs = 0;
 		for (const job of waiting) {
-			if (!job.hasStarted) {
+			if (!job.hasStarted && !this.awaitsLease(job, now)) {
 				this.redirectOrRefuse(job, {now, aheadMs, parallelTaskCount});
 			} else if (cannotFinishInTime(job, now)) {
 				this.abandonOrRefuse(job, 'its waiting tasks can\'t end in time');
@@ -465,6 +549,7 @@
 		const otherCell = job.request.submission === 0 ? this.dependencies.otherCells().find(({freeTasks: free}) => free >= count) : undefined;
 		if (otherCell !== undefined) {
 			otherCell.freeTasks -= count;
+			this.recordRedirection(job.request.id, otherCell.cell, now);
 			this.settleJob(job, {kind: outcomeKind.redirected, cell: otherCell.cell});
 			return;
 		}
@@ -538,6 +623,13 @@
 			}
 		}
 
-		job.settle(outcome);
+		settleAll(job, outcome);
 	}
 }
+
+/** Passes the outcome of a job on to all its submitters. */
+const settleAll = ({submissions}: Job, outcome: Outcome): void => {
+	for (const {settle} of submissions) {
+		settle(outcome);
+	}
+};
--- a/packages/chivestream-dispatch/src/job.ts
+++ b/packages/chivestream-dispatch/src/job.ts
@@ -110,14 +110,27 @@
 	hasStarted: boolean;
 	/** Whether the job has an outcome. */
 	isSettled: boolean;
-	/** Receives the outcome; called once. */
+	/** The submissions of the job, one for each host that holds a caller's connection for it. */
+	submissions: Submission[];
+};
+
+/** A submission of a job to a dispatcher. */
+export type Submission = {
+	/** The host that submitted the job; a later submission of the same host replaces it. Undefined if no other follows. */
+	origin?: string;
+	/** As in `JobRequest.submission`. */
+	number: number;
+	/** Receives the outcome; called once, unless the submission was replaced. */
 	settle: (outcome: Outcome) => void;
 	/** Receives the crashes under a task whenever another one is known. */
 	onTaskCrashed: (task: string, crashes: CrashRecord) => void;
-	/** Until when the dispatcher may run the job, in milliseconds of the host's monotonic clock; the host that submitted it extends this. */
+	/** Until when the dispatcher may run the job, in milliseconds of the host's monotonic clock; the origin extends this. */
 	leaseEndsAt: () => number;
 };
 
+/** Until when a job may run: each origin may submit it elsewhere once its own lease has ended. */
+export const jobLeaseEndsAt = ({submissions}: Job): number => Math.min(...submissions.map(({leaseEndsAt}) => leaseEndsAt()));
+
 /** Run numbers reserved for each submission of a job, so that the numbers of the next submission are higher. */
 const runsPerSubmission = 32;
 
@@ -140,9 +153,9 @@
 export const jobIdOfTask = (name: string): string => name.slice(0, name.indexOf('.'));
 
 /** Creates a job with its tasks; tasks of steps without dependencies can be placed at once. */
-export const createJob = (request: JobRequest, arrivedAt: number, callbacks: Pick<Job, 'settle' | 'onTaskCrashed' | 'leaseEndsAt'>): Job => {
+export const createJob = (request: JobRequest, arrivedAt: number, submission: Submission): Job => {
 	const job: Job = {
-		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasStarted: false, isSettled: false, ...callbacks,
+		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasStarted: false, isSettled: false, submissions: [submission],
 	};
 	for (const [stepIndex, step] of request.steps.entries()) {
 		for (let index = 0; index < step.count; index += 1) {
--- a/packages/chivestream-dispatch/src/lease.ts
+++ b/packages/chivestream-dispatch/src/lease.ts
@@ -3,6 +3,7 @@
  * host which submitted the job renews, and never lets the lease of a minion outlast that of a job whose task runs there. Once the lease
  * on a job has expired, none of its tasks is running for that dispatcher, whatever has become of the dispatcher.
  */
+import {jobLeaseEndsAt} from './job.js';
 import {type Minion} from './minion.js';
 
 /** Safety factor on the length of a lease: a minion's clock may run 2% slow, and twice that is allowed for. */
@@ -56,7 +57,7 @@
 	for (const {assignedTask, stopConfirmedAt} of minion.runs.values()) {
 		if (stopConfirmedAt === undefined) {
 			const isWanted = assignedTask !== undefined && !assignedTask.job.isSettled;
-			limit = Math.min(limit, isWanted ? assignedTask.job.leaseEndsAt() : Number.NEGATIVE_INFINITY);
+			limit = Math.min(limit, isWanted ? jobLeaseEndsAt(assignedTask.job) : Number.NEGATIVE_INFINITY);
 		}
 	}
 
@@ -77,9 +78,9 @@
 	return grantedMs;
 };
 
-/** Whether a task whose job may run until `jobLeaseEndsAt` can start on a minion: the leases of both must allow enough time. */
-export const isLeaseSufficient = (minion: Minion, jobLeaseEndsAt: number, {leastAtStartMs}: LeaseLengths, now: number): boolean => {
+/** Whether a task whose job may run until `jobEndsAt` can start on a minion: the leases of both must allow enough time. */
+export const isLeaseSufficient = (minion: Minion, jobEndsAt: number, {leastAtStartMs}: LeaseLengths, now: number): boolean => {
 	// A lease that was granted before can't be shortened, and covers the new run as well.
 	const needed = Math.max(minion.leaseEndsAt, now + leaseExpiryMs(leastAtStartMs));
-	return jobLeaseEndsAt >= needed && leaseLimit(minion) >= needed;
+	return jobEndsAt >= needed && leaseLimit(minion) >= needed;
 };
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -301,6 +301,17 @@
 		this.pool.minions.delete(minion.record.id);
 	}
 
+	/** Requests the stops again whose answers are lost with the connection to a minion, as it has another address. */
+	handleNewSession(minion: Minion): void {
+		for (const run of minion.runs.values()) {
+			if (run.state === runState.starting) {
+				this.handleStartAnswer(run, startAnswer.unknown);
+			} else if (run.state !== runState.running && run.stopConfirmedAt === undefined) {
+				this.dependencies.requestStop(run);
+			}
+		}
+	}
+
 	/** Stops stalled runs, and inherited runs whose job was not resubmitted. */
 	tick(now: number): void {
 		for (const minion of this.pool.minions.values()) {
@@ -384,6 +395,11 @@
 
 	/** Whether no run of a task is alive that one previous dispatcher has started and this one does not know. */
 	private hasObservedRunsOf({claim, leaseEndsAt, minionsByTask}: PreviousSubmission, taskName: string): boolean {
+		if (claim > this.dependencies.claim) {
+			// The minions may have reported before that dispatcher started the task.
+			return false;
+		}
+
 		if (minionsByTask !== undefined) {
 			return (minionsByTask[taskName] ?? []).every(id => {
 				const minion = this.pool.minions.get(id);
@@ -415,7 +431,10 @@
 			const crashes = this.crashes.add(name, mergeCrashes(task?.crashes, record)!);
 			if (task !== undefined) {
 				task.crashes = crashes;
-				task.job.onTaskCrashed(name, crashes);
+				for (const {onTaskCrashed} of task.job.submissions) {
+					onTaskCrashed(name, crashes);
+				}
+
 				if (isGivenUp(crashes)) {
 					this.dependencies.onTaskFailed(task, `${crashes.incarnations.length} minions crashed under a task, last ${incarnation}`);
 				}
@@ -571,7 +590,7 @@
 	}
 }
 
-/** Whether a minion has reported its runs to this dispatcher, and so refuses earlier ones. */
+/** Whether a minion has reported its runs to this dispatcher, and so refuses those with lower tokens. */
 const hasReported = (minion: Minion): boolean => minion.reportedAt > Number.NEGATIVE_INFINITY;
 
 /** Whether a task is neither running nor done here. A blocked one may have run elsewhere: the steps before it were complete there. */
--- a/packages/chivestream-host/src/__tests__/peer-server.test.ts
+++ b/packages/chivestream-host/src/__tests__/peer-server.test.ts
@@ -79,9 +79,14 @@
 		},
 		submit(_, callbacks) {
 			submissions.push(callbacks);
-		},
-		cancel() {
-			// Not of interest.
+			return {
+				cancel() {
+					// Not of interest.
+				},
+				drop() {
+					// Not of interest.
+				},
+			};
 		},
 		cancelJob: async () => ({finding: 'unknown', isComplete: true}),
 		...options,
--- a/packages/chivestream-host/src/caller-jobs.ts
+++ b/packages/chivestream-host/src/caller-jobs.ts
@@ -13,11 +13,21 @@
 
 const cancelled: Outcome = {kind: outcomeKind.cancelled};
 
+/** A job with the number of callers that wait for its outcome. */
+type SharedJob = {
+	outcome: Promise<Outcome>;
+	/** Ends the job as cancelled. */
+	end: () => void;
+	/** Stops the job, as all callers have left. */
+	cancel: () => void;
+	callers: number;
+};
+
 /** Runs the jobs of callers and ends those that are cancelled. */
 export class CallerJobs {
 	private readonly options: CallerJobsOptions;
-	/** Functions that end the jobs in progress as cancelled, by job ID; a job may have been sent several times. */
-	private readonly endings = new Map<string, Set<() => void>>();
+	/** The jobs in progress, by ID. A caller may send a job again before this host notices that its connection has broken. */
+	private readonly jobs = new Map<string, SharedJob>();
 
 	constructor(options: CallerJobsOptions) {
 		this.options = options;
@@ -35,37 +45,59 @@
 			};
 		}
 
-		const pending = runJob(job);
+		const shared = this.jobs.get(job.id) ?? this.start(job.id, runJob(job));
+		shared.callers += 1;
+		let hasLeft = false;
+		return {
+			outcome: shared.outcome,
+			cancel: () => {
+				shared.callers -= hasLeft ? 0 : 1;
+				hasLeft = true;
+				if (shared.callers === 0) {
+					this.remove(job.id, shared);
+					shared.cancel();
+				}
+			},
+		};
+	}
+
+	/** Whether this host holds a job with this ID. */
+	has(id: string): boolean {
+		return this.jobs.has(id);
+	}
+
+	/** Ends a job as cancelled, so that it isn't submitted again; returns whether this host held it. */
+	end(id: string): boolean {
+		const shared = this.jobs.get(id);
+		shared?.end();
+		return shared !== undefined;
+	}
+
+	private start(id: string, pending: PendingJob): SharedJob {
+		let end = () => {
+			// Replaced below.
+		};
+
 		const outcome = new Promise<Outcome>((resolve, reject) => {
-			const end = () => {
+			end = () => {
 				resolve(cancelled);
 				pending.cancel();
 			};
 
-			const endings = this.endings.get(job.id) ?? new Set();
-			this.endings.set(job.id, endings.add(end));
 			pending.outcome.then(resolve, reject).finally(() => {
-				endings.delete(end);
-				if (endings.size === 0) {
-					this.endings.delete(job.id);
-				}
+				this.remove(id, shared);
 			});
 		});
-		return {outcome, cancel: pending.cancel};
+		const shared: SharedJob = {
+			outcome, end, cancel: pending.cancel, callers: 0,
+		};
+		this.jobs.set(id, shared);
+		return shared;
 	}
 
-	/** Whether this host holds a job with this ID. */
-	has(id: string): boolean {
-		return this.endings.has(id);
-	}
-
-	/** Ends a job as cancelled, so that it isn't submitted again; returns whether this host held it. */
-	end(id: string): boolean {
-		const endings = this.endings.get(id);
-		for (const end of endings ?? []) {
-			end();
+	private remove(id: string, shared: SharedJob): void {
+		if (this.jobs.get(id) === shared) {
+			this.jobs.delete(id);
 		}
-
-		return endings !== undefined;
 	}
 }
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -32,8 +32,8 @@
 	hostsKnownAt: () => number | undefined;
 	/** Whether each known host of the zone has either answered or refused the connection. */
 	isZoneDiscovered: () => boolean;
-	/** Whether every minion that may run tasks is registered. */
-	isRegistryComplete: () => boolean;
+	/** Whether every minion that was alive at a time is in the table of minions, as far as it reaches the store. */
+	isRegistryComplete: (at: number) => boolean;
 	/** Whether all minions that the dispatcher with this claim may have used by a time are registered or unregistered ones that are known. */
 	knowsMinionsOfClaim: (claim: number, until: number) => boolean;
 	/** Registered minions of the zone. */
@@ -168,13 +168,6 @@
 		}
 	}
 
-	/** Cancels a job whose caller has disconnected. */
-	cancel(id: string): void {
-		for (const service of this.services.values()) {
-			service.dispatcher.cancel(id);
-		}
-	}
-
 	/** Cancels a job at a caller's request; returns whether a dispatcher of this host had it or runs of it. */
 	cancelJob(id: string): boolean {
 		let isFound = false;
@@ -243,6 +236,7 @@
 			self, now, recentDelayMs, report,
 		} = this.options;
 		const {leaseMs, farFactor} = this.options.bounds();
+		const claimedAt = now();
 		const tokenTime = Date.now() - tokenEpochMs + this.tokenOffsetMs;
 		const token = ((tokenTime * tokenSaltCount) + randomInteger(this.random, tokenSaltCount)) * tokensPerClaim;
 		const service = new DispatchService({
@@ -253,7 +247,7 @@
 			recentDelayMs,
 			random: this.random,
 			report,
-			isRegistryComplete: () => this.options.isRegistryComplete(),
+			isRegistryComplete: () => this.options.isRegistryComplete(claimedAt),
 			knowsMinionsOfClaim: (claim, until) => this.options.knowsMinionsOfClaim(claim, until),
 			otherCells: () => this.otherCells(cell),
 			onFenced: () => {
--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -77,7 +77,10 @@
 			const existing = this.sessions.get(id);
 			if (existing?.address !== minion.record.address) {
 				existing?.controller.abort();
-				this.startSession(id);
+				this.startSession(id, existing?.token() ?? this.token);
+				if (existing !== undefined) {
+					this.dispatcher.handleNewSession(minion);
+				}
 			}
 		}
 	}
@@ -111,7 +114,7 @@
 		this.dispatcher.release();
 	}
 
-	private startSession(id: string): void {
+	private startSession(id: string, token: number): void {
 		const minion = this.dispatcher.pool.minions.get(id);
 		if (minion === undefined) {
 			return;
@@ -119,7 +122,7 @@
 
 		const controller = new AbortController();
 		const {
-			token, now, recentDelayMs, report, onFenced,
+			now, recentDelayMs, report, onFenced,
 		} = this.options;
 		const session = runMinionSession({
 			minion, dispatcher: this.dispatcher, token, now, recentDelayMs, report, onFenced, signal: controller.signal,
--- a/packages/chivestream-host/src/dispatcher-table.ts
+++ b/packages/chivestream-host/src/dispatcher-table.ts
@@ -1,10 +1,12 @@
 /** The dispatchers to which this host can submit jobs. */
+import {type Withdrawal} from 'chivestream-dispatch';
 import {cellName, cellOf} from './cells.js';
 import {type DispatchService} from './dispatch-service.js';
 import {type DispatcherChoice} from './election.js';
 import {toJobMessage, type DispatcherHandle} from './job-client.js';
-import {type HostRecord} from './messages.js';
+import {originOf, type HostRecord} from './messages.js';
 import {type PeerLink} from './peer-link.js';
+import {hostTiming} from './timing.js';
 
 /** Dependencies of the dispatcher table. */
 export type DispatcherTableOptions = {
@@ -27,6 +29,8 @@
 /** Finds reachable dispatchers, and notifies code that waits for a change of them. */
 export class DispatcherTable {
 	private readonly options: DispatcherTableOptions;
+	/** When the dispatcher of each cell of the local zone was last reachable. */
+	private readonly reachableAt = new Map<number, number>();
 	private readonly waiters = new Set<() => void>();
 
 	constructor(options: DispatcherTableOptions) {
@@ -35,27 +39,28 @@
 
 	/**
 	 * Returns the dispatcher of the job's home cell in the local zone, which is the same on every host of the zone, so that
-	 * copies of a job reach the same dispatcher. If that one is unreachable, returns the dispatcher of another cell of the
-	 * zone, or else one of another zone.
+	 * copies of a job reach the same dispatcher. If that one has been unreachable for a while, returns the dispatcher of another cell of
+	 * the zone, or else one of another zone. A caller whose connection was reset may have sent the job to another host just before, which
+	 * has reached the dispatcher.
 	 */
 	forJob(id: string): DispatcherHandle | undefined {
-		const cellCount = this.options.choices().length;
-		const homeCell = cellOf(id, cellCount);
-		for (let step = 0; step < cellCount; step += 1) {
-			const found = this.ofLocalCell((homeCell + step) % cellCount);
-			if (found !== undefined) {
-				return found;
-			}
+		const homeCell = cellOf(id, this.options.choices().length);
+		const home = this.ofLocalCell(homeCell);
+		if (home !== undefined) {
+			return home;
 		}
 
-		for (const link of this.options.otherZoneDispatchers()) {
-			const [claim] = link.status?.claims ?? [];
-			if (claim !== undefined) {
-				return this.viaLink(link, claim.cell);
+		const waitEndsAt = (this.reachableAt.get(homeCell) ?? Number.NEGATIVE_INFINITY) + hostTiming.homeDispatcherWaitMs;
+		return this.options.now() < waitEndsAt ? undefined : this.nearest(homeCell);
+	}
+
+	/** Records which dispatchers of the local zone are reachable. Called periodically and after each change. */
+	recordReachable(): void {
+		for (const cell of this.options.choices().keys()) {
+			if (this.ofLocalCell(cell) !== undefined) {
+				this.reachableAt.set(cell, this.options.now());
 			}
 		}
-
-		return undefined;
 	}
 
 	/** Returns the dispatcher of the cell with this name, if it is reachable. */
@@ -79,7 +84,7 @@
 
 	/** Whether any dispatcher is reachable. */
 	hasAny(): boolean {
-		return this.forJob('') !== undefined;
+		return this.nearest(0) !== undefined;
 	}
 
 	/** Whether the dispatcher of each cell of the local zone is reachable. */
@@ -108,6 +113,26 @@
 		}
 	}
 
+	/** Returns the dispatcher of the first reachable cell of the local zone from one on, or else one of another zone. */
+	private nearest(homeCell: number): DispatcherHandle | undefined {
+		const cellCount = this.options.choices().length;
+		for (let step = 0; step < cellCount; step += 1) {
+			const found = this.ofLocalCell((homeCell + step) % cellCount);
+			if (found !== undefined) {
+				return found;
+			}
+		}
+
+		for (const link of this.options.otherZoneDispatchers()) {
+			const [claim] = link.status?.claims ?? [];
+			if (claim !== undefined) {
+				return this.viaLink(link, claim.cell);
+			}
+		}
+
+		return undefined;
+	}
+
 	private localCellName(cell: number): string {
 		return cellName(this.options.self.zone, cell, this.options.choices().length);
 	}
@@ -116,16 +141,20 @@
 		const {self, isAwake} = this.options;
 		const service = this.options.services().get(cell);
 		if (service !== undefined) {
+			let withdrawal: Withdrawal | undefined;
 			return {
 				name: self.name,
 				cell: this.localCellName(cell),
 				claim: service.token,
 				submit(job, {settle, onTaskCrashed}) {
-					// The caller holds no lease, but its connection may have broken during a pause.
-					service.dispatcher.submit(job, settle, onTaskCrashed, () => isAwake() ? Infinity : Number.NEGATIVE_INFINITY);
+					withdrawal = service.dispatcher.submit(job, settle, onTaskCrashed, {
+						origin: originOf(self),
+						// The caller's connection may have broken during a pause.
+						leaseEndsAt: () => isAwake() ? Infinity : Number.NEGATIVE_INFINITY,
+					});
 				},
-				cancel(id) {
-					service.dispatcher.cancel(id);
+				cancel() {
+					withdrawal?.cancel();
 				},
 			};
 		}
@@ -143,15 +172,17 @@
 			return undefined;
 		}
 
+		let submission = 0;
 		const target = {cell: cellName(record.zone, cell, status.cellCount), claim: claim.token};
 		return {
 			name: record.name,
 			...target,
 			submit: (job, callbacks) => {
+				submission = job.submission;
 				link.submit(toJobMessage(job, target, this.options.now()), callbacks);
 			},
 			cancel(id) {
-				link.cancel(id);
+				link.cancel(id, submission);
 			},
 		};
 	}
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -133,9 +133,9 @@
 			onDeclarations: declarations => {
 				this.declarations.applyIfNewer(declarations, 'peer');
 			},
-			onMinions: (from, minions, unregistered) => {
+			onMinions: (from, minions) => {
 				if (!this.isDispatching() && from.zone === this.record.zone) {
-					this.minions.replace(minions, unregistered);
+					this.minions.replace(minions);
 				}
 			},
 			jobLeaseMs: () => this.jobLeaseMs(),
@@ -158,10 +158,10 @@
 					service.dispatcher.resume();
 				}
 			},
-			submit: (message, {settle, onTaskCrashed, leaseEndsAt}) => {
+			submit: (message, {settle, onTaskCrashed, ...submitter}) => {
 				if (this.cancelledJobs.has(message.id)) {
 					settle({kind: 'cancelled'});
-					return;
+					return undefined;
 				}
 
 				const service = this.claim.serviceOfCell(message.cell);
@@ -173,12 +173,10 @@
 						job: message.id, cell: message.cell, claim: message.claim, ownClaim: service?.token,
 					});
 					settle({kind: 'released', doneTasks: [], minionsByTask: {}});
-				} else {
-					service.dispatcher.submit(fromJobMessage(message, now()), settle, onTaskCrashed, leaseEndsAt);
+					return undefined;
 				}
-			},
-			cancel: id => {
-				this.claim.cancel(id);
+
+				return service.dispatcher.submit(fromJobMessage(message, now()), settle, onTaskCrashed, submitter);
 			},
 			cancelJob: async (id, asksHosts) => this.cancellation.handleRequest(id, asksHosts),
 		});
@@ -194,13 +192,13 @@
 			canReachStore: () => this.declarations.answerAgeMs() < storeAnswerMaxAgeMs,
 			hostsKnownAt: () => this.hostsKnownAt,
 			isZoneDiscovered: () => this.hostsKnownAt !== undefined && this.peers.isZoneDiscovered(),
-			isRegistryComplete: () => this.minions.isComplete(),
+			isRegistryComplete: at => this.minions.isComplete(at),
 			knowsMinionsOfClaim: (claim, until) => {
 				const heardAt = this.peers.claimHeardAt(claim);
 				return heardAt !== undefined && heardAt > until - this.jobLeaseMs() - hostTiming.heartbeatMs;
 			},
 			minions: () => this.zoneMinions(),
-			unregisteredMinions: () => this.minions.unregistered,
+			unregisteredMinions: () => this.peers.unregisteredMinions(),
 			followMinions: signal => {
 				this.runLoop('minions', async () => this.minions.follow(signal), signal);
 			},
@@ -457,6 +455,7 @@
 	/** Chooses the zone's dispatchers again, publishes changes and wakes the jobs that wait for a dispatcher. */
 	private evaluate(): void {
 		this.claim.evaluate();
+		this.dispatcherHandles.recordReachable();
 		this.publishDispatchers();
 		this.dispatcherHandles.notifyChange();
 	}
--- a/packages/chivestream-host/src/messages.ts
+++ b/packages/chivestream-host/src/messages.ts
@@ -17,6 +17,9 @@
 	cpuShare: number;
 };
 
+/** Identifies an incarnation of a host as the submitter of a job. */
+export const originOf = ({name, bornAt}: HostRecord): string => `${name}@${bornAt}`;
+
 /** The claim of a host to a cell for which it dispatches. */
 export type CellClaim = {
 	/** Number of the cell in its zone. */
--- a/packages/chivestream-host/src/minion-follower.ts
+++ b/packages/chivestream-host/src/minion-follower.ts
@@ -40,8 +40,6 @@
 /** Holds the registered minions by id and keeps them up to date. */
 export class MinionFollower {
 	readonly table = new Map<string, MinionRecord>();
-	/** Unregistered minions on which tasks may be running, as last received from a dispatcher. */
-	unregistered: readonly MinionRecord[] = [];
 	/** Minions whose entries are no longer in the store, with the time until which they stay in the table. */
 	private readonly missing = new Map<string, number>();
 	private readonly refused: RefusedRecords;
@@ -52,8 +50,8 @@
 	private readonly lastStoreFailureAt: () => number;
 	private readonly startedAt: number;
 	private lastFailureAt = Number.NEGATIVE_INFINITY;
-	/** Whether all entries were read since the last call of `follow`. */
-	private isRead = false;
+	/** When the last successful read was begun. */
+	private readAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: MinionFollowerOptions) {
 		this.store = options.store;
@@ -66,8 +64,7 @@
 	}
 
 	/** Replaces the table by that of a dispatcher. */
-	replace(records: readonly MinionRecord[], unregistered: readonly MinionRecord[]): void {
-		this.unregistered = unregistered;
+	replace(records: readonly MinionRecord[]): void {
 		this.table.clear();
 		this.missing.clear();
 		for (const record of records) {
@@ -76,11 +73,11 @@
 	}
 
 	/**
-	 * Whether every minion that lives and reaches the store is in the table. Entries that expired during an outage of the store are written
-	 * again after it; a host that has just started doesn't know of earlier outages.
+	 * Whether every minion that lives and reached the store at a time `at` is in the table. Entries that expired during an outage of the store
+	 * are written again after it; a host that has just started doesn't know of earlier outages.
 	 */
-	isComplete(): boolean {
-		return this.isRead && this.now() >= Math.max(this.startedAt, this.outageEndedAt()) + reregistrationMs;
+	isComplete(at: number): boolean {
+		return this.readAt >= at && this.now() >= Math.max(this.startedAt, this.outageEndedAt()) + reregistrationMs;
 	}
 
 	/** Reads the table once, so that it is available when this host starts to dispatch. */
@@ -91,7 +88,6 @@
 	/** Reads changes from the store until the signal aborts. */
 	async follow(signal: AbortSignal): Promise<void> {
 		let offset: number | undefined;
-		this.isRead = false;
 		while (!signal.aborted) {
 			offset = offset === undefined ? await this.readAll(signal) : await this.readChanges(offset, signal);
 			this.removeExpired();
@@ -100,6 +96,7 @@
 	}
 
 	private async readAll(signal: AbortSignal): Promise<number | undefined> {
+		const startedAt = this.now();
 		const result = await this.store.readSnapshot(topic.minions, answerTimeoutMs);
 		if (signal.aborted) {
 			return undefined;
@@ -119,7 +116,7 @@
 		}
 
 		this.applyRecords(result.value.records);
-		this.isRead = true;
+		this.readAt = startedAt;
 		return result.value.end;
 	}
 
@@ -129,6 +126,7 @@
 	}
 
 	private async readChanges(offset: number, signal: AbortSignal): Promise<number | undefined> {
+		const startedAt = this.now();
 		const result = await this.store.readChanges(topic.minions, offset, waitMs, answerTimeoutMs);
 		if (signal.aborted) {
 			return undefined;
@@ -145,6 +143,7 @@
 		}
 
 		this.applyRecords(result.value.records);
+		this.readAt = startedAt;
 		return result.value.end;
 	}
 
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -34,6 +34,8 @@
 	stop: (run: Run) => void;
 	/** The minion's address. */
 	address: string;
+	/** The fencing token that it uses now. */
+	token: () => number;
 };
 
 /**
@@ -136,7 +138,7 @@
 				// so only what it reports under that token is final.
 				token += 1;
 				minionClock = {at: now(), time: response.minionTime};
-				return pollOnce(0, renewsLease);
+				return pollOnce(0, false);
 			}
 		}
 
@@ -269,6 +271,7 @@
 	void runPollLoop();
 	return {
 		address,
+		token: () => token,
 		start(run, task) {
 			void sendStart(run, task);
 		},
--- a/packages/chivestream-host/src/peer-link.ts
+++ b/packages/chivestream-host/src/peer-link.ts
@@ -1,7 +1,7 @@
 /** A link to another host: a stream that is reopened whenever it breaks or becomes silent. */
 /* eslint-disable no-await-in-loop -- iterations are sequential */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Job, type Outcome} from 'chivestream-dispatch';
+import {outcomeKind, type Outcome, type Submission} from 'chivestream-dispatch';
 import {reachability, type Reachability} from './election.js';
 import {parsePeerReply, readTime} from './message-schemas.js';
 import {
@@ -19,7 +19,7 @@
 export type RemoteOutcome = Outcome | {kind: 'lost'; leaseEndsAt: number};
 
 /** Callbacks of a job that was submitted to another host. */
-export type SubmissionCallbacks = Pick<Job, 'onTaskCrashed'> & {
+export type SubmissionCallbacks = Pick<Submission, 'onTaskCrashed'> & {
 	/** Called exactly once. */
 	settle: (outcome: RemoteOutcome) => void;
 };
@@ -56,6 +56,8 @@
 	private readonly options: PeerLinkOptions;
 	/** Callbacks of submitted jobs, by job ID and submission number. */
 	private readonly pending = new Map<string, SubmissionCallbacks>();
+	/** Number of outcomes of cancelled submissions that are still to come, by job ID and submission number. */
+	private readonly cancelled = new Map<string, number>();
 	private readonly cancelQuestions = new Questions<CancelAnswer>();
 	private readonly controller = new AbortController();
 	private stream: RequestStream | undefined;
@@ -124,9 +126,16 @@
 		this.send({type: 'submit', job});
 	}
 
-	/** Cancels a job whose caller has disconnected. */
-	cancel(id: string): void {
-		this.send({type: 'cancel', id});
+	/** Cancels a submission whose caller has disconnected. The same caller may send the job again at once. */
+	cancel(id: string, submission: number): void {
+		const key = `${id}/${submission}`;
+		const callbacks = this.pending.get(key);
+		if (callbacks !== undefined) {
+			this.pending.delete(key);
+			this.cancelled.set(key, (this.cancelled.get(key) ?? 0) + 1);
+			callbacks.settle({kind: outcomeKind.abandoned, reason: 'the caller has left'});
+			this.send({type: 'cancel', id});
+		}
 	}
 
 	/** Asks the host to cancel a job at a caller's request; see `CancelPeer.cancelJob`. */
@@ -194,6 +203,7 @@
 
 			const pending = [...this.pending.values()];
 			this.pending.clear();
+			this.cancelled.clear();
 			// This host has acknowledged no later message of the dispatcher, which counts the lease from when it sent the message.
 			const leaseEndsAt = this.lastReplyTime + this.options.jobLeaseMs();
 			for (const {settle} of pending) {
@@ -241,11 +251,17 @@
 
 			signal.addEventListener('abort', abort);
 			stream.on('data', (reply: PeerReply & Timestamp) => {
+				if (hasEnded) {
+					// The jobs of this stream count as lost, so nothing of it may be acknowledged.
+					return;
+				}
+
 				lastStreamReplyAt = now();
 				this.lastReplyTime = lastStreamReplyAt;
 				try {
 					this.lastSentAt = readTime(reply.sentAt) ?? this.lastSentAt;
 					this.handleReply(parsePeerReply(reply));
+					this.acknowledge(reply);
 				} catch (error) {
 					finish(`${invalidMessagePrefix}: ${String(error)}`);
 				}
@@ -263,6 +279,15 @@
 		});
 	}
 
+	/** Acknowledges a message if the other host waits for that, or if jobs are pending whose lease would get short. */
+	private acknowledge(reply: PeerReply): void {
+		const isWanted = reply.type === 'status' && reply.isReplyWanted === true;
+		const isDue = this.pending.size > 0 && this.options.now() - this.lastRequestAt >= hostTiming.acknowledgementIntervalMs;
+		if (isWanted || isDue) {
+			this.send({type: 'status', status: this.options.helloContent().status});
+		}
+	}
+
 	private handleReply(reply: PeerReply): void {
 		if (reply.type === 'hello') {
 			this.record = reply.host;
@@ -275,6 +300,17 @@
 
 		if (reply.type === 'settled') {
 			const key = `${reply.id}/${reply.submission}`;
+			const cancelledBefore = this.cancelled.get(key) ?? 0;
+			if (cancelledBefore > 0) {
+				if (cancelledBefore === 1) {
+					this.cancelled.delete(key);
+				} else {
+					this.cancelled.set(key, cancelledBefore - 1);
+				}
+
+				return;
+			}
+
 			const callbacks = this.pending.get(key);
 			this.pending.delete(key);
 			callbacks?.settle(reply.outcome);
@@ -295,10 +331,6 @@
 			const hasChanged = this.status === undefined || claimsKey(this.status) !== claimsKey(reply.status) || this.status.isLeaving !== reply.status.isLeaving;
 			this.status = reply.status;
 			this.options.onReply(this, reply);
-			if (this.pending.size > 0 || reply.isReplyWanted === true) {
-				this.send({type: 'status', status: this.options.helloContent().status});
-			}
-
 			if (hasChanged) {
 				this.options.onChange(this, 'status');
 			}
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -1,9 +1,9 @@
 /** Streams that other hosts have opened to this one: receives their jobs, and sends them outcomes, status and updates. */
-import {type Job} from 'chivestream-dispatch';
+import {type Submission, type Withdrawal} from 'chivestream-dispatch';
 import {type CancelAnswer, type CancelPeer} from './job-cancellation.js';
 import {parsePeerRequest, readTime} from './message-schemas.js';
 import {
-	type Acknowledgement, type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest, type Timestamp,
+	originOf, type Acknowledgement, type HostRecord, type HostStatus, type JobMessage, type PeerReply, type PeerRequest, type Timestamp,
 } from './messages.js';
 import {type ReplyStream} from './peer-service.js';
 import {type Report} from './host-log.js';
@@ -30,11 +30,9 @@
 	/** Whether a host dispatches. It uses the free capacity in each status, and so gets them all. */
 	isDispatcher: (host: HostRecord) => boolean;
 	/** Submits a job to a local dispatcher; the callbacks receive its outcome and the crashes under its tasks. */
-	submit: (job: JobMessage, callbacks: Pick<Job, 'settle' | 'onTaskCrashed' | 'leaseEndsAt'>) => void;
+	submit: (job: JobMessage, submission: Omit<Submission, 'number'>) => Withdrawal | undefined;
 	/** Called when the lease on jobs that have waited for it was extended. */
 	onLeaseExtended: () => void;
-	/** Cancels a job whose caller or host has disconnected. */
-	cancel: (id: string) => void;
 	/** Cancels a job at a caller's request; see `JobCancellation.handleRequest`. */
 	cancelJob: (id: string, asksHosts: boolean) => Promise<CancelAnswer>;
 };
@@ -55,8 +53,8 @@
 	leaseEndsAt: number;
 	/** Whether the host was asked to extend that lease and has not answered yet. */
 	isReplyAwaited: boolean;
-	/** IDs of the jobs submitted over this stream that have no outcome yet. */
-	jobs: Set<string>;
+	/** The jobs submitted over this stream that have no outcome yet, by ID. */
+	jobs: Map<string, Withdrawal>;
 	cancelQuestions: Questions<CancelAnswer>;
 	hasEnded: boolean;
 };
@@ -65,8 +63,6 @@
 export class PeerServer {
 	private readonly options: PeerServerOptions;
 	private readonly attachments = new Set<Attachment>();
-	/** For each job, the stream over which it was last submitted. */
-	private readonly attachmentByJob = new Map<string, Attachment>();
 
 	constructor(options: PeerServerOptions) {
 		this.options = options;
@@ -84,7 +80,7 @@
 			announcedMs: 0,
 			leaseEndsAt: Number.NEGATIVE_INFINITY,
 			isReplyAwaited: false,
-			jobs: new Set(),
+			jobs: new Map(),
 			cancelQuestions: new Questions(),
 			hasEnded: false,
 		};
@@ -233,10 +229,7 @@
 			}
 
 			case 'cancel': {
-				if (this.attachmentByJob.get(request.id) === attachment) {
-					this.options.cancel(request.id);
-				}
-
+				attachment.jobs.get(request.id)?.cancel();
 				break;
 			}
 
@@ -254,23 +247,20 @@
 
 	private submit(attachment: Attachment, job: JobMessage): void {
 		const {id, submission} = job;
-		attachment.jobs.add(id);
 		// The host of a pending job must detect quickly that this one is lost.
 		attachment.statusDueAt = Math.min(attachment.statusDueAt, this.options.now() + hostTiming.heartbeatMs - timerToleranceMs);
-		this.attachmentByJob.set(id, attachment);
 		if (!this.hasFullLease(attachment) && !attachment.isReplyAwaited) {
 			attachment.isReplyAwaited = true;
 			this.send(attachment, {type: 'status', status: {...this.options.localStatus(), nextInMs: hostTiming.heartbeatMs}, isReplyWanted: true});
 		}
 
-		this.options.submit(job, {
+		let isSettled = false;
+		const withdrawal = this.options.submit(job, {
+			...(attachment.host !== undefined && {origin: originOf(attachment.host)}),
 			leaseEndsAt: () => this.options.now() + attachment.leaseEndsAt - this.options.elapsed(),
 			settle: outcome => {
+				isSettled = true;
 				attachment.jobs.delete(id);
-				if (this.attachmentByJob.get(id) === attachment) {
-					this.attachmentByJob.delete(id);
-				}
-
 				this.send(attachment, {
 					type: 'settled', id, submission, outcome,
 				});
@@ -281,6 +271,9 @@
 				});
 			},
 		});
+		if (!isSettled && withdrawal !== undefined) {
+			attachment.jobs.set(id, withdrawal);
+		}
 	}
 
 	private async cancelJob(attachment: Attachment, {id, request, asksHosts}: {id: string; request: number; asksHosts: boolean}): Promise<void> {
@@ -298,11 +291,8 @@
 		attachment.cancelQuestions.abandon();
 		this.attachments.delete(attachment);
 		const drop = () => {
-			for (const id of attachment.jobs) {
-				if (this.attachmentByJob.get(id) === attachment) {
-					this.attachmentByJob.delete(id);
-					this.options.cancel(id);
-				}
+			for (const withdrawal of attachment.jobs.values()) {
+				withdrawal.drop();
 			}
 		};
 
--- a/packages/chivestream-host/src/peer-table.ts
+++ b/packages/chivestream-host/src/peer-table.ts
@@ -25,8 +25,8 @@
 	onChange: () => void;
 	/** Called with the declarations (routes and the size limit of request bodies) that another host has sent. */
 	onDeclarations: (declarations: Declarations) => void;
-	/** Called with the registered and the unregistered minions that a dispatcher has sent, and with the record of its host. */
-	onMinions: (from: HostRecord, minions: MinionRecord[], unregistered: MinionRecord[]) => void;
+	/** Called with the registered minions that a dispatcher has sent, and with the record of its host. */
+	onMinions: (from: HostRecord, minions: MinionRecord[]) => void;
 	/** Length of the lease on a submitted job, in milliseconds. */
 	jobLeaseMs: () => number;
 	/** Cancels a job on this host, for a host to which this one has a link. */
@@ -36,6 +36,17 @@
 /** Interval at which unreachable candidates are replaced, in milliseconds. */
 const linkUpdateIntervalMs = 500;
 
+/** A claim whose dispatcher has sent its minions. */
+type AnnouncedClaim = {
+	/** When the dispatcher last reported the claim, on the monotonic clock. */
+	heardAt: number;
+	/** Unregistered minions on which its tasks may be running. */
+	unregistered: readonly MinionRecord[];
+};
+
+/** How long after the end of a claim its unregistered minions are passed on, in milliseconds; longer than any lease. */
+const announcementMaxAgeMs = 2500;
+
 /** Maximum number of claims whose dispatchers are remembered. */
 const maxAnnouncedClaims = 64;
 
@@ -55,8 +66,8 @@
 	private readonly dispatchers = new Map<string, HostRecord>();
 	/** Dispatchers of the local zone, by host name, as received from hosts of this zone. */
 	private readonly localDispatchers = new Map<string, HostRecord>();
-	/** The link over which the minions of each claim were received. */
-	private readonly announcedClaims = new Map<number, PeerLink>();
+	/** Claims whose minions were received, by token. */
+	private readonly announcedClaims = new Map<number, AnnouncedClaim>();
 	/** Number of failed attempts to reach a host of each other zone. */
 	private readonly failedAttempts = new Map<string, number>();
 	/** When the current attempt to reach a host of each other zone started. */
@@ -116,9 +127,16 @@
 		return (this.links.get(name)?.status?.claims.length ?? 0) > 0;
 	}
 
-	/** When the dispatcher with a claim was last heard of, if it has sent its minions; undefined otherwise. On the monotonic clock. */
+	/** When the dispatcher with a claim last reported the claim, if it has sent its minions; undefined otherwise. On the monotonic clock. */
 	claimHeardAt(claim: number): number | undefined {
-		return this.announcedClaims.get(claim)?.lastReplyAt();
+		return this.announcedClaims.get(claim)?.heardAt;
+	}
+
+	/** Unregistered minions of the local zone on which tasks of its dispatchers may be running. */
+	unregisteredMinions(): MinionRecord[] {
+		const oldestAt = this.options.now() - announcementMaxAgeMs;
+		const minions = [...this.announcedClaims.values()].filter(({heardAt}) => heardAt > oldestAt).flatMap(({unregistered}) => unregistered);
+		return [...new Map(minions.map(minion => [minion.id, minion])).values()];
 	}
 
 	/** All known hosts, including this one. */
@@ -303,8 +321,8 @@
 		}
 	}
 
-	private recordClaim(token: number, link: PeerLink): void {
-		this.announcedClaims.set(token, link);
+	private recordClaim(token: number, unregistered: readonly MinionRecord[]): void {
+		this.announcedClaims.set(token, {heardAt: this.options.now(), unregistered});
 		if (this.announcedClaims.size > maxAnnouncedClaims) {
 			const [oldest] = this.announcedClaims.keys();
 			this.announcedClaims.delete(oldest!);
@@ -373,11 +391,11 @@
 			}
 
 			case 'minions': {
-				for (const {token} of link.status?.claims ?? []) {
-					this.recordClaim(token, link);
+				for (const {token} of link.record.zone === this.options.self.zone ? link.status?.claims ?? [] : []) {
+					this.recordClaim(token, reply.unregistered ?? []);
 				}
 
-				this.options.onMinions(link.record, reply.minions, reply.unregistered ?? []);
+				this.options.onMinions(link.record, reply.minions);
 				break;
 			}
 
@@ -386,8 +404,18 @@
 				break;
 			}
 
+			case 'status': {
+				for (const {token} of reply.status.claims) {
+					const announced = this.announcedClaims.get(token);
+					if (announced !== undefined) {
+						announced.heardAt = this.options.now();
+					}
+				}
+
+				break;
+			}
+
 			// Handled by the link.
-			case 'status':
 			case 'settled':
 			case 'task-crashed':
 			case 'cancel-job-answer':
--- a/packages/chivestream-host/src/timing.ts
+++ b/packages/chivestream-host/src/timing.ts
@@ -10,6 +10,8 @@
 	jobLeaseMarginMs: 20,
 	/** A dispatcher asks the submitting host for a renewal if this part of the lease on a new job has passed. */
 	jobLeaseRenewalMs: 250,
+	/** Shortest interval between two acknowledgements while jobs are pending, unless one is asked for. */
+	acknowledgementIntervalMs: 100,
 	/** Pause before the next attempt to connect to an unreachable host. */
 	reconnectDelayMs: 150,
 	/** Interval of the periodic checks on a host that dispatches; other hosts run them once per heartbeat. */
@@ -19,7 +21,9 @@
 	/** After a pause, jobs of this host's callers wait this long until the sockets have been read. */
 	pauseRecoveryMs: 100,
 	/** How long a job waits until a dispatcher is reachable. */
-	findDispatcherTimeoutMs: 700,
+	findDispatcherTimeoutMs: 1000,
+	/** How long a job waits for the dispatcher of its cell, or the next one, before it goes to another cell. */
+	homeDispatcherWaitMs: 700,
 	/** Hosts of the zone that have been silent for longer are ignored in the choice of dispatchers. */
 	silentHostExpiryMs: 15_000,
 	/** How long a host claims no cell after it was fenced while it reached no other host of the zone. */
