Add failing tests for tasks that run twice at the same time

Callers see work done twice: a task of theirs runs on two minions at once after the hosts of a zone were killed and restarted, after a planned stop while minions had no entry in the store, and after a pause of a dispatcher.

Cases 2 and 3 run on hosts in the process of the test, where a host starts faster than as a process: it is restarted so that the new dispatcher reaches the minions about 0.78 s after the kill, and the delay of later rounds follows from the round before. Case 1 runs on host processes. A process that gets SIGSTOP handles its timers first when it goes on, so a preloaded module blocks its thread between two reads instead.

The stand-ins can delay the answers of a minion, the fixture can remove entries, and a host process can load a module before its program.

--- a/packages/chivestream-host/src/__fixtures__/site.ts
+++ b/packages/chivestream-host/src/__fixtures__/site.ts
@@ -33,6 +33,9 @@
 	declare: (version: number, prefixes?: string[]) => void;
 	/** Keeps the first `minionCount` minions registered from now on. */
 	register: (minionCount: number) => void;
+	/** Removes the registry entries of minions, which keep running; they register again at `endLapse`. */
+	lapse: (lapsing: readonly MinionStandIn[]) => void;
+	endLapse: () => void;
 	startHost: (index: number) => Promise<void>;
 	/** Index of the first host that dispatches, once there is one. */
 	dispatcherIndex: () => Promise<number>;
@@ -127,9 +130,10 @@
 	}
 
 	let registeredCount = initiallyRegistered;
+	const lapsedIds = new Set<string>();
 	const writeHeartbeats = () => {
 		for (const minion of minions.slice(0, registeredCount)) {
-			if (!minion.isDown()) {
+			if (!minion.isDown() && !lapsedIds.has(minion.id)) {
 				store.write('keyed.servers', minion.id, minion.createRegistryEntry());
 			}
 		}
@@ -202,6 +206,16 @@
 			registeredCount = count;
 			writeHeartbeats();
 		},
+		lapse(lapsing) {
+			for (const {id} of lapsing) {
+				lapsedIds.add(id);
+				store.write('keyed.servers', id, '');
+			}
+		},
+		endLapse() {
+			lapsedIds.clear();
+			writeHeartbeats();
+		},
 		startHost,
 		async dispatcherIndex() {
 			let found = -1;
--- a/packages/chivestream-site-stand-ins/src/index.ts
+++ b/packages/chivestream-site-stand-ins/src/index.ts
@@ -4,3 +4,4 @@
 export * from './minion.js';
 export * from './store.js';
 export * from './soak/soak.js';
+export * from './soak/host-process.js';
--- a/packages/chivestream-site-stand-ins/src/minion.ts
+++ b/packages/chivestream-site-stand-ins/src/minion.ts
@@ -34,6 +34,8 @@
 	 * [0, 1).
 	 */
 	delayStarts: (share: number, draw: () => number) => void;
+	/** Sets the time by which each answer is delayed, in milliseconds; requests take effect without delay. */
+	delayAnswers: (delayMs: number) => void;
 	/** Simulates a crash and restart: all runs are lost, and a new incarnation starts. */
 	crash: () => void;
 	/** Changes the capacity that its next registry entry shows, in thousandths of a core. */
@@ -83,6 +85,7 @@
 	let waiters = new Set<() => void>();
 	let delayedShare = 0;
 	let drawDelay = () => 1;
+	let answerDelayMs = 0;
 
 	const clock = () => Math.round(performance.now() - clockStart);
 
@@ -234,7 +237,16 @@
 		}
 	};
 
-	let server = await startStandInServer(handle, options.at);
+	const handleDelayed = async (request: StandInRequest): Promise<StandInResponse> => {
+		const answer = await handle(request);
+		if (answerDelayMs > 0) {
+			await sleep(answerDelayMs);
+		}
+
+		return answer;
+	};
+
+	let server = await startStandInServer(handleDelayed, options.at);
 	const {address} = server;
 	let isDown = false;
 	let isClosed = false;
@@ -271,7 +283,7 @@
 		await sleep(downMs);
 		if (!isClosed) {
 			const [ip = '', port] = address.split(':');
-			server = await startStandInServer(handle, {ip, port: Number(port)});
+			server = await startStandInServer(handleDelayed, {ip, port: Number(port)});
 			crash();
 			isDown = false;
 		}
@@ -306,6 +318,9 @@
 			delayedShare = share;
 			drawDelay = draw;
 		},
+		delayAnswers(delayMs) {
+			answerDelayMs = delayMs;
+		},
 		crash,
 		setCapacity(millicores) {
 			capacity = millicores;
--- a/packages/chivestream-site-stand-ins/src/soak/host-process.ts
+++ b/packages/chivestream-site-stand-ins/src/soak/host-process.ts
@@ -17,6 +17,8 @@
 	/** Path of the host's program. */
 	program: string;
 	leaseMs: number;
+	/** Path of a module that is loaded before the program and receives the messages of `send`; none by default. */
+	preload?: string;
 };
 
 /** Ports of every host; the hosts differ by IP address. */
@@ -45,7 +47,7 @@
 			return;
 		}
 
-		const {name, zone, ip, store, seeds, folder, program, leaseMs} = this.options;
+		const {name, zone, ip, store, seeds, folder, program, leaseMs, preload} = this.options;
 		const settings = path.join(folder, `${name}.jsonc`);
 		writeFileSync(settings, JSON.stringify({
 			host: {name, zone, cpuShare: 1},
@@ -55,7 +57,10 @@
 			bounds: {leaseMs, stopGraceSeconds: 6, farFactor: 1},
 		}));
 		this.startCount += 1;
-		this.child = spawn(process.execPath, [program, '--settings', settings], {stdio: ['ignore', 'pipe', 'pipe']});
+		const nodeOptions = preload === undefined ? [] : ['--import', preload];
+		this.child = spawn(process.execPath, [...nodeOptions, program, '--settings', settings], {
+			stdio: ['ignore', 'pipe', 'pipe', ...(preload === undefined ? [] : ['ipc' as const])],
+		});
 		this.child.stdout?.pipe(createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'}));
 		this.child.stderr?.pipe(createWriteStream(path.join(folder, `${name}.errors.log`), {flags: 'a'}));
 	}
@@ -64,6 +69,11 @@
 		this.child?.kill(name);
 	}
 
+	/** Sends a message to the module that was loaded before the program. */
+	send(message: {pauseMs: number}): void {
+		this.child?.send(message);
+	}
+
 	/** Resolves when the process has exited. */
 	async waitForExit(): Promise<void> {
 		const {child} = this;
