Refuse an odd record of a host, and write a replaced one again

Seen by operators: none here; by a record of another writer in `keyed.hosts` that names a running host with a start in the future and another address, the other hosts lost that host for good, as no record of it counted as later. Cause: any number was taken for the start and the processor time, a record could name another host than its key, and a host wrote its record only once. Change: these records are refused (the same for starts in the future that other hosts pass on) and logged once as `host-unreadable`; a host writes its record again when it reads another in its place, unless a later incarnation wrote it.

--- a/packages/chivestream-host/src/__tests__/odd-records.test.ts
+++ b/packages/chivestream-host/src/__tests__/odd-records.test.ts
@@ -27,19 +27,20 @@
 	return site;
 };
 
+/** Every host serves a job. */
+const expectServing = async (testSite: TestSite, count: number, prefix: string) => {
+	for (const hostIndex of testSite.hosts.keys()) {
+		// eslint-disable-next-line no-await-in-loop -- one job after the other
+		expect(await testSite.submit(hostIndex, {
+			id: nextJobId(), count, workMs: 5, prefix,
+		})).toMatchObject({status: 200, body: {state: 'completed'}});
+	}
+};
+
 /** Every host serves a job, puts later declarations in force, and a minion that registers later is used. */
 const expectFollowing = async (testSite: TestSite, version = 2) => {
 	const {hosts, eventCounts} = testSite;
-	const serve = async (count: number, prefix: string) => {
-		for (const hostIndex of hosts.keys()) {
-			// eslint-disable-next-line no-await-in-loop -- one job after the other
-			expect(await testSite.submit(hostIndex, {
-				id: nextJobId(), count, workMs: 5, prefix,
-			})).toMatchObject({status: 200, body: {state: 'completed'}});
-		}
-	};
-
-	await serve(2, '/read/');
+	await expectServing(testSite, 2, '/read/');
 	testSite.declare(version, ['/read/', '/tag/']);
 	await until(async () => {
 		const results = await Promise.all([...hosts.keys()].map(async hostIndex => testSite.get(hostIndex, '/tag/')));
@@ -48,7 +49,7 @@
 	const registeredBefore = eventCounts.get('minion-registered') ?? 0;
 	testSite.register(minionCount);
 	await until(() => (eventCounts.get('minion-registered') ?? 0) > registeredBefore);
-	await serve(2 * minionCount, '/tag/');
+	await expectServing(testSite, 2 * minionCount, '/tag/');
 	expect(eventCounts.get('loop-failed')).toBeUndefined();
 	expect(eventCounts.get('unexpected-error')).toBeUndefined();
 };
@@ -119,3 +120,41 @@
 		expect(refusals()).toBe(expectedRefusals);
 	});
 });
+
+describe('an odd record of a host', () => {
+	const good = (name: string, address: string) => ({
+		name, zone: 'z', address, bornAt: Date.now(), cpuShare: 1,
+	});
+
+	test.each<[string, (name: string, address: string) => string]>([
+		['with a start time far in the future and an address where nobody listens', name => JSON.stringify({...good(name, '127.0.0.1:1'), bornAt: Date.UTC(2200)})],
+		['with a start time beyond all dates', name => JSON.stringify({...good(name, '127.0.0.1:1'), bornAt: 1e300})],
+		['with endless processor time', (name, address) => JSON.stringify({...good(name, address), cpuShare: 1e308})],
+		['with a port out of range', name => JSON.stringify(good(name, '127.0.0.1:99999'))],
+		['that is nested deeply', () => `${'['.repeat(nestingDepth)}${']'.repeat(nestingDepth)}`],
+	])('%s in place of each and beside them costs no host its work, and its host writes its own again', async (_, odd) => {
+		const testSite = await start();
+		const names = testSite.hosts.map(({settings}) => settings.host.name);
+		const own = names.map(name => testSite.store.readNewest('keyed.hosts', name));
+		for (const {settings} of testSite.hosts) {
+			testSite.store.write('keyed.hosts', settings.host.name, odd(settings.host.name, settings.listen.peers));
+		}
+
+		testSite.store.write('keyed.hosts', 'h-odd', odd('h-odd', '127.0.0.1:1'));
+		await until(() => names.every((name, index) => testSite.store.readNewest('keyed.hosts', name) === own[index]));
+		await expectFollowing(testSite);
+		await testSite.startHost(hostCount);
+		await testSite.untilReady();
+		await expectServing(testSite, 2, '/tag/');
+	});
+
+	test('that names another one than its key costs no host its work', async () => {
+		const testSite = await start();
+		for (const {settings} of testSite.hosts) {
+			testSite.store.write('keyed.hosts', `odd ${settings.host.name}`, JSON.stringify({...good(settings.host.name, '127.0.0.1:1'), bornAt: Date.now() + 1000}));
+		}
+
+		await until(() => (testSite.eventCounts.get('host-unreadable') ?? 0) >= hostCount * hostCount);
+		await expectFollowing(testSite);
+	});
+});
--- a/packages/chivestream-host/src/peer-table.ts
+++ b/packages/chivestream-host/src/peer-table.ts
@@ -6,7 +6,7 @@
 import {type Report} from './host-log.js';
 import {type HostRecord, type HostStatus, type PeerReply} from './messages.js';
 import {PeerLink} from './peer-link.js';
-import {hostTiming} from './timing.js';
+import {hostTiming, isInFuture} from './timing.js';
 import {selectZoneLinks} from './zone-links.js';
 
 /** Dependencies and callbacks of the peer table. */
@@ -77,6 +77,11 @@
 				continue;
 			}
 
+			// No later incarnation would replace it. Hosts of other builds pass on what they have read.
+			if (isInFuture(record.bornAt)) {
+				continue;
+			}
+
 			this.knownHosts.set(record.name, record);
 			const link = this.links.get(record.name);
 			if (link !== undefined && link.record.address !== record.address) {
