Poll a minion again after the handling of one report has failed

Seen by operators: none here; had the handling of a report thrown, the minion would have been polled no more, with its runs kept as running. Cause: nothing started the loop that polls a minion again. Change: it runs as a background loop, which logs the error and goes on. Result: the test of this in minion-session.test failed before (no second report within 8 s) and passes; the other two there pass.

--- a/packages/chivestream-host/src/__tests__/minion-session.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-session.test.ts
@@ -115,3 +115,21 @@
 		evidence: crashEvidence.replaced, runs: [{task: '00000000000000aa.0.0.0'}],
 	});
 });
+
+test('a minion is polled again after the handling of one report has failed', async () => {
+	minion = await startMinion('i-1');
+	const {dispatcher} = startSession(minion);
+	const handleReport = dispatcher.handleReport.bind(dispatcher);
+	let reports = 0;
+	dispatcher.handleReport = (...reported) => {
+		reports += 1;
+		if (reports === 1) {
+			throw new Error('an odd report');
+		}
+
+		handleReport(...reported);
+	};
+
+	await until(() => dispatcher.pool.minions.get('i-1')?.isSynced === true);
+	expect(reports).toBeGreaterThan(1);
+});
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -10,6 +10,7 @@
 } from 'chivestream-platform';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {answerTimeout, createAnswerTimes} from './answer-timeout.js';
+import {runBackgroundLoop} from './background-loop.js';
 import {type Report} from './host-log.js';
 
 /** Dependencies and callbacks of a minion session. */
@@ -272,7 +273,7 @@
 		}
 	};
 
-	void runPollLoop();
+	void runBackgroundLoop(`minion ${id}`, runPollLoop, {report, signal});
 	return {
 		address,
 		start(run, task) {
