--- a/packages/chivestream-host/src/__tests__/minion-session.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-session.test.ts
@@ -147,3 +147,21 @@
 	await until(() => runningAtExpiry !== undefined);
 	expect(runningAtExpiry).toBe(0);
 });
+
+test('a minion is polled again after the handling of one report has failed', async () => {
+	minion = await startMinion('i-1');
+	const {dispatcher} = startSession(minion);
+	const handleReport = dispatcher.handleReport.bind(dispatcher);
+	let reports = 0;
+	dispatcher.handleReport = (...reported) => {
+		reports += 1;
+		if (reports === 1) {
+			throw new Error('an odd report');
+		}
+
+		handleReport(...reported);
+	};
+
+	await until(() => dispatcher.pool.minions.get('i-1')?.isSynced === true);
+	expect(reports).toBeGreaterThan(1);
+});
