Pass the minions on to a dispatcher that the store turns away

Cause: only a dispatcher reads the minions, and it keeps the last table that it has read, however old. No other host could tell it what had changed. Changed: each status says whether the store answers the host. A dispatcher whose last read of the minions failed names one host that the store answers, of its zone or else of another; that one reads the minions and sends them until it is no longer asked. If no table comes in time, the next host is asked. A host that has just claimed asks at once, and gives its minions no work before it has read or been sent a table, for 0.5 s at most, and not at all while no host reaches the store. No dispatcher changes; in an outage for all hosts nothing does. Earlier builds leave the new fields out, and are not asked.

--- a/packages/chivestream-host/src/__fixtures__/site.ts
+++ b/packages/chivestream-host/src/__fixtures__/site.ts
@@ -2,7 +2,9 @@
 import {createServer} from 'node:net';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Checker, startMinionStandIn, startStoreStandIn, type MinionStandIn, type StoreStandIn} from 'chivestream-site-stand-ins';
+import {
+	Checker, startMinionStandIn, startStoreStandIn, type MinionStandIn, type StandInServer, type StoreStandIn,
+} from 'chivestream-site-stand-ins';
 import {request, Agent} from 'undici';
 import {EntryHost} from '../host.js';
 import {hostSettingsSchema, type HostSettings} from '../settings.js';
@@ -24,6 +26,8 @@
 	/** Number of log events of all hosts, by their name. */
 	eventCounts: Map<string, number>;
 	hosts: Array<{host: EntryHost; settings: HostSettings}>;
+	/** The addresses of the store at which the hosts are served, by index; empty unless `hasEntrances` is set. */
+	entrances: StandInServer[];
 	/** Submits a job of `count` tasks to a host. Each task takes `workMs`; a negative value makes it fail after that time. */
 	submit: (hostIndex: number, job: {id: string; count: number; workMs: number; prefix?: string; callerTimeoutMs?: number}) => Promise<CallerResult>;
 	get: (hostIndex: number, path: string) => Promise<CallerResult>;
@@ -102,12 +106,15 @@
 	initiallyRegistered?: number;
 	/** Longest lease that a minion grants, in milliseconds. */
 	leaseMs?: number;
+	/** Whether the store serves each host at an address of its own. */
+	hasEntrances?: boolean;
 };
 
 /** Starts a site. Hosts and minions are spread evenly over the zones. */
-export const startSite = async (hostCount: number, minionCount: number, {zones = ['z'], initiallyRegistered = minionCount, leaseMs = defaultLeaseMs}: SiteOptions = {}): Promise<TestSite> => {
+export const startSite = async (hostCount: number, minionCount: number, {zones = ['z'], initiallyRegistered = minionCount, leaseMs = defaultLeaseMs, hasEntrances = false}: SiteOptions = {}): Promise<TestSite> => {
 	const checker = new Checker();
 	const store = await startStoreStandIn();
+	const entrances = await Promise.all(Array.from({length: hasEntrances ? hostCount : 0}, async () => store.openEntrance()));
 	const workMsByJob = new Map<string, number>();
 	const deadlyTasks = new Set<string>();
 	const eventCounts = new Map<string, number>();
@@ -154,7 +161,7 @@
 	};
 
 	const startHost = async (index: number) => {
-		settings[index] ??= await createSettings(index, zones[index % zones.length]!, {store: store.address, leaseMs});
+		settings[index] ??= await createSettings(index, zones[index % zones.length]!, {store: entrances[index]?.address ?? store.address, leaseMs});
 		const host = new EntryHost(settings[index], event => {
 			eventCounts.set(event, (eventCounts.get(event) ?? 0) + 1);
 		});
@@ -181,6 +188,7 @@
 		deadlyTasks,
 		eventCounts,
 		hosts,
+		entrances,
 		async submit(hostIndex, {id, count, workMs, prefix = '/read/', callerTimeoutMs = 8000}) {
 			checker.recordJob(id, taskMillicores);
 			workMsByJob.set(id, workMs);
@@ -219,6 +227,7 @@
 			clearInterval(heartbeatTimer);
 			await Promise.all(hosts.map(async ({host}) => host.close()));
 			await Promise.all(minions.map(async minion => minion.close()));
+			await Promise.all(entrances.map(async entrance => entrance.close()));
 			await store.close();
 			await agent.destroy();
 		},
--- a/packages/chivestream-host/src/__tests__/claim-manager.test.ts
+++ b/packages/chivestream-host/src/__tests__/claim-manager.test.ts
@@ -1,7 +1,9 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, test,
 } from '@jest/globals';
 import {Checker, startMinionStandIn, type MinionStandIn} from 'chivestream-site-stand-ins';
+import {type Outcome} from 'chivestream-dispatch';
 import {decodeMinionEntry} from 'chivestream-platform';
 import {request} from 'undici';
 import {ClaimManager, type ClaimManagerOptions} from '../claim-manager.js';
@@ -35,6 +37,7 @@
 		isZoneDiscovered: () => false,
 		isRegistryComplete: () => true,
 		minions: () => [],
+		areMinionsCurrent: () => true,
 		cellsOfOtherHosts: () => [],
 		followMinions() {
 			// The minions are fixed.
@@ -106,3 +109,54 @@
 		expect(claims).toBeLessThan(6);
 	});
 });
+
+describe('a host that claims with minions as it knew them before', () => {
+	test('starts no task before it knows them as they are now', async () => {
+		const checker = new Checker();
+		minion = await startMinionStandIn({
+			id: 'i-1', zone: 'z', upstream: 'desk', checker, capacity: 32_000, leaseMs: 1000, workMs: () => 20,
+		});
+		const readRecord = () => decodeMinionEntry('i-1', new TextEncoder().encode(minion!.createRegistryEntry()))!;
+		const outdated = readRecord();
+		let areMinionsCurrent = true;
+		const manager = create({
+			now: () => performance.now() + 5000,
+			minions: () => [outdated],
+			isZoneDiscovered: () => true,
+			areMinionsCurrent: () => areMinionsCurrent,
+			followMinions() {
+				areMinionsCurrent = false;
+			},
+		});
+		manager.evaluate();
+		const {dispatcher} = manager.services.get(0)!;
+		const id = '0000000000000001';
+		checker.recordJob(id, 14_000);
+		const outcome = new Promise<Outcome>(resolve => {
+			dispatcher.submit({
+				id,
+				payload: 'x',
+				steps: [{
+					count: 2, millicores: 14_000, memoryMb: 64, accelerators: 0, estimateMs: 20, dependsOn: [],
+				}],
+				route: 'r0',
+				upstream: 'desk',
+				priority: 0,
+				maxAttempts: 3,
+				objectiveDeadline: performance.now() + 15_000,
+				deadline: performance.now() + 15_000,
+				submission: 0,
+				mayHaveRun: false,
+			}, resolve);
+		});
+		await sleep(100);
+		manager.tick();
+		expect(checker.starts).toBe(0);
+		minion.setCapacity(20_000);
+		minion.setCheckedCapacity(20_000);
+		manager.setMinions([readRecord()]);
+		expect(await outcome).toEqual({kind: 'completed'});
+		expect(checker.starts).toBe(2);
+		expect(checker.violations).toEqual([]);
+	});
+});
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -36,6 +36,8 @@
 	isRegistryComplete: () => boolean;
 	/** Registered minions of the zone. */
 	minions: () => MinionRecord[];
+	/** Whether the registered minions are known as they were after `followMinions` was called; `setMinions` is called once they are. */
+	areMinionsCurrent: () => boolean;
 	/** Free capacity of the cells for which other hosts dispatch, nearest first. */
 	cellsOfOtherHosts: () => CellCapacity[];
 	/** Starts to follow the records of the minions, which goes on until the signal aborts. */
@@ -250,12 +252,16 @@
 		this.services.set(cell, service);
 		this.choices[cell] = {kind: 'follow', record: self};
 		this.lastClaimChangeAt = now();
-		service.setMinions(minions);
 		if (this.followController === undefined) {
 			this.followController = new AbortController();
 			this.options.followMinions(this.followController.signal);
 		}
 
+		// After a pause of this process, or when the dispatcher before was turned away by the store, a capacity may have shrunk since.
+		if (this.options.areMinionsCurrent()) {
+			service.setMinions(minions);
+		}
+
 		this.options.onClaimChange();
 	}
 
--- a/packages/chivestream-host/src/declarations-follower.ts
+++ b/packages/chivestream-host/src/declarations-follower.ts
@@ -57,6 +57,11 @@
 		return this.now() - this.lastAnswerAt;
 	}
 
+	/** Whether the store has answered the last read. */
+	reachesStore(): boolean {
+		return !this.isStoreUnavailable && Number.isFinite(this.lastAnswerAt);
+	}
+
 	/** Reads declarations from the store until the signal aborts. */
 	async follow(signal: AbortSignal): Promise<void> {
 		let offset: number | undefined;
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -17,6 +17,7 @@
 import {type HostRecord, type HostStatus, type PeerReply} from './messages.js';
 import {createHostMetrics, type HostMetrics} from './metrics.js';
 import {MinionFollower} from './minion-follower.js';
+import {MinionSource} from './minion-source.js';
 import {PeerServer} from './peer-server.js';
 import {serveStreams} from './peer-service.js';
 import {PeerTable} from './peer-table.js';
@@ -47,6 +48,12 @@
 	private readonly store;
 	private readonly declarations: DeclarationsFollower;
 	private readonly minions: MinionFollower;
+	/** The host that passes on the minions while the store turns this dispatcher away. */
+	private readonly minionSource = new MinionSource();
+	/** Ends the reading of the minions for dispatchers that the store turns away. */
+	private minionsForOthers: AbortController | undefined;
+	/** Names of the dispatchers that have last asked this host for the minions. */
+	private minionsAskedBy = '';
 	private readonly peers: PeerTable;
 	private readonly peerServer: PeerServer;
 	private readonly callers: CallerService;
@@ -103,6 +110,9 @@
 			onChange: () => {
 				this.handleMinionChange();
 			},
+			onRead: () => {
+				this.passMinionsOn();
+			},
 		});
 		this.peers = new PeerTable({
 			self: this.record,
@@ -117,7 +127,10 @@
 				this.declarations.applyIfNewer(declarations, 'peer');
 			},
 			onMinions: (from, minions) => {
-				if (!this.isDispatching() && from.zone === this.record.zone) {
+				if (from.name === this.minionSource.name && this.minions.isTableNeeded()) {
+					this.minionSource.recordAnswer(now());
+					this.minions.mergeZone(this.record.zone, minions);
+				} else if (!this.isReadingMinions() && from.zone === this.record.zone) {
 					this.minions.replace(minions);
 				}
 			},
@@ -164,8 +177,12 @@
 			isZoneDiscovered: () => this.hostsKnownAt !== undefined && this.peers.isZoneDiscovered(),
 			isRegistryComplete: () => this.minions.isComplete(),
 			minions: () => this.zoneMinions(),
+			areMinionsCurrent: () => this.minions.isCurrent(),
 			followMinions: signal => {
-				this.runLoop('minions', async () => this.minions.follow(signal), signal);
+				this.stopReadingForOthers();
+				this.followMinions(signal);
+				// The status that announces the claim then carries the request to the source.
+				this.chooseMinionSource();
 			},
 			onClaimChange: () => {
 				this.publishStatus();
@@ -318,6 +335,8 @@
 			isLeaving: this.isLeaving,
 			declarationsVersion: this.declarations.current?.version ?? 0,
 			nextInMs: this.nextInMs(to),
+			reachesStore: this.reachesStore(),
+			...(this.minionSource.name !== undefined && {minionsFrom: this.minionSource.name}),
 		};
 	}
 
@@ -366,6 +385,7 @@
 	/** Chooses the zone's dispatchers again, publishes changes and wakes the jobs that wait for a dispatcher. */
 	private evaluate(): void {
 		this.claim.evaluate();
+		this.exchangeMinions();
 		this.publishDispatchers();
 		this.dispatcherHandles.notifyChange();
 	}
@@ -378,6 +398,63 @@
 		}
 	}
 
+	private followMinions(signal: AbortSignal): void {
+		this.runLoop('minions', async () => this.minions.follow(signal, this.declarations.reachesStore() || this.peers.minionSources().length > 0), signal);
+	}
+
+	/** Asks another host for the minions while this dispatcher can't read them from the store, and reads them for others that ask this host. */
+	private exchangeMinions(): void {
+		if (this.chooseMinionSource()) {
+			this.publishStatus();
+		}
+
+		const askedBy = this.peers.hostsThatAskForMinions().map(({name}) => name).join(',');
+		if (askedBy === '') {
+			this.stopReadingForOthers();
+		} else if (!this.isReadingMinions()) {
+			this.minionsForOthers = new AbortController();
+			this.followMinions(AbortSignal.any([this.minionsForOthers.signal, this.controller.signal]));
+		} else if (askedBy !== this.minionsAskedBy && this.reachesStore() && !this.minions.isTableNeeded()) {
+			this.passMinionsOn();
+		}
+
+		this.minionsAskedBy = askedBy;
+	}
+
+	/** Returns whether another host is asked than before. */
+	private chooseMinionSource(): boolean {
+		const isNeeded = this.isDispatching() && this.minions.isTableNeeded();
+		const before = this.minionSource.name;
+		this.minionSource.choose(this.now(), isNeeded ? this.peers.minionSources() : []);
+		if (this.minionSource.name === before) {
+			return false;
+		}
+
+		this.report('minions-from', {peer: this.minionSource.name, before});
+		return true;
+	}
+
+	private isReadingMinions(): boolean {
+		return this.isDispatching() || this.minionsForOthers !== undefined;
+	}
+
+	private reachesStore(): boolean {
+		return this.declarations.reachesStore() && (!this.isReadingMinions() || this.minions.reachesStore());
+	}
+
+	private stopReadingForOthers(): void {
+		this.minionsForOthers?.abort();
+		this.minionsForOthers = undefined;
+	}
+
+	/** Sends the minions to the dispatchers that the store turns away and that ask this host for them. */
+	private passMinionsOn(): void {
+		for (const {name, zone} of this.peers.hostsThatAskForMinions()) {
+			const minions = [...this.minions.table.values()].filter(minion => minion.zone === zone);
+			this.peerServer.sendToHost(name, {type: 'minions', minions});
+		}
+	}
+
 	private publishDeclarations(): void {
 		const {current} = this.declarations;
 		if (current !== undefined) {
--- a/packages/chivestream-host/src/message-schemas.ts
+++ b/packages/chivestream-host/src/message-schemas.ts
@@ -27,7 +27,9 @@
 const isHostStatus = (value: unknown): value is HostStatus =>
 	isRecord(value) && Array.isArray(value.claims) && value.claims.every(claim => isCellClaim(claim))
 	&& Number.isInteger(value.cellCount) && Number(value.cellCount) >= 1 && typeof value.isLeaving === 'boolean'
-	&& typeof value.declarationsVersion === 'number' && Number(value.nextInMs) > 0;
+	&& typeof value.declarationsVersion === 'number' && Number(value.nextInMs) > 0
+	&& (value.reachesStore === undefined || typeof value.reachesStore === 'boolean')
+	&& (value.minionsFrom === undefined || typeof value.minionsFrom === 'string');
 
 const hostStatusSchema = z.custom<HostStatus>(value => isHostStatus(value));
 
--- a/packages/chivestream-host/src/messages.ts
+++ b/packages/chivestream-host/src/messages.ts
@@ -37,6 +37,10 @@
 	declarationsVersion: number;
 	/** Time until the next status on the same stream at the latest, in milliseconds. */
 	nextInMs: number;
+	/** Whether the store answers the host; left out by earlier builds. */
+	reachesStore?: boolean;
+	/** Name of the host that is asked to pass on the minions of this host's zone, as the store turns this host away. */
+	minionsFrom?: string;
 };
 
 /** A `JobRequest` as it is sent to a dispatcher, with times in milliseconds from the arrival of the message. */
--- a/packages/chivestream-host/src/minion-follower.ts
+++ b/packages/chivestream-host/src/minion-follower.ts
@@ -19,6 +19,9 @@
  */
 const readPauseMs = 500;
 
+/** How long a dispatcher that has just claimed waits for a table, if one can be had, in milliseconds. */
+const maxWaitForTableMs = 500;
+
 /** Time after a store outage within which minions whose entries expired during it have written them again, in milliseconds. */
 const reregistrationMs = 2500;
 
@@ -33,9 +36,19 @@
 	private readonly report: Report;
 	private readonly now: () => number;
 	private readonly onChange: () => void;
+	private readonly onRead: () => void;
 	private lastFailureAt = Number.NEGATIVE_INFINITY;
-
-	constructor(options: {store: StoreClient; report: Report; now: () => number; onChange: () => void}) {
+	private hasLastReadFailed = false;
+	/** Whether the last read was answered; false before the first one of `follow`. */
+	private wasLastReadAnswered = false;
+	/** Until when the table counts as outdated, on the monotonic clock, unless it has been read or received before that. */
+	private outdatedUntil = Number.NEGATIVE_INFINITY;
+	/** Whether the table has been changed by that of another host since the last snapshot. */
+	private isMerged = false;
+
+	/** `onRead` is called after each read that the store has answered. */
+	constructor(options: {store: StoreClient; report: Report; now: () => number; onChange: () => void; onRead: () => void}) {
+		this.onRead = options.onRead;
 		this.store = options.store;
 		this.report = options.report;
 		this.now = options.now;
@@ -51,6 +64,36 @@
 		}
 	}
 
+	/** Applies the minions of a zone as another host has read them. */
+	mergeZone(zone: string, records: readonly MinionRecord[]): void {
+		this.isMerged = true;
+		const registeredIds = new Set(records.map(({id}) => id));
+		for (const [id, record] of this.table) {
+			if (record.zone === zone && !registeredIds.has(id)) {
+				this.markMissing(id);
+			}
+		}
+
+		this.applyEntries(records.map(record => [record.id, record]));
+		this.markCurrent();
+	}
+
+	/** Whether the store answers, as far as the reads of `follow` show. */
+	reachesStore(): boolean {
+		return !this.hasLastReadFailed;
+	}
+
+	/** Whether the table must come from another host: the store hasn't answered the last read of `follow`, or none yet. */
+	isTableNeeded(): boolean {
+		return !this.wasLastReadAnswered;
+	}
+
+	/** Whether the table has been read or received since the start of `follow`, or can't be for now. Before that, it may be as old as the
+	 * last table that this host was sent. */
+	isCurrent(): boolean {
+		return this.outdatedUntil === Number.NEGATIVE_INFINITY;
+	}
+
 	/** Whether every minion that lives is in the table, as far as is known: entries that expired during an outage of the store are written
 	 * again after it. */
 	isComplete(): boolean {
@@ -62,12 +105,20 @@
 		await this.readAll(signal);
 	}
 
-	/** Reads changes from the store until the signal aborts. */
-	async follow(signal: AbortSignal): Promise<void> {
+	/** Reads changes from the store until the signal aborts. `isTableExpected` tells whether this host or one that it can ask reaches the
+	 * store, so that the table counts as outdated for a short time. */
+	async follow(signal: AbortSignal, isTableExpected: boolean): Promise<void> {
 		let offset: number | undefined;
+		this.outdatedUntil = isTableExpected ? this.now() + maxWaitForTableMs : Number.NEGATIVE_INFINITY;
+		this.hasLastReadFailed = false;
+		this.wasLastReadAnswered = false;
 		while (!signal.aborted) {
-			offset = offset === undefined ? await this.readAll(signal) : await this.readChanges(offset, signal);
+			offset = offset === undefined || this.isMerged ? await this.readAll(signal) : await this.readChanges(offset, signal);
 			this.removeExpired();
+			if (!signal.aborted) {
+				this.handleReadEnd();
+			}
+
 			await sleep(readPauseMs);
 		}
 	}
@@ -78,11 +129,13 @@
 			return undefined;
 		}
 
+		this.hasLastReadFailed = result.isErr();
 		if (result.isErr()) {
 			this.lastFailureAt = this.now();
 			return undefined;
 		}
 
+		this.isMerged = false;
 		const registeredIds = new Set(result.value.records.map(record => record.key));
 		for (const id of this.table.keys()) {
 			if (!registeredIds.has(id)) {
@@ -100,6 +153,7 @@
 			return undefined;
 		}
 
+		this.hasLastReadFailed = result.isErr();
 		if (result.isErr()) {
 			this.lastFailureAt = this.now();
 			return offset;
@@ -113,10 +167,32 @@
 		return result.value.end;
 	}
 
+	private handleReadEnd(): void {
+		this.wasLastReadAnswered = !this.hasLastReadFailed;
+		if (this.wasLastReadAnswered || this.now() >= this.outdatedUntil) {
+			this.markCurrent();
+		}
+
+		if (this.wasLastReadAnswered) {
+			this.onRead();
+		}
+	}
+
+	private markCurrent(): void {
+		if (!this.isCurrent()) {
+			this.outdatedUntil = Number.NEGATIVE_INFINITY;
+			this.onChange();
+		}
+	}
+
 	private applyRecords(records: readonly KeyedRecord[]): void {
+		this.applyEntries(records.map(({key, value}) => [key, value === undefined ? undefined : decodeMinionEntry(key, value)]));
+	}
+
+	/** Applies entries of minions by id; a minion whose entry is undefined is missing. */
+	private applyEntries(entries: ReadonlyArray<[key: string, record: MinionRecord | undefined]>): void {
 		let isChanged = false;
-		for (const {key, value} of records) {
-			const record = value === undefined ? undefined : decodeMinionEntry(key, value);
+		for (const [key, record] of entries) {
 			if (record === undefined) {
 				if (this.table.has(key)) {
 					this.markMissing(key);
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -138,6 +138,15 @@
 		}
 	}
 
+	/** Sends a message to one host, if it has opened a stream. */
+	sendToHost(name: string, reply: PeerReply): void {
+		for (const attachment of this.attachments) {
+			if (attachment.host?.name === name) {
+				this.send(attachment, reply);
+			}
+		}
+	}
+
 	/** Closes silent streams that have pending jobs, and cancels those jobs. */
 	tick(): void {
 		const now = this.options.now();
--- a/packages/chivestream-host/src/peer-table.ts
+++ b/packages/chivestream-host/src/peer-table.ts
@@ -200,6 +200,21 @@
 		return this.otherZoneDispatchers().map(link => link.record);
 	}
 
+	/** Hosts that ask this one to pass on the minions of their zone. */
+	hostsThatAskForMinions(): HostRecord[] {
+		return [...this.knownHosts.values()].filter(({name}) => this.findOpenLink(name)?.status?.minionsFrom === this.options.self.name);
+	}
+
+	/** Names of the hosts that can pass on the minions as the store answers them: those of the local zone first, and of these the
+	 * dispatchers, which read the minions anyway. */
+	minionSources(): string[] {
+		const rank = ({record, status}: PeerLink) => (record.zone === this.options.self.zone ? 0 : 2) + (status?.claims.length === 0 ? 1 : 0);
+		return [...this.knownHosts.values()].flatMap(({name}) => this.findOpenLink(name) ?? [])
+			.filter(link => link.status?.reachesStore === true && !link.status.isLeaving && link.reachability() === reachability.alive)
+			.toSorted((one, other) => rank(one) - rank(other) || (one.record.name < other.record.name ? -1 : 1))
+			.map(({record}) => record.name);
+	}
+
 	/** Sends this host's status to the dispatchers. A dispatcher cancels the jobs of a host whose status stops arriving. */
 	sendStatus(status: HostStatus): void {
 		for (const link of this.links.values()) {
--- a/packages/chivestream-site-stand-ins/src/store.ts
+++ b/packages/chivestream-site-stand-ins/src/store.ts
@@ -23,6 +23,8 @@
 	readNewest: (topic: string, key: string) => string | undefined;
 	/** Number of requests by path, since the start. */
 	requestCounts: Map<string, number>;
+	/** Opens a further address on a free port of 127.0.0.1, so that the clients there can be turned away while others are served. */
+	openEntrance: () => Promise<StandInServer>;
 };
 
 const status = {
@@ -170,6 +172,7 @@
 	return {
 		...server,
 		requestCounts,
+		openEntrance: async () => startStandInServer(handle),
 		write(name, key, value) {
 			append(name, [Buffer.concat([Buffer.from([Buffer.byteLength(key)]), Buffer.from(key), Buffer.from(value)])]);
 		},
