--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -589,7 +589,7 @@
 
 	/** Whether this dispatcher has just started, and still waits for its minions to report their runs. */
 	private isSynchronizing(now: number): boolean {
-		return now <= this.startedAt + synchronizationMs && (this.pool.minions.size === 0 || this.runs.hasUnsyncedMinions());
+		return now <= this.startedAt + synchronizationMs && (this.largestCapacities.size === 0 || this.runs.hasUnsyncedMinions());
 	}
 
 	/** Number of tasks of mean size that the pool can run in parallel; at least 1. */
--- a/packages/chivestream-host/src/__tests__/minion-follower.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-follower.test.ts
@@ -49,8 +49,11 @@
 		onChange() {
 			// The table is of interest.
 		},
+		onRead() {
+			// Not of interest.
+		},
 	});
-	void follower.follow(controller.signal);
+	void follower.follow(controller.signal, true);
 	return {
 		follower, counts, events, refusals: () => events.filter(({event}) => event === 'minion-refused').map(({fields}) => fields),
 	};
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -40,6 +40,8 @@
 	minions: () => MinionRecord[];
 	/** Unregistered minions of the zone on which tasks of other dispatchers may be running. */
 	unregisteredMinions: () => readonly MinionRecord[];
+	/** Whether the registered minions are known as they were after `followMinions` was called; `setMinions` is called once they are. */
+	areMinionsCurrent: () => boolean;
 	/** Free capacity of the cells for which other hosts dispatch, nearest first. */
 	cellsOfOtherHosts: () => CellCapacity[];
 	/** Starts to follow the records of the minions, which goes on until the signal aborts. */
@@ -259,12 +261,17 @@
 		this.services.set(cell, service);
 		this.choices[cell] = {kind: 'follow', record: self};
 		this.lastClaimChangeAt = now();
-		service.setMinions(minions, this.minionsOfCell(this.options.unregisteredMinions(), cell));
 		if (this.followController === undefined) {
 			this.followController = new AbortController();
 			this.options.followMinions(this.followController.signal);
 		}
 
+		// After a pause of this process, or when the dispatcher before was turned away by the store, a capacity may have shrunk since.
+		// Their runs are read at once all the same.
+		const isCurrent = this.options.areMinionsCurrent();
+		const unregistered = this.minionsOfCell(this.options.unregisteredMinions(), cell);
+		service.setMinions(isCurrent ? minions : [], isCurrent ? unregistered : [...minions, ...unregistered]);
+
 		this.options.onClaimChange();
 	}
 
