--- a/packages/chivestream-host/src/__fixtures__/process-site.ts
+++ b/packages/chivestream-host/src/__fixtures__/process-site.ts
@@ -17,6 +17,8 @@
 	checker: Checker;
 	/** Submits a job of one task that takes `workMs`; returns the status of the answer, or undefined if the connection broke. */
 	submit: (hostIndex: number, id: string, workMs: number) => Promise<number | undefined>;
+	/** Removes the entries of minions, which live on, from the store for good. */
+	lapse: (lapsing: readonly MinionStandIn[]) => void;
 	close: () => Promise<void>;
 };
 
@@ -53,8 +55,9 @@
 		leaseMs,
 		workMs: task => workMsByJob.get(task.slice(0, task.indexOf('.'))) ?? 0,
 	}))));
+	const lapsedIds = new Set<string>();
 	const writeHeartbeats = () => {
-		for (const minion of minions) {
+		for (const minion of minions.filter(({id}) => !lapsedIds.has(id))) {
 			store.write('keyed.servers', minion.id, minion.createRegistryEntry());
 		}
 	};
@@ -113,6 +116,12 @@
 				return statusCode;
 			}, () => undefined);
 		},
+		lapse(lapsing) {
+			for (const {id} of lapsing) {
+				lapsedIds.add(id);
+				store.write('keyed.servers', id, '');
+			}
+		},
 		async close() {
 			clearInterval(heartbeatTimer);
 			await Promise.all(hosts.map(async host => host.close()));
--- a/packages/chivestream-host/src/__tests__/task-runs-twice.test.ts
+++ b/packages/chivestream-host/src/__tests__/task-runs-twice.test.ts
@@ -159,3 +159,23 @@
 		expect(testSite.checker.violations).toEqual([]);
 	});
 });
+
+describe('the loss of a dispatcher of one of several cells', () => {
+	test('causes no second run of tasks on minions whose entries have lapsed', async () => {
+		const testSite = await startProcessSite(['a', 'a'], 44);
+		site = testSite;
+		const {minions, hosts, checker} = testSite;
+		const tokens = () => new Set(minions.map(minion => minion.highestToken()));
+		const tokensBefore = tokens();
+		// The first host hands one of its two cells over to the second one.
+		await until(() => tokens().size === 2 && [...tokens()].some(token => !tokensBefore.has(token)));
+		const callers = Array.from({length: 16}, async (_, index) => testSite.submit(1, jobId(index + 1), workMs));
+		await until(() => minions.reduce((sum, minion) => sum + minion.runningTasks().length, 0) === callers.length);
+		testSite.lapse(minions.filter(minion => minion.runningTasks().length > 0));
+		await sleep(lapseReadMs);
+		hosts[0]!.signal('SIGKILL');
+		await Promise.all(callers);
+		expect(checker.starts).toBeGreaterThanOrEqual(callers.length);
+		expect(checker.violations).toEqual([]);
+	});
+});
