--- a/packages/chivestream-dispatch/src/lease.ts
+++ b/packages/chivestream-dispatch/src/lease.ts
@@ -18,14 +18,14 @@
 /** The longest lease of a minion under which every run has ended within a time, in milliseconds; negative if there is none. */
 const leaseMsWithin = (timeMs: number): number => (timeMs - deliveryMs) / driftFactor;
 
-/** Difference between the longest lease of a minion and the lease on a job, in milliseconds. */
-const jobLeaseMarginMs = 300;
+/** Time from the end of the longest lease of a minion until a job may start elsewhere, in milliseconds. */
+const resubmissionMarginMs = 300;
 
 /**
  * Length of the lease on a job, in milliseconds, given the longest lease that a minion grants. Callers send a job again this long after
  * their connection broke, and it may start elsewhere then.
  */
-export const jobLeaseMs = (leaseMs: number): number => leaseMs + jobLeaseMarginMs;
+export const jobLeaseMs = (leaseMs: number): number => leaseMs + resubmissionMarginMs;
 
 /** Part of the longest lease that a dispatcher asks for. The rest leaves time to renew the lease on a job before that of its minion. */
 const renewalShare = 0.9;
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -69,7 +69,7 @@
 	claim: number;
 	/** Whether every minion that may run tasks is registered. After an outage of the registry some are missing for a while. */
 	isRegistryComplete: () => boolean;
-	/** Whether all minions that the dispatcher with this claim may have used by then are registered; time as in `now`. */
+	/** Whether the dispatcher with this claim has sent its minions to this host, and was heard of until a time as in `now`. */
 	knowsMinionsOfClaim: (claim: number, until: number) => boolean;
 	/** Finds a task by name among the current jobs. */
 	findTask: (name: string) => Task | undefined;
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -34,7 +34,7 @@
 	isZoneDiscovered: () => boolean;
 	/** Whether every minion that was alive at a time is in the table of minions, as far as it reaches the store. */
 	isRegistryComplete: (at: number) => boolean;
-	/** Whether all minions that the dispatcher with this claim may have used by a time are registered or unregistered ones that are known. */
+	/** Whether the dispatcher with this claim has sent its minions to this host, and was heard of until a time. */
 	knowsMinionsOfClaim: (claim: number, until: number) => boolean;
 	/** Registered minions of the zone. */
 	minions: () => MinionRecord[];
--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -22,7 +22,7 @@
 	report: Report;
 	/** Whether every minion that may run tasks is registered. */
 	isRegistryComplete: () => boolean;
-	/** Whether all minions that the dispatcher with this claim may have used by a time are registered. */
+	/** Whether the dispatcher with this claim has sent its minions to this host, and was heard of until a time. */
 	knowsMinionsOfClaim: (claim: number, until: number) => boolean;
 	/** Free capacity of other cells, nearest first. */
 	otherCells: () => CellCapacity[];
--- a/packages/chivestream-host/src/dispatcher-table.ts
+++ b/packages/chivestream-host/src/dispatcher-table.ts
@@ -149,7 +149,8 @@
 				submit(job, {settle, onTaskCrashed}) {
 					withdrawal = service.dispatcher.submit(job, settle, onTaskCrashed, {
 						origin: originOf(self),
-						// The caller's connection may have broken during a pause.
+						// A caller extends no lease. Its connection may have broken during a pause; later, the runs of a caller that has left
+						// end with their stop, or with the lease of their minions.
 						leaseEndsAt: () => isAwake() ? Infinity : Number.NEGATIVE_INFINITY,
 					});
 				},
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -49,7 +49,7 @@
 	statusDueAt: number;
 	/** Time between messages that was last announced to the host, in milliseconds. It takes this one for lost if it waits much longer. */
 	announcedMs: number;
-	/** When the lease on the jobs submitted over this stream ends, on the `elapsed` clock. */
+	/** When the lease of all jobs submitted over this stream ends, on the `elapsed` clock. */
 	leaseEndsAt: number;
 	/** Whether the host was asked to extend that lease and has not answered yet. */
 	isReplyAwaited: boolean;
--- a/packages/chivestream-host/src/timing.ts
+++ b/packages/chivestream-host/src/timing.ts
@@ -16,7 +16,7 @@
 	reconnectDelayMs: 150,
 	/** Interval of the periodic checks on a host that dispatches; other hosts run them once per heartbeat. */
 	tickMs: 50,
-	/** The process counts as paused if a periodic check is late by more than this. */
+	/** The process counts as paused if a periodic check is late by more than this; checks are up to `heartbeatMs` apart. */
 	pauseThresholdMs: 600,
 	/** After a pause, jobs of this host's callers wait this long until the sockets have been read. */
 	pauseRecoveryMs: 100,
