Keep the unregistered minions of a dispatcher when it passes its table on

A host that passes its table of minions on to a dispatcher that the store turns away sends no unregistered minions. If it dispatches another cell of the zone, that message replaced the list that it had announced for its own claim by an empty one, and its successor would have taken the minions for known. Found by reading the joined parts; no run showed it. Such a message changes no announcement now.

--- a/packages/chivestream-host/src/peer-table.ts
+++ b/packages/chivestream-host/src/peer-table.ts
@@ -341,6 +341,15 @@
 		}
 	}
 
+	/** Records the unregistered minions of a dispatcher of the local zone; a host that only passes on what it has read sends none. */
+	private recordAnnouncement({record, status}: PeerLink, unregistered: readonly MinionRecord[] | undefined): void {
+		if (unregistered !== undefined && record.zone === this.options.self.zone) {
+			for (const {token} of status?.claims ?? []) {
+				this.recordClaim(token, unregistered);
+			}
+		}
+	}
+
 	private recordClaim(token: number, unregistered: readonly MinionRecord[]): void {
 		this.announcedClaims.set(token, {heardAt: this.options.now(), unregistered});
 		if (this.announcedClaims.size > maxAnnouncedClaims) {
@@ -411,10 +420,7 @@
 			}
 
 			case 'minions': {
-				for (const {token} of link.record.zone === this.options.self.zone ? link.status?.claims ?? [] : []) {
-					this.recordClaim(token, reply.unregistered ?? []);
-				}
-
+				this.recordAnnouncement(link, reply.unregistered);
 				this.options.onMinions(link.record, reply.minions);
 				break;
 			}
