Say that a job ended because another host that submitted it was lost

If two hosts had submitted a job and one of them was lost, the caller of the other one was told "the caller has left". The outcome names the lost host now.

--- a/packages/chivestream-dispatch/src/__tests__/lease.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/lease.test.ts
@@ -218,6 +218,18 @@
 		expect(recorded.stops).toHaveLength(1);
 	});
 
+	test('ends for both hosts when one of them is lost, since that one may submit it elsewhere', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m')]);
+		recorded.report('m');
+		const outcomes: Outcome[] = [];
+		const first = recorded.dispatcher.submit(patient(jobId), () => undefined, undefined, {origin: 'a', leaseEndsAt: () => Infinity});
+		recorded.dispatcher.submit(patient(jobId), outcome => {
+			outcomes.push(outcome);
+		}, undefined, {origin: 'b', leaseEndsAt: () => Infinity});
+		first.drop();
+		expect(outcomes).toEqual([{kind: outcomeKind.abandoned, reason: 'the host a that submitted the job was lost'}]);
+	});
+
 	test('follows the first copy to the cell to which that was redirected', () => {
 		const recorded = createRecordedDispatcher([minionRecord('m')]);
 		recorded.otherCells.push({cell: 'y', freeTasks: 1}, {cell: 'x', freeTasks: 9});
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -85,6 +85,8 @@
 /** A submitter whose lease does not end. */
 const permanentSubmitter: Submitter = {leaseEndsAt: () => Infinity};
 
+const callerHasLeft: Outcome = {kind: outcomeKind.abandoned, reason: 'the caller has left'};
+
 const noWithdrawal: Withdrawal = {
 	cancel() {
 		// The submission has an outcome.
@@ -212,7 +214,7 @@
 	cancel(id: string): void {
 		const job = this.jobs.get(id);
 		if (job !== undefined) {
-			this.settleJob(job, {kind: outcomeKind.abandoned, reason: 'the caller has left'});
+			this.settleJob(job, callerHasLeft);
 			this.schedule();
 		}
 	}
@@ -373,7 +375,6 @@
 	}
 
 	private withdrawalOf(job: Job, submission: Submission): Withdrawal {
-		const abandoned: Outcome = {kind: outcomeKind.abandoned, reason: 'the caller has left'};
 		return {
 			cancel: () => {
 				if (job.isSettled || !job.submissions.includes(submission)) {
@@ -384,13 +385,14 @@
 					this.cancel(job.request.id);
 				} else {
 					job.submissions = job.submissions.filter(other => other !== submission);
-					submission.settle(abandoned);
+					submission.settle(callerHasLeft);
 					this.schedule();
 				}
 			},
 			drop: () => {
 				if (!job.isSettled && job.submissions.includes(submission)) {
-					this.cancel(job.request.id);
+					this.settleJob(job, {kind: outcomeKind.abandoned, reason: `the host ${submission.origin ?? ''} that submitted the job was lost`});
+					this.schedule();
 				}
 			},
 		};
