Play orders of events on real hosts with a simulated clock

A task must not have two runs at the same time, whatever faults come together and in whatever order the events of the hosts follow.

The test runs whole entry hosts; the clock, the streams between hosts, the minions, the store and the callers are simulated, so that a seed repeats each event. A process can be killed or paused between any two events, and what became due during a pause runs in random order. fast-check draws and shrinks the faults.

--- /dev/null
+++ b/packages/chivestream-host/src/__fixtures__/simulated-network.ts
@@ -0,0 +1,372 @@
+/** The network of a simulated site: streams between hosts, requests to minions and to the store, and the faults of all of them. */
+import {EventEmitter} from 'node:events';
+import {Failure, failureCode, type Random} from 'chivestream-core';
+import {startAnswer, type StartAnswer} from 'chivestream-dispatch';
+import {
+	refusal, type KeyedRecord, type MinionClient, type StoreClient, type Topic,
+} from 'chivestream-platform';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {type SimulatedMinion} from './simulated-minion.js';
+import {type SimulatedProcess, type Simulation} from './simulation.js';
+
+/** Least and greatest time that a message takes, in milliseconds. */
+const latencyMs = {least: 0.2, most: 3} as const;
+
+/** How long after a reset or an exit the two ends of a connection notice it at the latest, in milliseconds. */
+const breakNoticeMs = 10;
+
+/** How long a late request takes until it is carried out, in milliseconds. */
+const lateRequestMs = {least: 500, most: 2500} as const;
+
+/** Time that the store takes to answer, in milliseconds. */
+const storeAnswerMs = 4;
+
+type Connection = {from: SimulatedProcess; to: string; break: (reason: string) => void};
+
+/** One end of a stream between two hosts. */
+class StreamEnd extends EventEmitter {
+	writable = true;
+	private readonly sendMessage: (message: unknown) => void;
+	private readonly endStream: () => void;
+
+	constructor(sendMessage: (message: unknown) => void, endStream: () => void) {
+		super();
+		this.sendMessage = sendMessage;
+		this.endStream = endStream;
+	}
+
+	write(message: unknown): boolean {
+		if (this.writable) {
+			this.sendMessage(JSON.parse(JSON.stringify(message)));
+		}
+
+		return true;
+	}
+
+	destroy(): void {
+		this.writable = false;
+		this.endStream();
+	}
+}
+
+type Listener = {process: SimulatedProcess; accept: (stream: StreamEnd) => void};
+
+type StoreTopic = {records: KeyedRecord[]; newest: Map<string, Uint8Array>; waiters: Set<() => void>};
+
+/** Sends messages between the parts of a simulated site. Names of hosts and ids of minions identify the two ends of a path. */
+export class SimulatedNetwork {
+	/** Share of the start requests that are carried out late and not answered. */
+	lateShare = 0;
+	readonly minions = new Map<string, SimulatedMinion>();
+	private readonly simulation: Simulation;
+	private readonly random: Random;
+	private readonly listeners = new Map<string, Listener>();
+	private readonly connections = new Set<Connection>();
+	/** When the cut of a path ends, by the names of both ends. */
+	private readonly cuts = new Map<string, number>();
+	private readonly topics = new Map<string, StoreTopic>();
+	private readonly storeAwayUntil = new Map<string, number>();
+
+	constructor(simulation: Simulation, random: Random) {
+		this.simulation = simulation;
+		this.random = random;
+	}
+
+	/** Cuts the path between two ends silently; what is sent meanwhile arrives after it, unless its connection has broken by then. */
+	cut(one: string, other: string, lengthMs: number): void {
+		this.cuts.set(pathOf(one, other), this.simulation.time + lengthMs);
+	}
+
+	/** The store turns a host away, or each host for `*`. */
+	turnAway(host: string, lengthMs: number): void {
+		this.storeAwayUntil.set(host, this.simulation.time + lengthMs);
+	}
+
+	/** Resets a share of the connections of a host. */
+	reset(host: string, share: number): void {
+		for (const connection of this.connections) {
+			if ((connection.from.name === host || connection.to === host) && this.random() < share) {
+				connection.break('ECONNRESET');
+			}
+		}
+	}
+
+	/** Breaks the connections of a process that has exited. */
+	close(process: SimulatedProcess): void {
+		for (const connection of this.connections) {
+			if (connection.from === process || connection.to === process.name) {
+				connection.break('UND_ERR_SOCKET');
+			}
+		}
+	}
+
+	/** Breaks the connections of a minion that has crashed. */
+	closeMinion(id: string): void {
+		for (const connection of this.connections) {
+			if (connection.to === id) {
+				connection.break('UND_ERR_SOCKET');
+			}
+		}
+	}
+
+	/** A delay after which a message on a path arrives. */
+	delay(one: string, other: string): number {
+		const cutMs = Math.max(0, (this.cuts.get(pathOf(one, other)) ?? 0) - this.simulation.time);
+		return cutMs + latencyMs.least + (this.random() * (latencyMs.most - latencyMs.least));
+	}
+
+	/** Listens for streams at an address as the process that runs now. */
+	serveStreams(address: string, accept: (stream: StreamEnd) => void): {forceShutdown: () => void} {
+		this.listeners.set(address, {process: this.simulation.currentProcess(), accept});
+		return {
+			forceShutdown() {
+				// The connections break with the process.
+			},
+		};
+	}
+
+	/** Opens a stream to an address as the process that runs now. */
+	openStream(address: string): {stream: StreamEnd; close: () => void} {
+		const from = this.simulation.currentProcess();
+		const listener = this.listeners.get(address);
+		const to = listener?.process;
+		const toName = to?.name ?? address;
+		let isBroken = false;
+		let server: StreamEnd | undefined;
+		const arrivals = {request: 0, reply: 0};
+		const deliver = (kind: keyof typeof arrivals, process: SimulatedProcess, run: () => void) => {
+			arrivals[kind] = Math.max(arrivals[kind], this.simulation.time + this.delay(from.name, toName));
+			this.simulation.schedule(arrivals[kind] - this.simulation.time, run, process);
+		};
+
+		/** Ends the stream; the other end notices it when the path is open. */
+		const finish = (notifies: {client: boolean; server: boolean}, reason: string) => {
+			if (isBroken) {
+				return;
+			}
+
+			isBroken = true;
+			this.connections.delete(connection);
+			const noticeMs = () => this.random() * breakNoticeMs;
+			if (notifies.client) {
+				this.simulation.schedule(noticeMs(), () => {
+					client.writable = false;
+					client.emit('error', new Error(reason));
+				}, from);
+			}
+
+			if (notifies.server && to !== undefined) {
+				this.simulation.schedule(noticeMs() + this.delay(from.name, toName) - latencyMs.least, () => {
+					if (server !== undefined) {
+						server.writable = false;
+						server.emit('close');
+					}
+				}, to);
+			}
+		};
+
+		const connection: Connection = {
+			from,
+			to: toName,
+			break(reason) {
+				finish({client: true, server: true}, reason);
+			},
+		};
+		const client: StreamEnd = new StreamEnd(message => {
+			if (to !== undefined) {
+				deliver('request', to, () => {
+					if (!isBroken) {
+						server?.emit('data', message);
+					}
+				});
+			}
+		}, () => {
+			finish({client: false, server: true}, 'closed');
+		});
+		this.connections.add(connection);
+		this.simulation.schedule(this.delay(from.name, toName), () => {
+			if (isBroken) {
+				return;
+			}
+
+			if (to === undefined || !to.isAlive || this.listeners.get(address) !== listener) {
+				finish({client: true, server: false}, 'connect ECONNREFUSED');
+			}
+		});
+		if (to !== undefined) {
+			deliver('request', to, () => {
+				if (isBroken || this.listeners.get(address) !== listener) {
+					return;
+				}
+
+				server = new StreamEnd(message => {
+					deliver('reply', from, () => {
+						if (!isBroken) {
+							client.emit('data', message);
+						}
+					});
+				}, () => {
+					finish({client: true, server: false}, 'closed by the other host');
+				});
+				listener!.accept(server);
+			});
+		}
+
+		return {
+			stream: client,
+			close() {
+				client.destroy();
+			},
+		};
+	}
+
+	/** Creates the client of a minion for the process that runs now. */
+	createMinionClient(id: string): MinionClient {
+		const from = this.simulation.currentProcess();
+		const origin = {step: 'request', peer: id};
+
+		/** Sends a request; `handle` carries it out and passes its answer on. */
+		const send = async <Answer>(timeoutMs: number, isStart: boolean, handle: (minion: SimulatedMinion, answer: (reply: Answer) => void) => void) => new Promise<Result<Answer, Failure>>(resolve => {
+			let isSettled = false;
+			const settle = (result: Result<Answer, Failure>) => {
+				if (!isSettled) {
+					isSettled = true;
+					cancelTimer();
+					this.connections.delete(connection);
+					resolve(result);
+				}
+			};
+
+			const connection: Connection = {
+				from,
+				to: id,
+				break: code => {
+					this.connections.delete(connection);
+					this.simulation.schedule(this.random() * breakNoticeMs, () => {
+						settle(new Err(new Failure(failureCode.connectionFailed, code, origin, {cause: {code}})));
+					}, from);
+				},
+			};
+			this.connections.add(connection);
+			const cancelTimer = this.simulation.setTimer(() => {
+				// An answer that has arrived is read first.
+				this.simulation.schedule(0, () => {
+					settle(new Err(new Failure(failureCode.timedOut, `no answer within ${timeoutMs} ms`, origin)));
+				}, from);
+			}, timeoutMs);
+			const minion = this.minions.get(id)!;
+			const isLate = isStart && this.random() < this.lateShare;
+			const arrivalMs = isLate ? lateRequestMs.least + (this.random() * (lateRequestMs.most - lateRequestMs.least)) : this.delay(from.name, id);
+			this.simulation.schedule(arrivalMs, () => {
+				// What a cut has held up is lost once its sender has given the request up.
+				if (!isLate && !this.connections.has(connection) && arrivalMs > latencyMs.most) {
+					return;
+				}
+
+				if (!minion.isUp) {
+					connection.break('ECONNREFUSED');
+					return;
+				}
+
+				handle(minion, reply => {
+					if (!isLate) {
+						this.simulation.schedule(this.delay(from.name, id), () => {
+							if (this.connections.has(connection)) {
+								settle(new Ok(reply));
+							}
+						}, from);
+					}
+				});
+			});
+		});
+
+		return {
+			async start(startRequest, timeoutMs) {
+				const result = await send<Awaited<ReturnType<MinionClient['start']>>>(timeoutMs, true, (minion, answer) => {
+					answer(minion.start(startRequest));
+				});
+				const unanswered: StartAnswer = startAnswer.unknown;
+				return result.isOk() ? result.value : {answer: unanswered, refusal: refusal.other, detail: result.error.message};
+			},
+			async stop(task, number, token, timeoutMs) {
+				const result = await send<boolean>(timeoutMs, false, (minion, answer) => {
+					answer(minion.stop(task, number, token));
+				});
+				return result.andThen(isConfirmed => isConfirmed ? new Ok(undefined) : new Err(new Failure(failureCode.protocolError, 'unexpected status 409', origin)));
+			},
+			async hold(holdRequest, timeoutMs) {
+				const result = await send<Awaited<ReturnType<MinionClient['hold']>>>(timeoutMs, false, (minion, answer) => {
+					minion.hold(holdRequest, answer);
+				});
+				return result.isOk() ? result.value : result;
+			},
+			close() {
+				// Each request has a connection of its own here.
+			},
+		};
+	}
+
+	/** Writes a record of the store as the operator or a minion; an undefined value drops the key. */
+	write(topic: string, key: string, value: Uint8Array | undefined): void {
+		const {records, newest, waiters} = this.topic(topic);
+		records.push({key, value});
+		if (value === undefined) {
+			newest.delete(key);
+		} else {
+			newest.set(key, value);
+		}
+
+		for (const wake of waiters) {
+			wake();
+		}
+	}
+
+	/** Creates the client of the store for the process that runs now. */
+	createStoreClient(): StoreClient {
+		const from = this.simulation.currentProcess();
+		const call = async <Value>(read: () => Value | Promise<Value>): Promise<Result<Value, Failure>> => {
+			await this.simulation.sleep(storeAnswerMs);
+			const awayUntil = Math.max(this.storeAwayUntil.get('*') ?? 0, this.storeAwayUntil.get(from.name) ?? 0);
+			return this.simulation.time < awayUntil
+				? new Err(new Failure(failureCode.logUnavailable, 'unexpected status 503', {step: 'read', peer: 'store'}))
+				: new Ok(await read());
+		};
+
+		return {
+			readSnapshot: async (from_: Topic) => call(() => {
+				const {records, newest} = this.topic(from_);
+				return {records: [...newest].map(([key, value]) => ({key, value})), end: records.length};
+			}),
+			readChanges: async (from_: Topic, offset, waitMs) => call(async () => {
+				const {records, waiters} = this.topic(from_);
+				if (records.length <= offset) {
+					await new Promise<void>(resolve => {
+						const finish = () => {
+							waiters.delete(finish);
+							this.simulation.schedule(0, resolve, from);
+						};
+
+						waiters.add(finish);
+						this.simulation.schedule(waitMs, finish);
+					});
+				}
+
+				return {records: records.slice(offset), end: records.length};
+			}),
+			writeRecord: async (to: Topic, key, value) => call(() => {
+				this.write(to, key, new TextEncoder().encode(value));
+			}),
+			async close() {
+				// It has no connections.
+			},
+		};
+	}
+
+	private topic(name: string): StoreTopic {
+		const found = this.topics.get(name) ?? {records: [], newest: new Map(), waiters: new Set()};
+		this.topics.set(name, found);
+		return found;
+	}
+}
+
+const pathOf = (one: string, other: string): string => one < other ? `${one} ${other}` : `${other} ${one}`;
--- /dev/null
+++ b/packages/chivestream-host/src/__fixtures__/simulation.ts
@@ -0,0 +1,148 @@
+/** A simulated clock, and processes that can be paused or killed between any two of their events. */
+import {AsyncLocalStorage} from 'node:async_hooks';
+import {type Random} from 'chivestream-core';
+
+/** A process of the simulation; its timers and messages run only while it is alive and not paused. */
+export type SimulatedProcess = {
+	name: string;
+	isAlive: boolean;
+	/** When the current pause ends; in the past if there is none. */
+	pausedUntil: number;
+};
+
+type Event = {at: number; order: number; process: SimulatedProcess; run: () => void};
+
+/** What is outside of all hosts. */
+const environment: SimulatedProcess = {name: 'environment', isAlive: true, pausedUntil: Number.NEGATIVE_INFINITY};
+
+const realSetImmediate = setImmediate;
+
+/** Lets all promises that are ready continue. */
+const settlePromises = async () => new Promise<void>(resolve => {
+	realSetImmediate(resolve);
+});
+
+/** Largest deviation of a timer from its time, in milliseconds: timers fire late and in varying order. */
+const timerJitterMs = 2;
+
+/** Runs events in the order of their times. Those that became due during a pause of their process run after it in random order. */
+export class Simulation {
+	/** The time on the simulated clock, in milliseconds. */
+	time = 0;
+	private readonly random: Random;
+	private readonly context = new AsyncLocalStorage<SimulatedProcess>();
+	/** Events by their number, in no particular order. */
+	private events: Event[] = [];
+	private lastOrder = 0;
+
+	constructor(random: Random) {
+		this.random = random;
+	}
+
+	/** The process that runs now. */
+	currentProcess(): SimulatedProcess {
+		const process = this.context.getStore();
+		if (process === undefined) {
+			throw new Error('no simulated process runs now');
+		}
+
+		return process;
+	}
+
+	/** Runs a function as a process, which owns the timers that it sets. */
+	runAs<Value>(process: SimulatedProcess, run: () => Value): Value {
+		return this.context.run(process, run);
+	}
+
+	/** Runs a function after a delay, as `process`, by default outside of all hosts. Returns a function that cancels it. */
+	schedule(delayMs: number, run: () => void, process: SimulatedProcess = environment): () => void {
+		this.lastOrder += 1;
+		const event: Event = {
+			at: this.time + delayMs, order: this.lastOrder, process, run,
+		};
+		this.push(event);
+		return () => {
+			event.run = () => undefined;
+		};
+	}
+
+	/** Sets a timer of the process that runs now. */
+	setTimer(run: () => void, delayMs: number): () => void {
+		return this.schedule(Math.max(0, delayMs) + (this.random() * timerJitterMs), run, this.currentProcess());
+	}
+
+	/** Resolves after a delay. */
+	async sleep(delayMs: number): Promise<void> {
+		return new Promise(resolve => {
+			this.setTimer(resolve, delayMs);
+		});
+	}
+
+	/** Runs all events up to a time. */
+	async runUntil(time: number): Promise<void> {
+		await settlePromises();
+		for (let next = this.events[0]; next !== undefined && next.at <= time; next = this.events[0]) {
+			this.pop();
+			this.time = Math.max(this.time, next.at);
+			const {process, run} = next;
+			if (process.isAlive && process.pausedUntil > this.time) {
+				next.at = process.pausedUntil;
+				next.order = this.random() * this.lastOrder;
+				this.push(next);
+				continue;
+			} else if (process.isAlive) {
+				this.context.run(process, run);
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- events run one after the other
+			await settlePromises();
+		}
+
+		this.time = time;
+	}
+
+	/** Adds an event to the binary heap. */
+	private push(event: Event): void {
+		const {events} = this;
+		let index = events.push(event) - 1;
+		while (index > 0) {
+			const parent = Math.floor((index - 1) / 2);
+			if (!isBefore(event, events[parent]!)) {
+				break;
+			}
+
+			events[index] = events[parent]!;
+			index = parent;
+		}
+
+		events[index] = event;
+	}
+
+	/** Removes the first event from the binary heap. */
+	private pop(): void {
+		const {events} = this;
+		const last = events.pop()!;
+		if (events.length === 0) {
+			return;
+		}
+
+		let index = 0;
+		for (;;) {
+			let child = (2 * index) + 1;
+			if (child + 1 < events.length && isBefore(events[child + 1]!, events[child]!)) {
+				child += 1;
+			}
+
+			if (child >= events.length || !isBefore(events[child]!, last)) {
+				break;
+			}
+
+			events[index] = events[child]!;
+			index = child;
+		}
+
+		events[index] = last;
+	}
+}
+
+const isBefore = (one: Event, other: Event): boolean => one.at < other.at || (one.at === other.at && one.order < other.order);
--- /dev/null
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -0,0 +1,112 @@
+/** Orders of events in which a task must not have two runs at the same time, on real hosts with a simulated clock and network. */
+import process from 'node:process';
+import {
+	afterAll, beforeAll, describe, expect, jest, test,
+} from '@jest/globals';
+import fc from 'fast-check';
+import {
+	epochMs, siteFault, SimulatedSite, type EntryHostConstructor, type ScheduledFault, type SimulatedSiteOptions, type SimulatedSiteResult,
+} from '../__fixtures__/simulated-site.js';
+
+let site: SimulatedSite;
+
+/** A server without connections. */
+const createFakeServer = () => ({
+	once() {
+		// It never fails.
+	},
+	listen(_port: number, _ip: string, listening: () => void) {
+		listening();
+	},
+	close() {
+		// Nothing listens.
+	},
+	closeAllConnections() {
+		// There are none.
+	},
+});
+
+jest.unstable_mockModule('node:timers/promises', () => ({setTimeout: async (ms: number) => site.simulation.sleep(ms)}));
+jest.unstable_mockModule('node:perf_hooks', () => ({performance: {now: () => site.simulation.time}}));
+jest.unstable_mockModule('node:http', () => ({createServer: () => createFakeServer()}));
+jest.unstable_mockModule('../peer-service.js', () => ({
+	openStream: (address: string) => site.network.openStream(address),
+	serveStreams: async (address: string, accept: never) => site.network.serveStreams(address, accept),
+}));
+jest.unstable_mockModule('../caller-service.js', () => ({
+	createCallerService: (options: never) => ({...site.createCallerService(options), server: createFakeServer()}),
+}));
+jest.unstable_mockModule('chivestream-platform', async () => ({
+	...await import('../../../../platform/src/http-client.js'),
+	...await import('../../../../platform/src/caller-format.js'),
+	...await import('../../../../platform/src/declarations.js'),
+	...await import('../../../../platform/src/minion-client.js'),
+	...await import('../../../../platform/src/minion-registry.js'),
+	...await import('../../../../platform/src/records.js'),
+	...await import('../../../../platform/src/store.js'),
+	createMinionClient: (id: string) => site.network.createMinionClient(id),
+	createStoreClient: () => site.network.createStoreClient(),
+}));
+
+const real = {setTimeout: globalThis.setTimeout, clearTimeout: globalThis.clearTimeout, now: Date.now};
+let hostClass: EntryHostConstructor;
+
+/** Seed and number of the cases of the property; the environment may set others for a long search. */
+const propertySeed = Number(process.env.RUN_ORDER_SEED ?? 33);
+const propertyRuns = Number(process.env.RUN_ORDER_RUNS ?? 20);
+
+beforeAll(async () => {
+	({EntryHost: hostClass} = await import('../host.js'));
+	Object.assign(globalThis, {
+		setTimeout: (run: () => void, ms: number) => ({cancel: site.simulation.setTimer(run, ms)}),
+		clearTimeout(timer: {cancel?: () => void} | undefined) {
+			timer?.cancel?.();
+		},
+	});
+	Date.now = () => epochMs + Math.round(site.simulation.time);
+});
+
+afterAll(() => {
+	Object.assign(globalThis, {setTimeout: real.setTimeout, clearTimeout: real.clearTimeout});
+	Date.now = real.now;
+});
+
+const play = async (options: SimulatedSiteOptions): Promise<SimulatedSiteResult> => {
+	site = new SimulatedSite(options);
+	return site.run(hostClass);
+};
+
+const twoZones = {zones: ['a', 'a', 'b', 'b'], minionsPerZone: {a: 4, b: 4}} as const;
+
+/** Zone `a` has enough minions for two cells. */
+const twoCells = {zones: ['a', 'a', 'a', 'b'], minionsPerZone: {a: 44, b: 4}} as const;
+
+/** Time with load and faults, in milliseconds. */
+const lengthMs = 8000;
+
+const arbitraryFault: fc.Arbitrary<ScheduledFault> = fc.record({
+	at: fc.nat(lengthMs),
+	kind: fc.constantFrom(...Object.values(siteFault)),
+	target: fc.nat(11),
+	other: fc.nat(11),
+	lengthMs: fc.integer({min: 50, max: 3000}),
+});
+
+describe('on a simulated site', () => {
+	test('all jobs are served without faults', async () => {
+		const result = await play({
+			...twoCells, seed: 1, resendsAtOnce: false, faults: [], lengthMs: 2000,
+		});
+		expect(result.overlaps).toEqual([]);
+		expect(result.completed).toBe(result.submitted);
+	});
+
+	test('no task has two runs at the same time, whatever faults come together', async () => {
+		await fc.assert(fc.asyncProperty(fc.array(arbitraryFault, {maxLength: 12, size: 'max'}), fc.nat(), fc.boolean(), async (faults, seed, hasCells) => {
+			const {overlaps} = await play({
+				...hasCells ? twoCells : twoZones, seed, resendsAtOnce: false, faults, lengthMs,
+			});
+			expect(overlaps).toEqual([]);
+		}), {seed: propertySeed, numRuns: propertyRuns, endOnFailure: true});
+	});
+});
