Let a new dispatcher hear from its minions before it starts or redirects a job

Seen: two runs of a task at the same time, on minions of two cells of a zone or of two zones, where the first one ends by a stop. In the simulation: hosts are killed, and callers whose connection breaks within 40 ms send the job again at once, to another host of the zone.

Cause: the killed host was the dispatcher and also held the caller's connection, so only a minion knows of the first run. The copy names no earlier submission, and the next dispatcher took it for new: it redirected it to a cell with free capacity at once, as it had no minion in use yet, or started it on the first minion that reported. Milliseconds later another minion reported the first run, which was then stopped as one that no job asks for.

Change: at a new dispatcher, a job that names no earlier submission neither starts nor is redirected or refused as not run until each minion has reported or has not answered. The special case for refusals in the first 600 ms goes.

Three tests had relied on a minion that never reported: it now reports and is draining or out of reach, with the same expectations.

Left: a copy that a caller sends at once is still taken for new where the first job ran in another cell and its origin host was lost.

--- a/packages/chivestream-dispatch/src/__tests__/capacity.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/capacity.test.ts
@@ -51,6 +51,8 @@
 	test('to nothing admits no run until it has grown again', () => {
 		const recorded = createDispatcher();
 		recorded.dispatcher.setMinions([withCapacity(0), minionRecord('other', {labels: ['b']})]);
+		recorded.report('other');
+		recorded.dispatcher.markUnreachable(recorded.minion('other'));
 		recorded.submit(longJob(1));
 		recorded.report('m');
 		expect(recorded.starts).toHaveLength(0);
--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -339,7 +339,8 @@
 	});
 
 	test('a job is redirected to a cell with capacity for all its tasks, and is otherwise refused once it is late', () => {
-		const recorded = createRecordedDispatcher([]);
+		const recorded = createRecordedDispatcher([minionRecord('m', {isDraining: true})]);
+		recorded.report('m');
 		recorded.otherCells.push({cell: 'y', freeTasks: 3});
 		expect(recorded.submit(jobRequest('00000000000000c1', {}, 2))).toEqual([{kind: outcomeKind.redirected, cell: 'y'}]);
 		const outcomes = recorded.submit(jobRequest('00000000000000c2', {}, 2));
--- a/packages/chivestream-dispatch/src/__tests__/lease.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/lease.test.ts
@@ -231,7 +231,8 @@
 	});
 
 	test('follows the first copy to the cell to which that was redirected', () => {
-		const recorded = createRecordedDispatcher([minionRecord('m')]);
+		const recorded = createRecordedDispatcher([minionRecord('m', {isDraining: true})]);
+		recorded.report('m');
 		recorded.otherCells.push({cell: 'y', freeTasks: 1}, {cell: 'x', freeTasks: 9});
 		expect(recorded.submit(patient(otherId, {}, 3))).toEqual([{kind: outcomeKind.redirected, cell: 'x'}]);
 		recorded.otherCells[0]!.freeTasks = 9;
@@ -241,6 +242,64 @@
 	});
 });
 
+describe('a job that names no earlier submission, at a new dispatcher', () => {
+	// The host that held the caller's connection was also the dispatcher, and was killed: only its minions know of the first run.
+	test('starts only when every minion has reported its runs', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m1'), minionRecord('m2')]);
+		recorded.submit(patient(jobId));
+		recorded.report('m1');
+		expect(recorded.starts).toHaveLength(0);
+		recorded.report('m2', [[task(0), 1]]);
+		expect(recorded.starts).toHaveLength(0);
+		expect(recorded.stops).toHaveLength(0);
+		recorded.submit(patient(otherId));
+		expect(recorded.starts.map(run => run.task)).toEqual([task(0, otherId)]);
+	});
+
+	test('does not wait for a minion that does not answer', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m1'), minionRecord('m2')]);
+		recorded.report('m1');
+		recorded.submit(patient(jobId));
+		recorded.dispatcher.tick();
+		expect(recorded.starts).toHaveLength(0);
+		recorded.dispatcher.markUnreachable(recorded.minion('m2'));
+		recorded.dispatcher.tick();
+		expect(recorded.starts).toHaveLength(1);
+	});
+
+	test('waits no longer than the longest lease while no minion is known', () => {
+		const recorded = createRecordedDispatcher([]);
+		recorded.otherCells.push({cell: 'y', freeTasks: 9});
+		const outcomes = recorded.submit(patient(jobId));
+		recorded.advance(leaseExpiryMs(leaseMs) - 1);
+		recorded.dispatcher.tick();
+		expect(outcomes).toEqual([]);
+		recorded.advance(1);
+		recorded.dispatcher.tick();
+		expect(outcomes).toEqual([{kind: outcomeKind.redirected, cell: 'y'}]);
+	});
+
+	// The copy went to a cell with free capacity at once, while the first run was alive.
+	test('is neither redirected nor refused as not run before that', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m1'), minionRecord('m2')]);
+		recorded.report('m1');
+		recorded.otherCells.push({cell: 'y', freeTasks: 9});
+		const outcomes = recorded.submit(patient(jobId, {}, 5));
+		recorded.dispatcher.tick();
+		expect(outcomes).toEqual([]);
+		recorded.report('m2');
+		recorded.dispatcher.tick();
+		expect(recorded.starts).toHaveLength(4);
+		expect(outcomes).toEqual([]);
+		const late = createRecordedDispatcher([minionRecord('m1'), minionRecord('m2')]);
+		late.report('m1');
+		const lateOutcomes = late.submit(jobRequest(jobId));
+		late.advance(700);
+		late.dispatcher.tick();
+		expect(lateOutcomes.map(({kind}) => kind)).toEqual([outcomeKind.abandoned]);
+	});
+});
+
 describe('a minion at another address', () => {
 	test('is asked to stop a run again whose start has got no answer there', () => {
 		const recorded = createRecordedDispatcher([minionRecord('m')]);
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -65,12 +65,6 @@
 	isTooLate: isPredictedLate,
 };
 
-/**
- * How long a new dispatcher waits for its minions to report their runs, in milliseconds. Until then it refuses only jobs
- * that cannot finish in time at all, because its capacity is not known yet.
- */
-const synchronizationMs = 600;
-
 /** Ends a submission of a job; has no effect once the job has an outcome, or after a later submission of the same host. */
 export type Withdrawal = {
 	/** The caller has left: the job goes on only for other hosts that submitted it. */
@@ -117,7 +111,6 @@
 	private readonly unplaceableSizes = new UnplaceableSizes();
 	/** The largest amounts that a minion of each upstream offers, as last registered. */
 	private largestCapacities: ReadonlyMap<string, Resources> = new Map();
-	private readonly startedAt: number;
 	private readonly isolation = new Isolation();
 	/** The cells to which jobs were redirected, by job id, and how long a copy of the job follows. */
 	private readonly redirections = new Map<string, {cell: string; until: number}>();
@@ -131,7 +124,6 @@
 		this.policy = policy;
 		this.bounds = bounds;
 		this.leaseLengths = leaseLengths(bounds.leaseMs);
-		this.startedAt = dependencies.now();
 		this.runs = new Runs(this.pool, {
 			...dependencies,
 			findTask: name => this.jobs.get(jobIdOfTask(name))?.tasks.find(task => task.name === name),
@@ -516,7 +508,7 @@
 		const parallelTaskCount = this.parallelTaskCount();
 		let aheadMs = 0;
 		for (const job of waiting) {
-			if (!job.hasStarted && !this.awaitsLease(job, now)) {
+			if (!job.hasStarted && !this.awaitsLease(job, now) && !this.mayHaveRun(job, now)) {
 				this.redirectOrRefuse(job, {now, aheadMs, parallelTaskCount});
 			} else if (cannotFinishInTime(job, now)) {
 				this.abandonOrRefuse(job, 'its waiting tasks can\'t end in time');
@@ -528,8 +520,9 @@
 
 	/** Abandons a job of which tasks may have run, and refuses any other. */
 	private abandonOrRefuse(job: Job, reason: string, aheadMs?: number): void {
-		this.reportUnserved(job, job.mayHaveRun ? outcomeKind.abandoned : outcomeKind.refused, reason, aheadMs);
-		if (job.mayHaveRun) {
+		const mayHaveRun = this.mayHaveRun(job, this.dependencies.now());
+		this.reportUnserved(job, mayHaveRun ? outcomeKind.abandoned : outcomeKind.refused, reason, aheadMs);
+		if (mayHaveRun) {
 			this.settleJob(job, {kind: outcomeKind.abandoned, reason});
 		} else {
 			const backlogMs = [...this.jobs.values()].reduce((sum, other) => sum + waitingWorkMs(other), 0) / this.parallelTaskCount();
@@ -543,7 +536,7 @@
 	 * submission of a job is redirected.
 	 */
 	private redirectOrRefuse(job: Job, {now, aheadMs, parallelTaskCount}: {now: number; aheadMs: number; parallelTaskCount: number}): void {
-		if (job.mayHaveRun) {
+		if (this.mayHaveRun(job, now)) {
 			return;
 		}
 
@@ -562,8 +555,7 @@
 			return;
 		}
 
-		const isTooLate = this.isSynchronizing(now) ? cannotFinishInTime(job, now) : this.policy.isTooLate(job, now + (aheadMs / parallelTaskCount));
-		if (isTooLate) {
+		if (this.policy.isTooLate(job, now + (aheadMs / parallelTaskCount))) {
 			this.abandonOrRefuse(job, 'no room in time', aheadMs);
 		}
 	}
@@ -589,9 +581,9 @@
 		});
 	}
 
-	/** Whether this dispatcher has just started, and still waits for its minions to report their runs. */
-	private isSynchronizing(now: number): boolean {
-		return now <= this.startedAt + synchronizationMs && (this.largestCapacities.size === 0 || this.runs.hasUnsyncedMinions());
+	/** Whether a task of a job may have run, here or for a previous dispatcher whose runs are not all known yet. */
+	private mayHaveRun(job: Job, now: number): boolean {
+		return job.mayHaveRun || !this.runs.hasAskedMinions(now);
 	}
 
 	/** Number of tasks of mean size that the pool can run in parallel; at least 1. */
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -358,18 +358,34 @@
 	 */
 	hasObservedRuns({name, job: {request}}: Task, now: number): boolean {
 		const {mayHaveRun, previousSubmissions} = request;
+		if (!mayHaveRun) {
+			return this.hasAskedMinions(now);
+		}
+
 		if (previousSubmissions === undefined) {
-			return !mayHaveRun || this.hasObservedInheritedRuns(now);
+			return this.hasObservedInheritedRuns(now);
 		}
 
 		return previousSubmissions.every(previous => previous.claim === this.dependencies.claim
 			|| now >= previous.leaseEndsAt || this.hasObservedRunsOf(previous, name));
 	}
 
+	/**
+	 * Whether each minion has reported its runs or has not answered, or the runs of earlier dispatchers have ended. Before that, a job that
+	 * names no previous submission may be running: its caller sends a copy if the connection breaks, and the host that held it may be the
+	 * dispatcher that was lost. A minion that does not answer was hardly given a run just before; the other jobs don't wait for its lease.
+	 */
+	hasAskedMinions(now: number): boolean {
+		if (this.areInheritedLeasesOver(now)) {
+			return true;
+		}
+
+		return this.pool.minions.size > 0 && [...this.pool.minions.values()].every(minion => hasReported(minion) || !minion.isReachable);
+	}
+
 	/** Whether every inherited run has been reported, or has ended because its lease has expired. */
 	hasObservedInheritedRuns(now: number): boolean {
-		// An earlier dispatcher sent its last renewal before this one started, or has dropped its jobs since.
-		if (now >= this.startedAt + leaseExpiryMs(this.leaseLengths.longestMs)) {
+		if (this.areInheritedLeasesOver(now)) {
 			return true;
 		}
 
@@ -393,6 +409,12 @@
 		this.stop(run);
 	}
 
+	/** Whether the longest lease has ended that an earlier dispatcher may have granted. */
+	private areInheritedLeasesOver(now: number): boolean {
+		// It sent its last renewal before this one started, or has dropped its jobs since.
+		return now >= this.startedAt + leaseExpiryMs(this.leaseLengths.longestMs);
+	}
+
 	/** Whether no run of a task is alive that one previous dispatcher has started and this one does not know. */
 	private hasObservedRunsOf({claim, leaseEndsAt, minionsByTask}: PreviousSubmission, taskName: string): boolean {
 		if (claim > this.dependencies.claim) {
--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -3,6 +3,7 @@
 import {
 	afterAll, beforeAll, describe, expect, jest, test,
 } from '@jest/globals';
+import {createRandom, randomInteger} from 'chivestream-core';
 import fc from 'fast-check';
 import {
 	epochMs, siteFault, SimulatedSite, type EntryHostConstructor, type ScheduledFault, type SimulatedSiteOptions, type SimulatedSiteResult,
@@ -109,4 +110,20 @@
 			expect(overlaps).toEqual([]);
 		}), {seed: propertySeed, numRuns: propertyRuns, endOnFailure: true});
 	});
+
+	// The host that had a caller's connection was also its dispatcher, and was killed: only the minions knew of the first run when the copy
+	// of the job reached the next dispatcher. On each of these seeds the rule was broken before that dispatcher waited for their reports.
+	test.each([
+		...[12, 14, 19, 26, 33].map(seed => ({seed, size: twoZones})),
+		...[4, 8, 11, 19, 21, 24, 27].map(seed => ({seed, size: twoCells})),
+	])('no task has two runs when hosts are killed and callers send their jobs again at once, seed $seed', async ({seed, size}) => {
+		const random = createRandom(seed);
+		const faults = Array.from({length: 8}, (): ScheduledFault => ({
+			at: randomInteger(random, lengthMs), kind: siteFault.kill, target: randomInteger(random, 12), other: 0, lengthMs: 50 + randomInteger(random, 3000),
+		}));
+		const {overlaps} = await play({
+			...size, seed, resendsAtOnce: true, faults, lengthMs,
+		});
+		expect(overlaps).toEqual([]);
+	});
 });
