Don't redirect a job of which a minion reports a run after its submission

Seen: in a unit test only. Two runs of a task at the same time are possible in two cells.

Cause: a run that is reported after the submission was assigned to its task, but the job still counted as one that has not run. If none of its other tasks found a minion, the whole job was redirected to another cell, which started all of its tasks, while the run here was still being stopped.

Change: a job whose run or end is taken over from a report may have run.

Test: "stays here if a minion reports a run of one of its tasks after its submission" failed before.

--- a/packages/chivestream-dispatch/src/__tests__/lease.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/lease.test.ts
@@ -298,6 +298,19 @@
 		late.dispatcher.tick();
 		expect(lateOutcomes.map(({kind}) => kind)).toEqual([outcomeKind.abandoned]);
 	});
+
+	// The tasks that found no minion would have started in the other cell together with the one that runs here.
+	test('stays here if a minion reports a run of one of its tasks after its submission', () => {
+		const full = {millicores: 14_000, memoryMb: 1024, accelerators: 0};
+		const recorded = createRecordedDispatcher([minionRecord('m1'), minionRecord('m2', {capacity: full})]);
+		recorded.report('m1', [[task(0, otherId), 1]]);
+		recorded.otherCells.push({cell: 'y', freeTasks: 9});
+		const outcomes = recorded.submit(patient(jobId, {}, 5));
+		recorded.report('m2', [[task(0), 1]]);
+		recorded.dispatcher.tick();
+		expect(outcomes).toEqual([]);
+		expect(recorded.stops).toHaveLength(0);
+	});
 });
 
 describe('a minion at another address', () => {
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -522,6 +522,7 @@
 	private handleInheritedDone(name: string): void {
 		const task = this.dependencies.findTask(name);
 		if (task !== undefined && isUnplaced(task)) {
+			task.job.mayHaveRun = true;
 			this.dependencies.onTaskDone(task);
 			return;
 		}
@@ -621,6 +622,7 @@
 /** Assigns an inherited run to a task that is not placed. */
 const assignRun = (run: Run, task: Task, expectedMs: number): void => {
 	run.assignedTask = task;
+	task.job.mayHaveRun = true;
 	run.resources = taskResources(task);
 	run.expectedMs = expectedMs;
 	task.run = run;
