Don't say where a released job runs before the minions have reported

Two hosts claim a cell within 3 ms; the first one is fenced and releases a copy of a job as one that runs nowhere, before the minion with the first run has reported. The second one starts it.

Cause: the release names the minions with known runs only, also while some minions have not reported to this dispatcher.

Change: until each minion has reported or has not answered, the release of a job that names no earlier submission leaves the minions out. The next dispatcher then waits for their reports, or for the end of the lease.

Test: "is released without saying where its tasks may run" failed before.

--- a/packages/chivestream-dispatch/src/__tests__/lease.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/lease.test.ts
@@ -311,6 +311,15 @@
 		expect(outcomes).toEqual([]);
 		expect(recorded.stops).toHaveLength(0);
 	});
+
+	// Its release said that none of its tasks runs, although some minions had not reported their runs yet.
+	test('is released without saying where its tasks may run', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m1'), minionRecord('m2')]);
+		recorded.report('m1');
+		const outcomes = recorded.submit(patient(jobId));
+		recorded.dispatcher.release();
+		expect(outcomes).toEqual([{kind: outcomeKind.released, doneTasks: []}]);
+	});
 });
 
 describe('a minion at another address', () => {
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -310,12 +310,14 @@
 	/** Releases all jobs and accepts no more. Runs continue, and the cell's next dispatcher takes them over. */
 	release(): void {
 		this.isLeaving = true;
+		const now = this.dependencies.now();
 		for (const job of this.jobs.values()) {
 			job.isSettled = true;
 			const doneTasks = job.tasks.filter(task => task.state === taskState.done).map(task => task.name);
 			const crashes = crashesOf(job);
+			const minionsByTask = this.minionsByTask(job, now);
 			settleAll(job, {
-				kind: outcomeKind.released, doneTasks, minionsByTask: this.minionsByTask(job), ...(crashes !== undefined && {crashes}),
+				kind: outcomeKind.released, doneTasks, ...(minionsByTask !== undefined && {minionsByTask}), ...(crashes !== undefined && {crashes}),
 			});
 		}
 
@@ -407,8 +409,12 @@
 		return jobLeaseEndsAt(job) < now + leaseExpiryMs(this.leaseLengths.usualMs);
 	}
 
-	/** Ids of the minions on which each task of a job may be running. */
-	private minionsByTask(job: Job): Record<string, string[]> {
+	/** Ids of the minions on which each task of a job may be running; undefined if others may run some that have not reported them yet. */
+	private minionsByTask(job: Job, now: number): Record<string, string[]> | undefined {
+		if (!job.request.mayHaveRun && !this.runs.hasAskedMinions(now)) {
+			return undefined;
+		}
+
 		return Object.fromEntries(job.tasks.flatMap(({name}) => {
 			const runs = this.pool.runsByTask.get(name);
 			return runs === undefined ? [] : [[name, [...runs].map(run => run.minion.record.id)] as const];
--- a/packages/chivestream-dispatch/src/outcome.ts
+++ b/packages/chivestream-dispatch/src/outcome.ts
@@ -29,7 +29,7 @@
 			kind: typeof outcomeKind.released;
 			doneTasks: string[];
 			crashes?: Readonly<Record<string, CrashRecord>>;
-			/** Ids of the minions on which each task may be running, by the name of the task; left out by earlier builds. */
+			/** Ids of the minions on which each task may be running, by the name of the task; left out if others may, and by earlier builds. */
 			minionsByTask?: Readonly<Record<string, readonly string[]>>;
 		}
 		| {kind: typeof outcomeKind.cancelled};
