Log the cell, claim and lease of each submission that ends without an outcome

Two runs of a task at the same time could not be traced in the users' record: its lines tell neither cells nor claims apart, a release left no line, and neither did a copy of a job that joined another one.

Change: dispatcher-lost names cell, claim and the time until the lease ends; job-released is new, as is job-submitted-again at the dispatcher; run-inherited and job-taken-over name the claim. Test: "leaves a log line with cell, claim and lease ..." failed before.

--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -359,6 +359,9 @@
 		}
 
 		job.submissions = [...job.submissions.filter(other => other !== replaced), submission];
+		this.dependencies.report('job-submitted-again', {
+			job: request.id, submission: request.submission, claim: this.dependencies.claim, origins: job.submissions.map(({origin}) => origin),
+		});
 		const {previousSubmissions = []} = request;
 		if (previousSubmissions.length > 0) {
 			job.request = {...job.request, previousSubmissions: [...job.request.previousSubmissions ?? [], ...previousSubmissions]};
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -344,6 +344,8 @@
 			this.dependencies.report('job-taken-over', {
 				job: job.request.id,
 				submission: job.request.submission,
+				claim: this.dependencies.claim,
+				previousClaims: job.request.previousSubmissions?.map(({claim}) => claim),
 				done: job.tasks.filter(({state}) => state === taskState.done).length,
 				running: job.tasks.filter(({state}) => state === taskState.running).length,
 				unplaced: job.tasks.filter(task => isUnplaced(task)).length,
@@ -540,7 +542,7 @@
 		});
 		const task = this.dependencies.findTask(taskName);
 		this.dependencies.report('run-inherited', {
-			task: taskName, run: number, minion: minion.record.id, taskState: task?.state,
+			task: taskName, run: number, minion: minion.record.id, claim: this.dependencies.claim, taskState: task?.state,
 		});
 		if (task !== undefined && isUnplaced(task)) {
 			task.lastRunNumber = Math.max(task.lastRunNumber, number);
--- a/packages/chivestream-host/src/__tests__/job-client.test.ts
+++ b/packages/chivestream-host/src/__tests__/job-client.test.ts
@@ -118,6 +118,32 @@
 		]);
 	});
 
+	test('leaves a log line with cell, claim and lease for each submission that ended without an outcome', async () => {
+		const released: RemoteOutcome = {kind: outcomeKind.released, doneTasks: ['t1'], minionsByTask: {t: ['m']}};
+		const client = createClient([{answers: [{kind: 'lost', leaseEndsAt: 50}, released]}]);
+		const lines: Array<Record<string, unknown>> = [];
+		client.options.report = (event, fields) => {
+			lines.push({event, ...fields});
+		};
+
+		client.options.untilChange = async () => {
+			client.handles[0]!.claim = 2;
+		};
+
+		await runJob(client.options, job).outcome;
+		const submission = {
+			job: job.id, dispatcher: 'd', cell: 'z/1 of 1', claim: 1,
+		};
+		expect(lines).toEqual([
+			{
+				event: 'dispatcher-lost', ...submission, submission: 0, leaseEndsInMs: 50,
+			},
+			{
+				event: 'job-released', ...submission, submission: 1, done: 1, minionsByTask: {t: ['m']},
+			},
+		]);
+	});
+
 	test('is not submitted again after its deadline, when its caller may have sent it elsewhere', async () => {
 		const client = createClient([{answers: [{kind: 'lost', leaseEndsAt: 0}]}]);
 		client.options.now = () => client.submitted.length === 0 ? 0 : job.deadline;
--- a/packages/chivestream-host/src/job-client.ts
+++ b/packages/chivestream-host/src/job-client.ts
@@ -144,6 +144,10 @@
 		job = {...job, crashes: {...job.crashes, [task]: crashes}};
 	};
 
+	const describeSubmission = ({name, cell: submittedTo, claim}: DispatcherHandle) => ({
+		job: job.id, submission: job.submission, dispatcher: name, cell: submittedTo, claim,
+	});
+
 	const run = async (): Promise<Outcome> => {
 		for (;;) {
 			const found = await findDispatcher();
@@ -163,7 +167,7 @@
 
 			switch (outcome.kind) {
 				case 'lost': {
-					report('dispatcher-lost', {job: job.id, dispatcher: found.name, submission: job.submission});
+					report('dispatcher-lost', {...describeSubmission(found), leaseEndsInMs: Math.max(0, Math.round(outcome.leaseEndsAt - now()))});
 					prepareResubmission({cell: found.cell, claim: found.claim, leaseEndsAt: outcome.leaseEndsAt}, []);
 					break;
 				}
@@ -172,6 +176,7 @@
 					releasedClaim = found.claim;
 					job = {...job, ...(outcome.crashes !== undefined && {crashes: {...job.crashes, ...outcome.crashes}})};
 					const {doneTasks, minionsByTask} = outcome;
+					report('job-released', {...describeSubmission(found), done: doneTasks.length, minionsByTask});
 					prepareResubmission({
 						cell: found.cell, claim: found.claim, leaseEndsAt: now() + options.releasedRunsMs(), ...(minionsByTask !== undefined && {minionsByTask}),
 					}, doneTasks);
