--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -56,6 +56,9 @@
 const propertySeed = Number(process.env.RUN_ORDER_SEED ?? 33);
 const propertyRuns = Number(process.env.RUN_ORDER_RUNS ?? 20);
 
+/** Further seeds of the kills of hosts, for a long search. */
+const furtherSeeds = Array.from({length: Number(process.env.RUN_ORDER_KILLS ?? 0)}, (_, index) => 1000 + index);
+
 beforeAll(async () => {
 	({EntryHost: hostClass} = await import('../host.js'));
 	Object.assign(globalThis, {
@@ -114,8 +117,8 @@
 	// The host that had a caller's connection was also its dispatcher, and was killed: only the minions knew of the first run when the copy
 	// of the job reached the next dispatcher. On each of these seeds the rule was broken before that dispatcher waited for their reports.
 	test.each([
-		...[12, 14, 19, 26, 33].map(seed => ({seed, size: twoZones})),
-		...[4, 8, 11, 19, 21, 24, 27].map(seed => ({seed, size: twoCells})),
+		...[12, 14, 19, 26, 33, ...furtherSeeds].map(seed => ({seed, size: twoZones})),
+		...[4, 8, 11, 19, 21, 24, 27, ...furtherSeeds].map(seed => ({seed, size: twoCells})),
 	])('no task has two runs when hosts are killed and callers send their jobs again at once, seed $seed', async ({seed, size}) => {
 		const random = createRandom(seed);
 		const faults = Array.from({length: 8}, (): ScheduledFault => ({
