--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -375,7 +375,7 @@
 	/**
 	 * Whether each minion has reported its runs or has not answered, or the runs of earlier dispatchers have ended. Before that, a job that
 	 * names no previous submission may be running: its caller sends a copy if the connection breaks, and the host that held it may be the
-	 * dispatcher that was lost. A minion that does not answer was hardly given a run just before; the other jobs don't wait for its lease.
+	 * dispatcher that was lost. Jobs don't wait for the lease of a silent minion, which is unlikely to have been given a run just before.
 	 */
 	hasAskedMinions(now: number): boolean {
 		if (this.areInheritedLeasesOver(now)) {
