--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -105,6 +105,14 @@
 		expect(result.completed).toBe(result.submitted);
 	});
 
+	test('a seed repeats every event', async () => {
+		const faults = fc.sample(fc.array(arbitraryFault, {minLength: 4, maxLength: 4}), {seed: 1, numRuns: 1})[0]!;
+		const playOnce = async () => play({
+			...twoZones, seed: 1, resendsAtOnce: true, faults, lengthMs,
+		});
+		expect(await playOnce()).toEqual(await playOnce());
+	});
+
 	test('no task has two runs at the same time, whatever faults come together', async () => {
 		await fc.assert(fc.asyncProperty(fc.array(arbitraryFault, {maxLength: 12, size: 'max'}), fc.nat(), fc.boolean(), async (faults, seed, hasCells) => {
 			const {overlaps} = await play({
