--- a/packages/chivestream-host/src/__fixtures__/simulated-network.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-network.ts
@@ -37,6 +37,7 @@
 
 	write(message: unknown): boolean {
 		if (this.writable) {
+			// As on the wire, where undefined fields are lost.
 			this.sendMessage(JSON.parse(JSON.stringify(message)));
 		}
 
@@ -226,7 +227,11 @@
 		const origin = {step: 'request', peer: id};
 
 		/** Sends a request; `handle` carries it out and passes its answer on. */
-		const send = async <Answer>(timeoutMs: number, isStart: boolean, handle: (minion: SimulatedMinion, answer: (reply: Answer) => void) => void) => new Promise<Result<Answer, Failure>>(resolve => {
+		const send = async <Answer>(
+			timeoutMs: number,
+			isStart: boolean,
+			handle: (minion: SimulatedMinion, answer: (reply: Answer) => void) => void,
+		) => new Promise<Result<Answer, Failure>>(resolve => {
 			let isSettled = false;
 			const settle = (result: Result<Answer, Failure>) => {
 				if (!isSettled) {
@@ -333,12 +338,12 @@
 		};
 
 		return {
-			readSnapshot: async (from_: Topic) => call(() => {
-				const {records, newest} = this.topic(from_);
+			readSnapshot: async (source: Topic) => call(() => {
+				const {records, newest} = this.topic(source);
 				return {records: [...newest].map(([key, value]) => ({key, value})), end: records.length};
 			}),
-			readChanges: async (from_: Topic, offset, waitMs) => call(async () => {
-				const {records, waiters} = this.topic(from_);
+			readChanges: async (source: Topic, offset, waitMs) => call(async () => {
+				const {records, waiters} = this.topic(source);
 				if (records.length <= offset) {
 					await new Promise<void>(resolve => {
 						const finish = () => {
--- a/packages/chivestream-host/src/__fixtures__/simulated-site.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-site.ts
@@ -1,6 +1,10 @@
 /** A site on a simulated clock: real entry hosts, and callers, minions, a store and a network that are simulated. */
-import {createRandom, pickRandom, randomInteger, type Random} from 'chivestream-core';
-import {outcomeKind, type JobRequest, type MinionRecord, type Outcome} from 'chivestream-dispatch';
+import {
+	createRandom, pickRandom, randomInteger, type Random,
+} from 'chivestream-core';
+import {
+	outcomeKind, type JobRequest, type MinionRecord, type Outcome,
+} from 'chivestream-dispatch';
 import {type CallerService, type CallerServiceOptions} from '../caller-service.js';
 import {type EntryHost} from '../host.js';
 import {hostSettingsSchema, type HostSettings} from '../settings.js';
@@ -105,7 +109,6 @@
 		overlaps: [], starts: 0, submitted: 0, completed: 0, log: [],
 	};
 
-
 	constructor(options: SimulatedSiteOptions) {
 		this.options = options;
 		this.random = createRandom(options.seed);
@@ -249,7 +252,9 @@
 		const id = this.result.submitted.toString(16).padStart(16, '0');
 		const isLong = this.random() < 0.5;
 		this.workMsByJob.set(id, 30 + randomInteger(this.random, isLong ? 2500 : 300));
-		this.attempt(id, {index: randomInteger(this.random, this.hosts.length), count: 1 + randomInteger(this.random, 2), deadline: this.simulation.time + deadlineMs, number: 1});
+		this.attempt(id, {
+			index: randomInteger(this.random, this.hosts.length), count: 1 + randomInteger(this.random, 2), deadline: this.simulation.time + deadlineMs, number: 1,
+		});
 	}
 
 	/** Sends a job to a host, and again after a broken connection or an answer that leaves open whether it has run. */
--- a/packages/chivestream-host/src/__fixtures__/simulation.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulation.ts
@@ -32,7 +32,7 @@
 	private readonly random: Random;
 	private readonly context = new AsyncLocalStorage<SimulatedProcess>();
 	/** Events by their number, in no particular order. */
-	private events: Event[] = [];
+	private readonly events: Event[] = [];
 	private lastOrder = 0;
 
 	constructor(random: Random) {
