--- a/packages/chivestream-host/src/__fixtures__/simulated-site.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-site.ts
@@ -64,7 +64,7 @@
 	log: Array<[at: number, host: string, event: string, fields: string]>;
 };
 
-/** Runs a host in place of the one whose modules the test has replaced. */
+/** Creates an entry host; its modules for input and output are those that the test has put in place. */
 export type EntryHostConstructor = new (settings: HostSettings, report: (event: string, fields?: Record<string, unknown>) => void) => EntryHost;
 
 /** Unix time of the start of each simulation, in milliseconds. */
@@ -89,7 +89,7 @@
 const maxAttempts = 4;
 const stopGraceSeconds = 2;
 
-type Attempt = {host: SimulatedProcess; isBroken: boolean; sentAt: number; leave: () => void; fail: (delayMs: number) => void};
+type Attempt = {host: SimulatedProcess; isBroken: boolean; sentAt: number; fail: (delayMs: number) => void};
 
 type SimulatedHost = {process: SimulatedProcess; entryHost: EntryHost | undefined; service: CallerServiceOptions | undefined; settings: HostSettings};
 
@@ -278,9 +278,6 @@
 			host: process,
 			isBroken: false,
 			sentAt: simulation.time,
-			leave() {
-				cancel?.();
-			},
 			fail: delayMs => {
 				if (attempt.isBroken) {
 					return;
--- a/packages/chivestream-host/src/__fixtures__/simulation.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulation.ts
@@ -31,7 +31,7 @@
 	time = 0;
 	private readonly random: Random;
 	private readonly context = new AsyncLocalStorage<SimulatedProcess>();
-	/** Events by their number, in no particular order. */
+	/** A binary heap, the next event first. */
 	private readonly events: Event[] = [];
 	private lastOrder = 0;
 
