Log the runs that a dispatcher counts as ended with a minion's lease

A second run that starts while the first one has outlived its lease could not be told from one that starts for another reason: the only sign of it was a start.

--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -236,7 +236,17 @@
 
 	/** Handles the expiry of the lease on a minion: every run whose start the minion had confirmed has ended. */
 	handleLeaseExpiry(minion: Minion): void {
-		minion.runsLostInSilence.push(...this.endConfirmedRuns(minion));
+		const runs = this.endConfirmedRuns(minion);
+		minion.runsLostInSilence.push(...runs);
+		if (runs.length > 0) {
+			const now = this.dependencies.now();
+			this.dependencies.report('lease-expired', {
+				minion: minion.record.id,
+				expiredMs: Math.round(now - minion.leaseEndsAt),
+				silentMs: Math.round(now - minion.reportedAt),
+				runs: runs.map(run => describeRun(run, now)),
+			});
+		}
 	}
 
 	/** Handles the crash of a minion's current incarnation; further evidence of the same crash has no effect. */
