Fence off a request without an answer that grants a lease

What callers could see: two runs of a task. A start or a renewal without an answer may be carried out seconds later, after newer ones. If the minion counts its lease from then, its runs live on after the time by which the dispatcher has counted them as ended and started their tasks elsewhere.

Cause: nothing bounded the time in which such a request takes effect; the dispatcher went on with the same token.

Change: the session takes the next fencing token after each such request, so the minion refuses it once any later request has arrived. What is left are requests since the last answer. A start that is refused because this dispatcher itself has sent a higher token meanwhile is requested again, and counts neither as a failure of the minion nor as a lost claim.

--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -57,6 +57,15 @@
 		expect(recorded.starts.map(run => [run.task, run.number])).toEqual([[task(0), 1], [task(0), 2]]);
 	});
 
+	test('a start that a later request has fenced off is requested again and does not count as a failure of its minion', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m')]);
+		recorded.report('m');
+		recorded.submit(jobRequest(jobId, {objectiveDeadline: 9000, deadline: 9000}));
+		recorded.dispatcher.handleStartAnswer(recorded.starts[0]!, startAnswer.fencedOff);
+		expect(recorded.starts.map(run => [run.minion.record.id, run.number])).toEqual([['m', 1], ['m', 2]]);
+		expect(recorded.minion('m').consecutiveFailures).toBe(0);
+	});
+
 	test('a run whose start got no answer is stopped again on a restarted minion, which has not seen the first stop', () => {
 		const recorded = createRecordedDispatcher([minionRecord('m')]);
 		recorded.report('m');
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -48,6 +48,8 @@
 	refused: 'refused',
 	/** The run was not started, because the minion has had a run of the task with this or a higher number. */
 	superseded: 'superseded',
+	/** The run was not started, because the minion has received a later request of this dispatcher that fences off this one. */
+	fencedOff: 'fenced-off',
 	/** No answer was received; the run may still start. */
 	unknown: 'unknown',
 } as const;
@@ -227,7 +229,7 @@
 			assignedTask.state = taskState.waiting;
 			if (answer === startAnswer.superseded) {
 				assignedTask.lastRunNumber += 1;
-			} else {
+			} else if (answer === startAnswer.refused) {
 				this.recordFailure(run.minion);
 				assignedTask.avoidedMinions.add(run.minion.record.id);
 			}
--- a/packages/chivestream-host/src/__tests__/minion-session.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-session.test.ts
@@ -148,6 +148,38 @@
 	expect(runningAtExpiry).toBe(0);
 });
 
+// The minion counts the length of such a lease from when it carries the request out.
+test('a renewal without an answer that is carried out late does not let a run outlive the lease that its dispatcher counts on', async () => {
+	minion = await startMinion('i-1');
+	const {dispatcher} = startSession(minion);
+	await until(() => dispatcher.pool.minions.get('i-1')!.isSynced);
+	dispatcher.submit(createJob(), () => undefined);
+	await until(() => minion!.runningTasks().length > 0);
+	const carryOut = await minion.holdBackRenewal();
+	const handleReport = dispatcher.handleReport.bind(dispatcher);
+	let reports = 0;
+	dispatcher.handleReport = (...reported) => {
+		reports += 1;
+		// The second one answers a further renewal.
+		if (reports === 2) {
+			minion!.setAvailability(availability.silent);
+			setTimeout(carryOut, 400);
+		}
+
+		handleReport(...reported);
+	};
+
+	let runningAtExpiry: number | undefined;
+	const handleLeaseExpiry = dispatcher.handleLeaseExpiry.bind(dispatcher);
+	dispatcher.handleLeaseExpiry = expired => {
+		runningAtExpiry ??= minion!.runningTasks().length;
+		handleLeaseExpiry(expired);
+	};
+
+	await until(() => runningAtExpiry !== undefined);
+	expect(runningAtExpiry).toBe(0);
+});
+
 test('a minion is polled again after the handling of one report has failed', async () => {
 	minion = await startMinion('i-1');
 	const {dispatcher} = startSession(minion);
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -9,6 +9,7 @@
 import {type Report} from './host-log.js';
 import {type CellClaim, type HostRecord} from './messages.js';
 import {discoveryDeadline, hostTiming, reclaimDelayMs} from './timing.js';
+import {claimToken, tokenSaltCount} from './tokens.js';
 
 /** Dependencies and callbacks of the claim manager. */
 export type ClaimManagerOptions = {
@@ -52,15 +53,6 @@
 	onClaimLost: () => void;
 };
 
-/** Tokens count milliseconds from this time, so that they fit into 53 bits together with their random part. */
-const tokenEpochMs = Date.UTC(2025, 0, 1);
-
-/** Number of values of the random part of a token, which distinguishes hosts that claim in the same millisecond. */
-const tokenSaltCount = 1024;
-
-/** Number of consecutive tokens reserved for a claim: each further incarnation of a minion uses the next one. */
-const tokensPerClaim = 64;
-
 /** Added to the token time each time a minion has received a higher token, in milliseconds. */
 const tokenStepMs = 10_000;
 
@@ -239,8 +231,7 @@
 		} = this.options;
 		const {leaseMs, farFactor} = this.options.bounds();
 		const claimedAt = now();
-		const tokenTime = Date.now() - tokenEpochMs + this.tokenOffsetMs;
-		const token = ((tokenTime * tokenSaltCount) + randomInteger(this.random, tokenSaltCount)) * tokensPerClaim;
+		const token = claimToken(Date.now() + this.tokenOffsetMs, randomInteger(this.random, tokenSaltCount));
 		const service = new DispatchService({
 			token,
 			leaseMs,
--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -5,6 +5,7 @@
 } from 'chivestream-dispatch';
 import {type Report} from './host-log.js';
 import {runMinionSession, type MinionSession} from './minion-session.js';
+import {nextToken} from './tokens.js';
 
 /** Dependencies and callbacks of a dispatch service. */
 export type DispatchServiceOptions = {
@@ -77,7 +78,8 @@
 			const existing = this.sessions.get(id);
 			if (existing?.address !== minion.record.address) {
 				existing?.controller.abort();
-				this.startSession(id, existing?.token() ?? this.token);
+				// Requests of the previous session may still be carried out.
+				this.startSession(id, existing === undefined ? this.token : nextToken(existing.token()));
 				if (existing !== undefined) {
 					this.dispatcher.handleNewSession(minion);
 				}
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -1,7 +1,7 @@
 /** The session with one minion: renews its lease, applies the ends of its runs, and sends start and stop requests. */
 /* eslint-disable no-await-in-loop -- iterations are sequential */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Failure} from 'chivestream-core';
+import {failureCode, type Failure} from 'chivestream-core';
 import {
 	crashEvidence, runKey, startAnswer, type Dispatcher, type Minion, type Run, type Task,
 } from 'chivestream-dispatch';
@@ -12,12 +12,13 @@
 import {answerTimeout, createAnswerTimes} from './answer-timeout.js';
 import {runBackgroundLoop} from './background-loop.js';
 import {type Report} from './host-log.js';
+import {nextToken} from './tokens.js';
 
 /** Dependencies and callbacks of a minion session. */
 export type MinionSessionOptions = {
 	minion: Minion;
 	dispatcher: Dispatcher;
-	/** Fencing token for the minion's first incarnation that the session meets; each later one uses the next token. */
+	/** The first fencing token of the session. */
 	token: number;
 	/** The monotonic clock, in milliseconds. */
 	now: () => number;
@@ -63,6 +64,9 @@
  */
 const crashDetectionMs = 500;
 
+/** Whether a request without a valid answer may still be carried out: it was sent, and the minion has not refused it. */
+const mayBeCarriedOut = (error: Failure | Refusal): boolean => error instanceof Error && error.code !== failureCode.notReady;
+
 const reasonOf = (error: Failure | Refusal): string => error instanceof Error ? error.message : error;
 
 /** Starts the session; it ends when the signal aborts. */
@@ -84,6 +88,16 @@
 
 	const answerTimes = createAnswerTimes();
 
+	/**
+	 * Takes the next token after a request without an answer that grants a lease: the minion may carry it out at any later time, and would
+	 * then let its runs live longer than this dispatcher knows. From the next request that reaches it on, it refuses the earlier ones.
+	 */
+	const fenceOffUnanswered = (sentToken: number) => {
+		if (sentToken === token) {
+			token = nextToken(token);
+		}
+	};
+
 	const noteClosedConnection = (error: Failure | Refusal) => {
 		if (error instanceof Error && wasClosedByPeer(error)) {
 			closedAt = now();
@@ -110,9 +124,10 @@
 	/** Sends one request for the ends of runs, and applies its answer. */
 	const pollOnce = async (waitMs: number, renewsLease: boolean): Promise<Result<void, Failure | Refusal>> => {
 		const sentAt = now();
+		const sentToken = token;
 		const deadline = renewsLease ? grantLease() : undefined;
 		const hold = async (timeoutMs: number) => client.hold({
-			token, acknowledgedCursor: endCursor, waitMs, leaseDeadline: deadline,
+			token: sentToken, acknowledgedCursor: endCursor, waitMs, leaseDeadline: deadline,
 		}, timeoutMs);
 		const result = await (waitMs === 0
 			// A refusal is an answer, too.
@@ -124,7 +139,11 @@
 
 		if (result.isErr()) {
 			noteClosedConnection(result.error);
-			return result;
+			if (deadline !== undefined && mayBeCarriedOut(result.error)) {
+				fenceOffUnanswered(sentToken);
+			}
+
+			return result.error === refusal.fenced && sentToken < token ? new Err(refusal.other) : result;
 		}
 
 		closedAt = Number.NEGATIVE_INFINITY;
@@ -137,7 +156,7 @@
 			if (isRestart) {
 				// The new incarnation has seen no stop, and would still carry out earlier start requests. A higher token fences them off,
 				// so only what it reports under that token is final.
-				token += 1;
+				token = nextToken(token);
 				minionClock = {at: now(), time: response.minionTime};
 				return pollOnce(0, false);
 			}
@@ -226,8 +245,9 @@
 		}
 
 		wake?.();
+		const sentToken = token;
 		const result = await send(async timeoutMs => client.start({
-			task: run.task, number: run.number, payload: task.job.request.payload, token, leaseDeadline: deadline,
+			task: run.task, number: run.number, payload: task.job.request.payload, token: sentToken, leaseDeadline: deadline,
 		}, timeoutMs), ({answer}) => answer !== startAnswer.unknown);
 		if (signal.aborted) {
 			return;
@@ -239,10 +259,19 @@
 			});
 		}
 
+		if (result.refusal === refusal.fenced && sentToken < token) {
+			dispatcher.handleStartAnswer(run, startAnswer.fencedOff);
+			return;
+		}
+
 		if (result.refusal === refusal.fenced) {
 			options.onFenced();
 		}
 
+		if (result.answer === startAnswer.unknown) {
+			fenceOffUnanswered(sentToken);
+		}
+
 		dispatcher.handleStartAnswer(run, result.answer);
 		if (result.answer === startAnswer.unknown) {
 			await poll(0, false);
--- a/packages/chivestream-site-stand-ins/src/minion.ts
+++ b/packages/chivestream-site-stand-ins/src/minion.ts
@@ -34,6 +34,11 @@
 	 * [0, 1).
 	 */
 	delayStarts: (share: number, draw: () => number) => void;
+	/**
+	 * Holds back the next request that renews the lease; it gets no response. Resolves, once it has arrived, with a function that carries it
+	 * out, with its lease counted from then.
+	 */
+	holdBackRenewal: () => Promise<() => void>;
 	/** Sets the time by which each answer is delayed, in milliseconds; requests take effect without delay. */
 	delayAnswers: (delayMs: number) => void;
 	/** Simulates a crash and restart: all runs are lost, and a new incarnation starts. */
@@ -53,6 +58,8 @@
 
 type StartRequest = {task: string; run: number; fencing_token?: number; deadline_ms: number};
 
+type HoldRequest = {fencing_token?: number; ack_cursor?: number; deadline_ms?: number; wait_ms?: number};
+
 const status = {
 	ok: 200, badRequest: 400, notFound: 404, conflict: 409, misdirected: 421,
 } as const;
@@ -86,6 +93,7 @@
 	let delayedShare = 0;
 	let drawDelay = () => 1;
 	let answerDelayMs = 0;
+	let passHeldRenewal: ((carryOut: () => void) => void) | undefined;
 
 	const clock = () => Math.round(performance.now() - clockStart);
 
@@ -160,7 +168,7 @@
 		return jsonResponse(status.ok, {clock_ms: clock()});
 	};
 
-	const hold = async (holdRequest: {fencing_token?: number; ack_cursor?: number; deadline_ms?: number; wait_ms?: number}): Promise<StandInResponse> => {
+	const hold = async (holdRequest: HoldRequest): Promise<StandInResponse> => {
 		if ((holdRequest.fencing_token ?? 0) < highestToken) {
 			return refuse('fence');
 		}
@@ -228,7 +236,18 @@
 			}
 
 			case '/api/hold': {
-				return hold(parsedBody);
+				const request: HoldRequest = parsedBody;
+				if (passHeldRenewal !== undefined && request.deadline_ms !== undefined) {
+					const deadline = request.deadline_ms;
+					const arrivedAt = clock();
+					passHeldRenewal(() => {
+						void hold({...request, deadline_ms: deadline + clock() - arrivedAt});
+					});
+					passHeldRenewal = undefined;
+					return undefined;
+				}
+
+				return hold(request);
 			}
 
 			default: {
@@ -318,6 +337,9 @@
 			delayedShare = share;
 			drawDelay = draw;
 		},
+		holdBackRenewal: async () => new Promise(resolve => {
+			passHeldRenewal = resolve;
+		}),
 		delayAnswers(delayMs) {
 			answerDelayMs = delayMs;
 		},
