Keep the history of a job whose copy came first

What callers could see: two runs of a task, or a "not run" for a job of which a task was running.

Cause: a caller sends a copy to another host after a broken connection. If the copy reaches the next dispatcher before the submission of the first host, which names the earlier dispatcher and the minions of its runs, that one only joined the job: it still counted as one that has not run. As soon as the other minions had reported, a task that ran on a silent minion, or on one missing from the registry, was started again within its lease. Tasks that were done ran again as well, and a released copy named no minion.

Change: a submission that joins a job adds its history, and the tasks that were done. A job with a submission that names no earlier one waits for both: the reports of all minions, and what the history names.

--- a/packages/chivestream-dispatch/src/__tests__/lease.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/lease.test.ts
@@ -198,6 +198,61 @@
 	});
 });
 
+describe('a copy of a job that comes before the submission with its history', () => {
+	const claim = 9;
+	const history = {
+		submission: 1, mayHaveRun: true, previousSubmissions: [{claim: 7, leaseEndsAt: 1300, minionsByTask: {[task(0)]: ['silent']}}],
+	};
+	const origin = (name: string) => ({origin: name, leaseEndsAt: () => Infinity});
+	const noCrashes = () => undefined;
+
+	/** A new dispatcher that has the copy and the history of a job, and a minion that runs its first task and doesn't answer. */
+	const submitBoth = (request: Partial<JobRequest> = {}, isDraining = false) => {
+		const recorded = createRecordedDispatcher([minionRecord('m', {isDraining}), minionRecord('silent')], claim);
+		const outcomes: Outcome[] = [];
+		recorded.dispatcher.submit(patient(jobId, {}, 2), outcome => {
+			outcomes.push(outcome);
+		}, noCrashes, origin('b'));
+		recorded.dispatcher.submit(patient(jobId, {...history, ...request}, 2), () => undefined, noCrashes, origin('a'));
+		recorded.dispatcher.markUnreachable(recorded.minion('silent'));
+		recorded.report('m');
+		return {recorded, outcomes};
+	};
+
+	// The history was dropped, and the copy counted as a new job as soon as the other minions had reported.
+	test('waits with each task that may run on a silent minion', () => {
+		const {recorded} = submitBoth();
+		expect(recorded.starts.map(run => [run.task, run.number])).toEqual([[task(1), 33]]);
+		recorded.advance(1299);
+		recorded.dispatcher.tick();
+		expect(recorded.starts).toHaveLength(1);
+		recorded.advance(1);
+		recorded.dispatcher.tick();
+		expect(recorded.starts.map(run => [run.task, run.number])).toEqual([[task(1), 33], [task(0), 33]]);
+	});
+
+	test('is never refused as not run', () => {
+		const {recorded, outcomes} = submitBoth({}, true);
+		recorded.advance(20_000);
+		recorded.dispatcher.tick();
+		expect(outcomes.map(({kind}) => kind)).toEqual([outcomeKind.abandoned]);
+	});
+
+	test('does not run a task again that was done', () => {
+		const {recorded} = submitBoth({doneTasks: [task(0)]});
+		recorded.advance(1300);
+		recorded.dispatcher.tick();
+		expect(recorded.starts.map(run => run.task)).toEqual([task(1)]);
+	});
+
+	// The host with the copy would have taken it for one without runs, and submitted it to another cell at once.
+	test('is released without a list of minions while it waits for one', () => {
+		const {recorded, outcomes} = submitBoth();
+		recorded.dispatcher.release();
+		expect(outcomes).toEqual([{kind: outcomeKind.released, doneTasks: []}]);
+	});
+});
+
 describe('a job that its caller sends again at once', () => {
 	// The caller's connection was reset while the request was on its way; the copy reached another host.
 	test('goes on for the second host when the first one notices that its caller has left', () => {
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -8,7 +8,7 @@
 	createMinionPool, expectedSlowness, freeTasks, largestCapacities, type MinionPool,
 } from './minion-pool.js';
 import {
-	crashesOf, createJob, isComplete, jobIdOfTask, jobLeaseEndsAt, taskState, unblockTasks, type Job, type JobRequest, type Submission, type Task,
+	crashesOf, createJob, isComplete, jobIdOfTask, jobLeaseEndsAt, mergeHistories, taskState, unblockTasks, type Job, type JobRequest, type Submission, type Task,
 } from './job.js';
 import {
 	type Minion, type MinionRecord, type Resources, type Run,
@@ -362,13 +362,27 @@
 		this.dependencies.report('job-submitted-again', {
 			job: request.id, submission: request.submission, claim: this.dependencies.claim, origins: job.submissions.map(({origin}) => origin),
 		});
-		const {previousSubmissions = []} = request;
-		if (previousSubmissions.length > 0) {
-			job.request = {...job.request, previousSubmissions: [...job.request.previousSubmissions ?? [], ...previousSubmissions]};
+		// The direct successor of a submission to this dispatcher names no other dispatcher.
+		if (replaced === undefined || submission.number > replaced.number + 1) {
+			this.addHistory(job, request);
 		}
 
 		this.schedule();
-		return this.withdrawalOf(job, submission);
+		return job.isSettled ? noWithdrawal : this.withdrawalOf(job, submission);
+	}
+
+	/** Adds what a further submission says about earlier dispatchers of a job. */
+	private addHistory(job: Job, request: JobRequest): void {
+		if (!request.mayHaveRun) {
+			job.hasUnknownHistory = true;
+			return;
+		}
+
+		job.mayHaveRun = true;
+		job.request = mergeHistories(job.request, request);
+		this.runs.restoreTasks(job);
+		unblockTasks(job);
+		this.settleIfComplete(job);
 	}
 
 	private withdrawalOf(job: Job, submission: Submission): Withdrawal {
@@ -414,7 +428,8 @@
 
 	/** Ids of the minions on which each task of a job may be running; undefined if others may run some that have not reported them yet. */
 	private minionsByTask(job: Job, now: number): Record<string, string[]> | undefined {
-		if (!job.request.mayHaveRun && !this.runs.hasAskedMinions(now)) {
+		// A submitter without a history relies on this list alone.
+		if (job.hasUnknownHistory && job.tasks.some(task => !this.runs.hasObservedRuns(task, now))) {
 			return undefined;
 		}
 
--- a/packages/chivestream-dispatch/src/job.ts
+++ b/packages/chivestream-dispatch/src/job.ts
@@ -1,5 +1,5 @@
 /** Jobs as they are submitted, and their state in a dispatcher. */
-import {type CrashRecord} from './crash.js';
+import {mergeCrashes, type CrashRecord} from './crash.js';
 import {type Outcome} from './outcome.js';
 import {type Run} from './minion.js';
 
@@ -106,6 +106,8 @@
 	tasks: Task[];
 	/** Whether a task may have run: a start was requested, or another dispatcher may have started one. */
 	mayHaveRun: boolean;
+	/** Whether a submission names no earlier one. The host with the caller's first connection may have been lost, and runs be alive. */
+	hasUnknownHistory: boolean;
 	/** Whether this dispatcher has placed a task of the job. */
 	hasStarted: boolean;
 	/** Whether the job has an outcome. */
@@ -134,6 +136,9 @@
 /** Run numbers reserved for each submission of a job, so that the numbers of the next submission are higher. */
 const runsPerSubmission = 32;
 
+/** The run number after which the runs of a submission are counted. */
+export const runNumberBefore = (submission: number): number => submission * runsPerSubmission;
+
 /** Name of a task on its minion: job id, occurrence (always 0), step index and task index. */
 export const taskName = (jobId: string, stepIndex: number, index: number): string => `${jobId}.0.${stepIndex}.${index}`;
 
@@ -155,7 +160,7 @@
 /** Creates a job with its tasks; tasks of steps without dependencies can be placed at once. */
 export const createJob = (request: JobRequest, arrivedAt: number, submission: Submission): Job => {
 	const job: Job = {
-		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasStarted: false, isSettled: false, submissions: [submission],
+		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasUnknownHistory: !request.mayHaveRun, hasStarted: false, isSettled: false, submissions: [submission],
 	};
 	for (const [stepIndex, step] of request.steps.entries()) {
 		for (let index = 0; index < step.count; index += 1) {
@@ -165,7 +170,7 @@
 				stepIndex,
 				step,
 				state: step.dependsOn.length === 0 ? taskState.waiting : taskState.blocked,
-				lastRunNumber: request.submission * runsPerSubmission,
+				lastRunNumber: runNumberBefore(request.submission),
 				failures: 0,
 				avoidedMinions: new Set(),
 				crashes: undefined,
@@ -176,6 +181,27 @@
 	return job;
 };
 
+/** Adds the history of a further submission of a job to the request of the first one. */
+export const mergeHistories = (job: JobRequest, other: JobRequest): JobRequest => {
+	const requests = [job, other];
+	const previousSubmissions = requests.flatMap(request => request.previousSubmissions ?? []);
+	const isKnown = previousSubmissions.length > 0 || other.previousSubmissions !== undefined;
+	const {previousSubmissions: _, ...rest} = job;
+	const crashes = {...job.crashes};
+	for (const [task, record] of Object.entries(other.crashes ?? {})) {
+		crashes[task] = mergeCrashes(crashes[task], record)!;
+	}
+
+	return {
+		...rest,
+		submission: Math.max(job.submission, other.submission),
+		mayHaveRun: true,
+		doneTasks: requests.flatMap(({doneTasks = []}) => doneTasks),
+		crashes,
+		...(isKnown && {previousSubmissions}),
+	};
+};
+
 /** Whether all tasks of the job have completed. */
 export const isComplete = (job: Job): boolean => job.tasks.every(task => task.state === taskState.done);
 
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -3,7 +3,7 @@
 	addRun, expectedSlowness, slownessOfKind, registerMinion, removeRun, type MinionPool,
 } from './minion-pool.js';
 import {
-	mustRunAlone, taskState, type Job, type PreviousSubmission, type Task,
+	mustRunAlone, runNumberBefore, taskState, type Job, type PreviousSubmission, type Task,
 } from './job.js';
 import {
 	crashEvidence, CrashRecords, describeRun, hasCrashed, incarnationKey, isGivenUp, mergeCrashes, recordsOfCrash, type CrashEvidence,
@@ -337,6 +337,11 @@
 	restoreTasks(job: Job): void {
 		for (const task of job.tasks) {
 			task.crashes = mergeCrashes(job.request.crashes?.[task.name], this.crashes.get(task.name));
+			task.lastRunNumber = Math.max(task.lastRunNumber, runNumberBefore(job.request.submission));
+			if (task.state === taskState.running) {
+				continue;
+			}
+
 			if (this.inheritedDoneTasks.has(task.name) || job.request.doneTasks?.includes(task.name)) {
 				task.state = taskState.done;
 				job.mayHaveRun = true;
@@ -370,10 +375,14 @@
 	 * Whether no run of a task is alive that other dispatchers have started and this one does not know: its minion has reported to this
 	 * dispatcher, or the lease on the job has expired.
 	 */
-	hasObservedRuns({name, job: {request}}: Task, now: number): boolean {
-		const {mayHaveRun, previousSubmissions} = request;
+	hasObservedRuns({name, job}: Task, now: number): boolean {
+		if (job.hasUnknownHistory && !this.hasAskedMinions(now)) {
+			return false;
+		}
+
+		const {mayHaveRun, previousSubmissions} = job.request;
 		if (!mayHaveRun) {
-			return this.hasAskedMinions(now);
+			return true;
 		}
 
 		if (previousSubmissions === undefined) {
