Count a minion as heard only by its current incarnation

What callers could see: two runs of a task. A dispatcher that takes over a job waits until the minions of its runs have reported, since they refuse requests with lower tokens from then on. A minion that had reported and restarted still counted, though its new incarnation has received no token: the dispatcher before could have started the run there after that report.

Change: a new incarnation has not reported. A session whose minion has restarted by its registry entry polls it at once, instead of after up to 1.5 s; until then it would carry out requests to its earlier incarnation.

The earlier poll has no test.

--- a/packages/chivestream-dispatch/src/__tests__/lease.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/lease.test.ts
@@ -151,6 +151,18 @@
 		expect(recorded.starts.map(run => run.task)).toEqual([task(1), task(0)]);
 	});
 
+	// The report of the incarnation before counted as one of the minion, which has received no token since.
+	test('waits for a report of a minion that has restarted', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m'), minionRecord('n')], claim);
+		recorded.report('m');
+		recorded.report('n');
+		recorded.dispatcher.recordIncarnation(recorded.minion('n'), 2);
+		recorded.submit(patient(jobId, {submission: 1, mayHaveRun: true, previousSubmissions: [{...previous, minionsByTask: {[task(0)]: ['n']}}]}));
+		expect(recorded.starts).toHaveLength(0);
+		recorded.report('n');
+		expect(recorded.starts).toHaveLength(1);
+	});
+
 	test('keeps the run on an unregistered minion that its dispatcher has passed on', () => {
 		const recorded = createRecordedDispatcher([minionRecord('m')], claim);
 		recorded.report('m');
--- a/packages/chivestream-dispatch/src/minion.ts
+++ b/packages/chivestream-dispatch/src/minion.ts
@@ -80,7 +80,7 @@
 	isSynced: boolean;
 	/** Whether the minion answered the last call. */
 	isReachable: boolean;
-	/** When the minion last reported its runs. */
+	/** When the minion's current incarnation last reported its runs. */
 	reportedAt: number;
 	/** When every run under the leases that the minion was granted has ended at the latest. */
 	leaseEndsAt: number;
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -298,6 +298,8 @@
 		minion.bornAt = bornAt;
 		this.dependencies.report('minion-reborn', {minion: minion.record.id, bornAt});
 		minion.isSynced = false;
+		// The new incarnation has received no token, so other dispatchers may start runs there until its first report.
+		minion.reportedAt = Number.NEGATIVE_INFINITY;
 		resetFailures(minion);
 		for (const run of minion.runs.values()) {
 			this.stopUnansweredAgain(run);
--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -83,6 +83,9 @@
 				if (existing !== undefined) {
 					this.dispatcher.handleNewSession(minion);
 				}
+			} else if (!minion.isSynced) {
+				// A new incarnation carries out the requests to earlier ones until it has received the next token.
+				existing.wake();
 			}
 		}
 	}
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -34,6 +34,8 @@
 export type MinionSession = {
 	start: (run: Run, task: Task) => void;
 	stop: (run: Run) => void;
+	/** Polls the minion without a further pause. */
+	wake: () => void;
 	/** The minion's address. */
 	address: string;
 	/** The fencing token that it uses now. */
@@ -308,5 +310,8 @@
 		stop(run) {
 			void sendStop(run);
 		},
+		wake() {
+			wake?.();
+		},
 	};
 };
