--- /dev/null
+++ b/packages/chivestream-host/src/__fixtures__/simulated-callers.ts
@@ -0,0 +1,175 @@
+/** The callers of a simulated site: they send jobs to its hosts, and again after broken connections. */
+import {pickRandom, randomInteger, type Random} from 'chivestream-core';
+import {outcomeKind, type JobRequest, type Outcome} from 'chivestream-dispatch';
+import {type CallerServiceOptions} from '../caller-service.js';
+import {type EntryHost} from '../host.js';
+import {type HostSettings} from '../settings.js';
+import {type SimulatedNetwork} from './simulated-network.js';
+import {type SimulatedProcess, type Simulation} from './simulation.js';
+
+/** A host of a simulated site, with the HTTP service that it has created. */
+export type SimulatedHost = {process: SimulatedProcess; entryHost: EntryHost | undefined; service: CallerServiceOptions | undefined; settings: HostSettings};
+
+/** The parts of a site that its callers need. */
+export type SimulatedCallersOptions = {
+	simulation: Simulation;
+	network: SimulatedNetwork;
+	random: Random;
+	hosts: readonly SimulatedHost[];
+	/** As in `SimulatedSiteOptions`. */
+	resendsAtOnce: boolean;
+	log: (host: string, event: string, fields: Record<string, unknown>) => void;
+};
+
+const upstream = 'desk';
+const taskMillicores = 14_000;
+const resendMs = 1300;
+const resendAtOnceMs = 10;
+/** Age of a request up to which its caller sends it again at once, in milliseconds. */
+const freshRequestMs = 40;
+const deadlineMs = 5000;
+const maxAttempts = 4;
+
+type Attempt = {host: SimulatedProcess; isBroken: boolean; sentAt: number; fail: (delayMs: number) => void};
+
+/** Sends jobs to the hosts. */
+export class SimulatedCallers {
+	submitted = 0;
+	completed = 0;
+	private readonly options: SimulatedCallersOptions;
+	private readonly workMsByJob = new Map<string, number>();
+	private readonly attempts = new Set<Attempt>();
+
+	constructor(options: SimulatedCallersOptions) {
+		this.options = options;
+	}
+
+	/** Number of requests that wait for an answer of a process. */
+	inProgress(process: SimulatedProcess): number {
+		return [...this.attempts].filter(attempt => attempt.host === process && !attempt.isBroken).length;
+	}
+
+	/** How long a task of a job takes, in milliseconds. */
+	workMs(job: string): number {
+		return this.workMsByJob.get(job) ?? 0;
+	}
+
+	/** Sends a new job to a host. */
+	submitNewJob(): void {
+		this.submitted += 1;
+		const id = this.submitted.toString(16).padStart(16, '0');
+		const isLong = this.options.random() < 0.5;
+		this.workMsByJob.set(id, 30 + randomInteger(this.options.random, isLong ? 2500 : 300));
+		this.attempt(id, {
+			index: randomInteger(this.options.random, this.options.hosts.length), count: 1 + randomInteger(this.options.random, 2), deadline: this.options.simulation.time + deadlineMs, number: 1,
+		});
+	}
+
+	/** Breaks a share of the connections of callers to a host. */
+	failAttempts(process: SimulatedProcess, share: number): void {
+		for (const attempt of this.attempts) {
+			if (attempt.host === process && this.options.random() < share) {
+				attempt.fail(0);
+			}
+		}
+	}
+
+	/** Sends a job to a host, and again after a broken connection or an answer that leaves open whether it has run. */
+	private attempt(id: string, job: {index: number; count: number; deadline: number; number: number}): void {
+		const {simulation, network} = this.options;
+		const host = this.options.hosts[job.index]!;
+		const {process, service} = host;
+		this.options.log('-', 'job-sent', {job: id, host: process.name, number: job.number});
+		const path = () => network.delay(`caller ${id}`, process.name);
+		const resend = (index: number, delayMs: number) => {
+			if (job.number < maxAttempts && simulation.time + delayMs < job.deadline) {
+				simulation.schedule(delayMs, () => {
+					this.attempt(id, {...job, index, number: job.number + 1});
+				});
+			}
+		};
+
+		const anyHost = () => randomInteger(this.options.random, this.options.hosts.length);
+		let cancel: (() => void) | undefined;
+		const attempt: Attempt = {
+			host: process,
+			isBroken: false,
+			sentAt: simulation.time,
+			fail: delayMs => {
+				if (attempt.isBroken) {
+					return;
+				}
+
+				attempt.isBroken = true;
+				this.options.log('-', 'caller-connection-broken', {job: id, host: process.name, number: job.number});
+				this.attempts.delete(attempt);
+				const isFresh = this.options.resendsAtOnce && simulation.time - attempt.sentAt < freshRequestMs;
+				const nearby = this.options.hosts.flatMap(({settings}, index) => settings.host.zone === host.settings.host.zone && index !== job.index ? [index] : []);
+				if (isFresh && nearby.length > 0) {
+					resend(pickRandom(this.options.random, nearby), delayMs + resendAtOnceMs);
+				} else {
+					resend(anyHost(), delayMs + resendMs);
+				}
+
+				// The host notices the broken connection at a time of its own.
+				simulation.schedule(this.options.random() * resendAtOnceMs, () => {
+					cancel?.();
+				}, process);
+			},
+		};
+		this.attempts.add(attempt);
+		if (!process.isAlive || service === undefined) {
+			attempt.fail(path());
+			return;
+		}
+
+		const answer = (outcome: Outcome) => {
+			simulation.schedule(path(), () => {
+				if (attempt.isBroken) {
+					return;
+				}
+
+				this.attempts.delete(attempt);
+				if (outcome.kind === outcomeKind.completed) {
+					this.completed += 1;
+				} else if (outcome.kind === outcomeKind.abandoned) {
+					resend(anyHost(), resendMs);
+				}
+			});
+		};
+
+		simulation.schedule(path(), () => {
+			if (attempt.isBroken) {
+				return;
+			}
+
+			const now = service.now();
+			const pending = service.runJob(this.createRequest(id, job.count, {now, deadline: now + job.deadline - attempt.sentAt}));
+			cancel = () => {
+				pending.cancel();
+			};
+
+			void pending.outcome.then(outcome => {
+				answer(outcome);
+			});
+		}, process);
+	}
+
+	private createRequest(id: string, count: number, {now, deadline}: {now: number; deadline: number}): JobRequest {
+		return {
+			id,
+			payload: 'work',
+			steps: [{
+				count, millicores: taskMillicores, memoryMb: 64, accelerators: 0, estimateMs: this.workMsByJob.get(id)!, dependsOn: [],
+			}],
+			route: 'r',
+			upstream,
+			priority: 0,
+			maxAttempts: 3,
+			objectiveDeadline: Math.min(deadline, now + 3000),
+			deadline,
+			submission: 0,
+			mayHaveRun: false,
+		};
+	}
+}
--- /dev/null
+++ b/packages/chivestream-host/src/__fixtures__/simulated-faults.ts
@@ -0,0 +1,165 @@
+/** Faults of a simulated site. */
+import {type SimulatedCallers, type SimulatedHost} from './simulated-callers.js';
+import {type SimulatedMinion} from './simulated-minion.js';
+import {type SimulatedNetwork} from './simulated-network.js';
+import {type Simulation} from './simulation.js';
+
+/** Kinds of faults. */
+export const siteFault = {
+	kill: 'kill',
+	/** A planned stop, after which the host starts again. */
+	stop: 'stop',
+	freeze: 'freeze',
+	/** The path between two hosts is cut. */
+	cutHosts: 'cut of two hosts',
+	/** The paths between a host and all others are cut. */
+	isolate: 'cut of a host from all others',
+	/** The paths between a host and half of the minions are cut. */
+	cutMinions: 'cut of a host from minions',
+	/** Connections of a host are reset, those of callers included. */
+	reset: 'reset',
+	/** The store turns a host away. */
+	turnAway: 'store turns a host away',
+	/** The store turns all hosts away. */
+	storeAway: 'store away',
+	/** The entries of some minions expire. */
+	lapse: 'lapse',
+	minionCrash: 'crash of a minion',
+} as const;
+
+/** A fault at a time after the start of the load, both times in milliseconds; the targets are chosen by their numbers. */
+export type ScheduledFault = {at: number; kind: (typeof siteFault)[keyof typeof siteFault]; target: number; other: number; lengthMs: number};
+
+/** The parts of a site that faults affect. */
+export type FaultySite = {
+	simulation: Simulation;
+	network: SimulatedNetwork;
+	hosts: readonly SimulatedHost[];
+	minions: readonly SimulatedMinion[];
+	callers: SimulatedCallers;
+	/** Until when the minions write no entries, by their ids. */
+	lapsedUntil: Map<string, number>;
+	restartHost: (host: SimulatedHost) => void;
+	writeEntry: (minion: SimulatedMinion) => void;
+	log: (host: string, event: string, fields: Record<string, unknown>) => void;
+};
+
+/** Injects a fault now. */
+export const injectFault = (site: FaultySite, {kind, target, other, lengthMs}: ScheduledFault): void => {
+	const {
+		simulation, network, hosts, minions,
+	} = site;
+	const host = hosts[target % hosts.length]!;
+	const {process} = host;
+	const others = hosts.filter(found => found !== host).map(found => found.process.name);
+	const minion = minions[target % minions.length]!;
+	site.log('-', `fault: ${kind}`, {
+		host: process.name, minion: minion.record.id, other, lengthMs,
+	});
+	const restartAfter = (delayMs: number) => {
+		simulation.schedule(delayMs, () => {
+			site.restartHost(host);
+		});
+	};
+
+	const end = () => {
+		if (process.isAlive) {
+			process.isAlive = false;
+			network.close(process);
+			site.callers.failAttempts(process, 1);
+		}
+	};
+
+	switch (kind) {
+		case siteFault.kill: {
+			if (process.isAlive) {
+				end();
+				restartAfter(Math.min(1500, lengthMs));
+			}
+
+			break;
+		}
+
+		case siteFault.stop: {
+			if (process.isAlive && process.pausedUntil <= simulation.time) {
+				simulation.runAs(process, () => {
+					void host.entryHost!.stop().then(() => {
+						if (process.isAlive) {
+							end();
+							restartAfter(Math.min(1000, lengthMs));
+						}
+					});
+				});
+			}
+
+			break;
+		}
+
+		case siteFault.freeze: {
+			process.pausedUntil = Math.max(process.pausedUntil, simulation.time + lengthMs);
+			break;
+		}
+
+		case siteFault.cutHosts: {
+			network.cut(process.name, others[other % others.length]!, lengthMs);
+			break;
+		}
+
+		case siteFault.isolate: {
+			for (const name of others) {
+				network.cut(process.name, name, lengthMs);
+			}
+
+			break;
+		}
+
+		case siteFault.cutMinions: {
+			for (const [number, {record}] of minions.entries()) {
+				if ((number + other) % 2 === 0) {
+					network.cut(process.name, record.id, lengthMs);
+				}
+			}
+
+			break;
+		}
+
+		case siteFault.reset: {
+			const share = (1 + (other % 4)) / 4;
+			network.reset(process.name, share);
+			site.callers.failAttempts(process, share);
+			break;
+		}
+
+		case siteFault.turnAway: {
+			network.turnAway(process.name, lengthMs);
+			break;
+		}
+
+		case siteFault.storeAway: {
+			network.turnAway('*', lengthMs);
+			break;
+		}
+
+		case siteFault.lapse: {
+			for (const [number, {record}] of minions.entries()) {
+				if ((number + other) % 3 === 0) {
+					site.lapsedUntil.set(record.id, simulation.time + lengthMs);
+					network.write('keyed.servers', record.id, undefined);
+				}
+			}
+
+			break;
+		}
+
+		case siteFault.minionCrash: {
+			if (minion.isUp) {
+				minion.crash();
+				network.closeMinion(minion.record.id);
+				simulation.schedule(Math.min(1000, lengthMs), () => {
+					minion.restart();
+					site.writeEntry(minion);
+				});
+			}
+		}
+	}
+};
--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -5,8 +5,9 @@
 } from '@jest/globals';
 import {createRandom, randomInteger} from 'chivestream-core';
 import fc from 'fast-check';
+import {siteFault, type ScheduledFault} from '../__fixtures__/simulated-faults.js';
 import {
-	epochMs, siteFault, SimulatedSite, type EntryHostConstructor, type ScheduledFault, type SimulatedSiteOptions, type SimulatedSiteResult,
+	epochMs, SimulatedSite, type EntryHostConstructor, type SimulatedSiteOptions, type SimulatedSiteResult,
 } from '../__fixtures__/simulated-site.js';
 
 let site: SimulatedSite;
