Simulation: late orders and late grants

PROTOCOL lets a call without a response be executed seconds later, after newer calls. The simulation had only late starts, by 0.5 to 2.5 s, and no fault that turned them on. Two newer faults carry a share of the starts, stops and holds out 2 to 12 s later, by the incarnation that the minion has then; with late grants only those with a lease, whose deadline is later by as much. They have a list of their own and draw nothing while none is active, so the cases of the older property and of the kills are those of before. A new property draws from both lists, with tasks of 1 to 3 s; pairs of a newer fault and an older one have seeds of their own, more of them with RUN_ORDER_PAIRS and RUN_ORDER_FIRST_PAIR.

--- a/packages/chivestream-host/src/__fixtures__/simulated-callers.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-callers.ts
@@ -10,6 +10,9 @@
 /** A host of a simulated site, with the HTTP service that it has created. */
 export type SimulatedHost = {process: SimulatedProcess; entryHost: EntryHost | undefined; service: CallerServiceOptions | undefined; settings: HostSettings};
 
+/** Least and greatest length of time, in milliseconds. */
+export type LengthRange = {least: number; most: number};
+
 /** The parts of a site that its callers need. */
 export type SimulatedCallersOptions = {
 	simulation: Simulation;
@@ -18,6 +21,8 @@
 	hosts: readonly SimulatedHost[];
 	/** As in `SimulatedSiteOptions`. */
 	resendsAtOnce: boolean;
+	/** As in `SimulatedSiteOptions`. */
+	workMs: LengthRange | undefined;
 	log: (host: string, event: string, fields: Record<string, unknown>) => void;
 };
 
@@ -58,8 +63,7 @@
 	submitNewJob(): void {
 		this.submitted += 1;
 		const id = this.submitted.toString(16).padStart(16, '0');
-		const isLong = this.options.random() < 0.5;
-		this.workMsByJob.set(id, 30 + randomInteger(this.options.random, isLong ? 2500 : 300));
+		this.workMsByJob.set(id, this.drawWorkMs());
 		this.attempt(id, {
 			index: randomInteger(this.options.random, this.options.hosts.length), count: 1 + randomInteger(this.options.random, 2), deadline: this.options.simulation.time + deadlineMs, number: 1,
 		});
@@ -74,6 +78,16 @@
 		}
 	}
 
+	private drawWorkMs(): number {
+		const {random, workMs} = this.options;
+		if (workMs !== undefined) {
+			return workMs.least + randomInteger(random, workMs.most - workMs.least);
+		}
+
+		const isLong = random() < 0.5;
+		return 30 + randomInteger(random, isLong ? 2500 : 300);
+	}
+
 	/** Sends a job to a host, and again after a broken connection or an answer that leaves open whether it has run. */
 	private attempt(id: string, job: {index: number; count: number; deadline: number; number: number}): void {
 		const {simulation, network} = this.options;
--- a/packages/chivestream-host/src/__fixtures__/simulated-faults.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-faults.ts
@@ -1,7 +1,7 @@
 /** Faults of a simulated site. */
 import {type SimulatedCallers, type SimulatedHost} from './simulated-callers.js';
 import {type SimulatedMinion} from './simulated-minion.js';
-import {type SimulatedNetwork} from './simulated-network.js';
+import {lateLease, type SimulatedNetwork} from './simulated-network.js';
 import {type Simulation} from './simulation.js';
 
 /** Kinds of faults. */
@@ -27,8 +27,18 @@
 	minionCrash: 'crash of a minion',
 } as const;
 
+/** Kinds of faults that came later; a list of their own keeps the cases that are drawn from the list above. */
+export const newerFault = {
+	/** Requests to minions are carried out late, and not answered. */
+	lateOrders: 'late orders',
+	/** The same for requests that carry a lease, whose length counts from their arrival. */
+	lateGrants: 'late grants',
+} as const;
+
+type FaultKind = (typeof siteFault)[keyof typeof siteFault] | (typeof newerFault)[keyof typeof newerFault];
+
 /** A fault at a time after the start of the load, both times in milliseconds; the targets are chosen by their numbers. */
-export type ScheduledFault = {at: number; kind: (typeof siteFault)[keyof typeof siteFault]; target: number; other: number; lengthMs: number};
+export type ScheduledFault = {at: number; kind: FaultKind; target: number; other: number; lengthMs: number};
 
 /** The parts of a site that faults affect. */
 export type FaultySite = {
@@ -44,6 +54,9 @@
 	log: (host: string, event: string, fields: Record<string, unknown>) => void;
 };
 
+/** The share of requests that a disturbance meets, chosen by a number. */
+const shareOf = (other: number): number => (1 + (other % 5)) / 10;
+
 /** Injects a fault now. */
 export const injectFault = (site: FaultySite, {kind, target, other, lengthMs}: ScheduledFault): void => {
 	const {
@@ -160,6 +173,17 @@
 					site.writeEntry(minion);
 				});
 			}
+
+			break;
+		}
+
+		case newerFault.lateOrders: {
+			network.delayRequests(shareOf(other), lateLease.kept, lengthMs);
+			break;
+		}
+
+		case newerFault.lateGrants: {
+			network.delayRequests(shareOf(other), lateLease.fromArrival, lengthMs);
 		}
 	}
 };
--- a/packages/chivestream-host/src/__fixtures__/simulated-network.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-network.ts
@@ -18,9 +18,23 @@
 /** How long a late request takes until it is carried out, in milliseconds. */
 const lateRequestMs = {least: 500, most: 2500} as const;
 
+/** How long a request takes until it is carried out after newer ones, in milliseconds. */
+const overtakenRequestMs = {least: 2000, most: 12_000} as const;
+
 /** Time that the store takes to answer, in milliseconds. */
 const storeAnswerMs = 4;
 
+/** What counts as the deadline of the lease in a request that is carried out late. */
+export const lateLease = {
+	/** The deadline in the request, on the minion's clock. */
+	kept: 'kept',
+	/** The same time after the request's arrival as it would have been without its lateness. */
+	fromArrival: 'from arrival',
+} as const;
+
+/** A disturbance of a share of the requests to minions; those with a lease only, if it counts from their arrival. */
+type Lateness = {share: number; until: number; lease: (typeof lateLease)[keyof typeof lateLease]};
+
 type Connection = {from: SimulatedProcess; to: string; break: (reason: string) => void};
 
 /** One end of a stream between two hosts. */
@@ -61,6 +75,7 @@
 	readonly minions = new Map<string, SimulatedMinion>();
 	private readonly simulation: Simulation;
 	private readonly random: Random;
+	private readonly latenesses: Lateness[] = [];
 	private readonly listeners = new Map<string, Listener>();
 	private readonly connections = new Set<Connection>();
 	/** When the cut of a path ends, by the names of both ends. */
@@ -92,6 +107,11 @@
 		}
 	}
 
+	/** A share of the requests to all minions isn't answered, and is carried out seconds later, after newer ones. */
+	delayRequests(share: number, lease: Lateness['lease'], lengthMs: number): void {
+		this.latenesses.push({share, lease, until: this.simulation.time + lengthMs});
+	}
+
 	/** Breaks the connections of a process that has exited. */
 	close(process: SimulatedProcess): void {
 		for (const connection of this.connections) {
@@ -229,8 +249,8 @@
 		/** Sends a request; `handle` carries it out and passes its answer on. */
 		const send = async <Answer>(
 			timeoutMs: number,
-			isStart: boolean,
-			handle: (minion: SimulatedMinion, answer: (reply: Answer) => void) => void,
+			kind: {isStart: boolean; hasLease: boolean},
+			handle: (minion: SimulatedMinion, answer: (reply: Answer) => void, laterLeaseMs: number) => void,
 		) => new Promise<Result<Answer, Failure>>(resolve => {
 			let isSettled = false;
 			const settle = (result: Result<Answer, Failure>) => {
@@ -260,8 +280,18 @@
 				}, from);
 			}, timeoutMs);
 			const minion = this.minions.get(id)!;
-			const isLate = isStart && this.random() < this.lateShare;
+			const isLate = kind.isStart && this.random() < this.lateShare;
 			const arrivalMs = isLate ? lateRequestMs.least + (this.random() * (lateRequestMs.most - lateRequestMs.least)) : this.delay(from.name, id);
+			const lateness = this.drawLateness(kind.hasLease);
+			if (lateness !== undefined) {
+				this.simulation.schedule(lateness.ms, () => {
+					if (minion.isUp) {
+						handle(minion, () => undefined, lateness.lease === lateLease.fromArrival ? lateness.ms : 0);
+					}
+				});
+				return;
+			}
+
 			this.simulation.schedule(arrivalMs, () => {
 				// What a cut has held up is lost once its sender has given the request up.
 				if (!isLate && !this.connections.has(connection) && arrivalMs > latencyMs.most) {
@@ -281,27 +311,28 @@
 							}
 						}, from);
 					}
-				});
+				}, 0);
 			});
 		});
 
 		return {
 			async start(startRequest, timeoutMs) {
-				const result = await send<Awaited<ReturnType<MinionClient['start']>>>(timeoutMs, true, (minion, answer) => {
-					answer(minion.start(startRequest));
+				const result = await send<Awaited<ReturnType<MinionClient['start']>>>(timeoutMs, {isStart: true, hasLease: true}, (minion, answer, laterLeaseMs) => {
+					answer(minion.start({...startRequest, leaseDeadline: startRequest.leaseDeadline + laterLeaseMs}));
 				});
 				const unanswered: StartAnswer = startAnswer.unknown;
 				return result.isOk() ? result.value : {answer: unanswered, refusal: refusal.other, detail: result.error.message};
 			},
 			async stop(task, number, token, timeoutMs) {
-				const result = await send<boolean>(timeoutMs, false, (minion, answer) => {
+				const result = await send<boolean>(timeoutMs, {isStart: false, hasLease: false}, (minion, answer) => {
 					answer(minion.stop(task, number, token));
 				});
 				return result.andThen(isConfirmed => isConfirmed ? new Ok(undefined) : new Err(new Failure(failureCode.protocolError, 'unexpected status 409', origin)));
 			},
 			async hold(holdRequest, timeoutMs) {
-				const result = await send<Awaited<ReturnType<MinionClient['hold']>>>(timeoutMs, false, (minion, answer) => {
-					minion.hold(holdRequest, answer);
+				const {leaseDeadline} = holdRequest;
+				const result = await send<Awaited<ReturnType<MinionClient['hold']>>>(timeoutMs, {isStart: false, hasLease: leaseDeadline !== undefined}, (minion, answer, laterLeaseMs) => {
+					minion.hold({...holdRequest, leaseDeadline: leaseDeadline === undefined ? undefined : leaseDeadline + laterLeaseMs}, answer);
 				});
 				return result.isOk() ? result.value : result;
 			},
@@ -367,6 +398,17 @@
 		};
 	}
 
+	/** The lateness of a request, if a disturbance meets it now. */
+	private drawLateness(hasLease: boolean): {ms: number; lease: Lateness['lease']} | undefined {
+		for (const {share, until, lease} of this.latenesses) {
+			if (this.simulation.time < until && (hasLease || lease === lateLease.kept) && this.random() < share) {
+				return {ms: Math.round(overtakenRequestMs.least + (this.random() * (overtakenRequestMs.most - overtakenRequestMs.least))), lease};
+			}
+		}
+
+		return undefined;
+	}
+
 	private topic(name: string): StoreTopic {
 		const found = this.topics.get(name) ?? {records: [], newest: new Map(), waiters: new Set()};
 		this.topics.set(name, found);
--- a/packages/chivestream-host/src/__fixtures__/simulated-site.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-site.ts
@@ -4,7 +4,7 @@
 import {type CallerService, type CallerServiceOptions} from '../caller-service.js';
 import {type EntryHost} from '../host.js';
 import {hostSettingsSchema, type HostSettings} from '../settings.js';
-import {SimulatedCallers, type SimulatedHost} from './simulated-callers.js';
+import {SimulatedCallers, type LengthRange, type SimulatedHost} from './simulated-callers.js';
 import {injectFault, type FaultySite, type ScheduledFault} from './simulated-faults.js';
 import {SimulatedMinion} from './simulated-minion.js';
 import {SimulatedNetwork} from './simulated-network.js';
@@ -22,6 +22,10 @@
 	/** Whether callers whose connection breaks within a few milliseconds send their job again at once, to another host of the zone. */
 	resendsAtOnce: boolean;
 	faults: readonly ScheduledFault[];
+	/** How long the tasks take; by default half of them up to 0.3 s and half up to 2.5 s. */
+	workMs?: LengthRange;
+	/** Time between two new jobs, in milliseconds. */
+	jobIntervalMs?: number;
 	/** Time with load, in milliseconds. */
 	lengthMs: number;
 };
@@ -51,7 +55,7 @@
 const startMs = 4500;
 /** Time after the last job, in milliseconds. */
 const drainMs = 4000;
-const jobIntervalMs = 70;
+const usualJobIntervalMs = 70;
 const stopGraceSeconds = 2;
 
 /** A site whose modules for input and output delegate to `network`. */
@@ -78,6 +82,7 @@
 			random: this.random,
 			hosts: this.hosts,
 			resendsAtOnce: options.resendsAtOnce,
+			workMs: options.workMs,
 			log: (...line) => {
 				this.log(...line);
 			},
@@ -118,7 +123,7 @@
 			});
 		}
 
-		for (let at = 0; at < options.lengthMs; at += jobIntervalMs) {
+		for (let at = 0; at < options.lengthMs; at += options.jobIntervalMs ?? usualJobIntervalMs) {
 			simulation.schedule(at, () => {
 				this.callers.submitNewJob();
 			});
--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -5,7 +5,7 @@
 } from '@jest/globals';
 import {createRandom, randomInteger} from 'chivestream-core';
 import fc from 'fast-check';
-import {siteFault, type ScheduledFault} from '../__fixtures__/simulated-faults.js';
+import {newerFault, siteFault, type ScheduledFault} from '../__fixtures__/simulated-faults.js';
 import {
 	epochMs, SimulatedSite, type EntryHostConstructor, type SimulatedSiteOptions, type SimulatedSiteResult,
 } from '../__fixtures__/simulated-site.js';
@@ -57,6 +57,14 @@
 const propertySeed = Number(process.env.RUN_ORDER_SEED ?? 33);
 const propertyRuns = Number(process.env.RUN_ORDER_RUNS ?? 20);
 
+/** The same for the property with the newer faults. */
+const newerPropertySeed = Number(process.env.RUN_ORDER_NEWER_SEED ?? 36);
+const newerPropertyRuns = Number(process.env.RUN_ORDER_NEWER_RUNS ?? 15);
+
+/** Further seeds of each pair of a newer fault and an older one, for a long search; their number, and the first one. */
+const furtherPairs = Number(process.env.RUN_ORDER_PAIRS ?? 0);
+const firstFurtherPair = Number(process.env.RUN_ORDER_FIRST_PAIR ?? 1000);
+
 /** Further seeds of the kills of hosts, for a long search. */
 const furtherSeeds = Array.from({length: Number(process.env.RUN_ORDER_KILLS ?? 0)}, (_, index) => 1000 + index);
 
@@ -89,14 +97,29 @@
 /** Time with load and faults, in milliseconds. */
 const lengthMs = 8000;
 
-const arbitraryFault: fc.Arbitrary<ScheduledFault> = fc.record({
+const arbitraryFaultOf = (kinds: ReadonlyArray<ScheduledFault['kind']>): fc.Arbitrary<ScheduledFault> => fc.record({
 	at: fc.nat(lengthMs),
-	kind: fc.constantFrom(...Object.values(siteFault)),
+	kind: fc.constantFrom(...kinds),
 	target: fc.nat(11),
 	other: fc.nat(11),
 	lengthMs: fc.integer({min: 50, max: 3000}),
 });
 
+const arbitraryFault = arbitraryFaultOf(Object.values(siteFault));
+
+const newerFaults = Object.values(newerFault);
+
+/** Each newer fault with the older ones that move runs or their dispatchers; the pairs have seeds of their own. */
+const pairsOfFaults = newerFaults.flatMap((newer, row) => [
+	siteFault.kill, siteFault.stop, siteFault.freeze, siteFault.isolate, siteFault.cutMinions, siteFault.minionCrash, siteFault.reset,
+].flatMap((older, column) => [
+	...(column === row % 7 ? [100 + row] : []),
+	...Array.from({length: furtherPairs}, (_, index) => firstFurtherPair + index),
+].map(seed => ({newer, older, seed}))));
+
+/** Jobs whose tasks are alive for as long as the effects of the newer faults last. */
+const longJobs = {workMs: {least: 1000, most: 3000}, jobIntervalMs: 200} as const;
+
 describe('on a simulated site', () => {
 	test('all jobs are served without faults', async () => {
 		const result = await play({
@@ -123,6 +146,28 @@
 		}), {seed: propertySeed, numRuns: propertyRuns, endOnFailure: true});
 	});
 
+	test('no task has two runs at the same time, whatever faults come together with newer ones', async () => {
+		const arbitraryAnyFault = arbitraryFaultOf([...Object.values(siteFault), ...newerFaults]);
+		await fc.assert(fc.asyncProperty(fc.array(arbitraryAnyFault, {minLength: 4, maxLength: 12, size: 'max'}), fc.nat(), fc.boolean(), async (faults, seed, hasCells) => {
+			const {overlaps} = await play({
+				...hasCells ? twoCells : twoZones, ...longJobs, seed, resendsAtOnce: false, faults, lengthMs,
+			});
+			expect(overlaps).toEqual([]);
+		}), {seed: newerPropertySeed, numRuns: newerPropertyRuns, endOnFailure: true});
+	});
+
+	test.each(pairsOfFaults)('no task has two runs when $newer comes with $older, seed $seed', async ({newer, older, seed}) => {
+		const random = createRandom(seed);
+		const fault = (kind: ScheduledFault['kind'], longestMs: number): ScheduledFault => ({
+			at: randomInteger(random, lengthMs), kind, target: randomInteger(random, 12), other: randomInteger(random, 12), lengthMs: 50 + randomInteger(random, longestMs),
+		});
+		const faults = Array.from({length: 4}, () => [fault(newer, 5000), fault(older, 3000)]).flat();
+		const {overlaps} = await play({
+			...seed % 2 === 0 ? twoZones : twoCells, ...longJobs, seed, resendsAtOnce: false, faults, lengthMs,
+		});
+		expect(overlaps).toEqual([]);
+	});
+
 	// The host that had a caller's connection was also its dispatcher, and was killed: only the minions knew of the first run when the copy
 	// of the job reached the next dispatcher. On each of these seeds the rule was broken before that dispatcher waited for their reports.
 	test.each([
