--- a/packages/chivestream-host/src/__fixtures__/simulated-network.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-network.ts
@@ -18,9 +18,26 @@
 /** How long a late request takes until it is carried out, in milliseconds. */
 const lateRequestMs = {least: 500, most: 2500} as const;
 
+/** How long a request takes until it is carried out after newer ones, in milliseconds. */
+const overtakenRequestMs = {least: 2000, most: 12_000} as const;
+
+/** How long a late write takes until the store does it, in milliseconds. */
+const lateWriteMs = {least: 500, most: 5000} as const;
+
 /** Time that the store takes to answer, in milliseconds. */
 const storeAnswerMs = 4;
 
+/** What counts as the deadline of the lease in a request that is carried out late. */
+export const lateLease = {
+	/** The deadline in the request, on the minion's clock. */
+	kept: 'kept',
+	/** The same time after the request's arrival as it would have been without its lateness. */
+	fromArrival: 'from arrival',
+} as const;
+
+/** A disturbance of a share of the requests to minions; those with a lease only, if it counts from their arrival. */
+type Lateness = {share: number; until: number; lease: (typeof lateLease)[keyof typeof lateLease]};
+
 type Connection = {from: SimulatedProcess; to: string; break: (reason: string) => void};
 
 /** One end of a stream between two hosts. */
@@ -61,12 +78,15 @@
 	readonly minions = new Map<string, SimulatedMinion>();
 	private readonly simulation: Simulation;
 	private readonly random: Random;
+	private readonly latenesses: Lateness[] = [];
 	private readonly listeners = new Map<string, Listener>();
 	private readonly connections = new Set<Connection>();
 	/** When the cut of a path ends, by the names of both ends. */
 	private readonly cuts = new Map<string, number>();
 	private readonly topics = new Map<string, StoreTopic>();
 	private readonly storeAwayUntil = new Map<string, number>();
+	private writesLateUntil = 0;
+	private readonly refusingUntil = new Map<string, number>();
 
 	constructor(simulation: Simulation, random: Random) {
 		this.simulation = simulation;
@@ -83,6 +103,16 @@
 		this.storeAwayUntil.set(host, this.simulation.time + lengthMs);
 	}
 
+	/** The store does writes late, out of order and without an answer. */
+	delayWrites(lengthMs: number): void {
+		this.writesLateUntil = this.simulation.time + lengthMs;
+	}
+
+	/** A minion refuses new connections while it lives. */
+	refuse(id: string, lengthMs: number): void {
+		this.refusingUntil.set(id, this.simulation.time + lengthMs);
+	}
+
 	/** Resets a share of the connections of a host. */
 	reset(host: string, share: number): void {
 		for (const connection of this.connections) {
@@ -92,6 +122,11 @@
 		}
 	}
 
+	/** A share of the requests to all minions isn't answered, and is carried out seconds later, after newer ones. */
+	delayRequests(share: number, lease: Lateness['lease'], lengthMs: number): void {
+		this.latenesses.push({share, lease, until: this.simulation.time + lengthMs});
+	}
+
 	/** Breaks the connections of a process that has exited. */
 	close(process: SimulatedProcess): void {
 		for (const connection of this.connections) {
@@ -229,8 +264,8 @@
 		/** Sends a request; `handle` carries it out and passes its answer on. */
 		const send = async <Answer>(
 			timeoutMs: number,
-			isStart: boolean,
-			handle: (minion: SimulatedMinion, answer: (reply: Answer) => void) => void,
+			kind: {isStart: boolean; hasLease: boolean},
+			handle: (minion: SimulatedMinion, answer: (reply: Answer) => void, laterLeaseMs: number) => void,
 		) => new Promise<Result<Answer, Failure>>(resolve => {
 			let isSettled = false;
 			const settle = (result: Result<Answer, Failure>) => {
@@ -260,15 +295,25 @@
 				}, from);
 			}, timeoutMs);
 			const minion = this.minions.get(id)!;
-			const isLate = isStart && this.random() < this.lateShare;
+			const isLate = kind.isStart && this.random() < this.lateShare;
 			const arrivalMs = isLate ? lateRequestMs.least + (this.random() * (lateRequestMs.most - lateRequestMs.least)) : this.delay(from.name, id);
+			const lateness = this.drawLateness(kind.hasLease);
+			if (lateness !== undefined) {
+				this.simulation.schedule(lateness.ms, () => {
+					if (minion.isUp) {
+						handle(minion, () => undefined, lateness.lease === lateLease.fromArrival ? lateness.ms : 0);
+					}
+				});
+				return;
+			}
+
 			this.simulation.schedule(arrivalMs, () => {
 				// What a cut has held up is lost once its sender has given the request up.
 				if (!isLate && !this.connections.has(connection) && arrivalMs > latencyMs.most) {
 					return;
 				}
 
-				if (!minion.isUp) {
+				if (!minion.isUp || this.simulation.time < (this.refusingUntil.get(id) ?? 0)) {
 					connection.break('ECONNREFUSED');
 					return;
 				}
@@ -281,27 +326,28 @@
 							}
 						}, from);
 					}
-				});
+				}, 0);
 			});
 		});
 
 		return {
 			async start(startRequest, timeoutMs) {
-				const result = await send<Awaited<ReturnType<MinionClient['start']>>>(timeoutMs, true, (minion, answer) => {
-					answer(minion.start(startRequest));
+				const result = await send<Awaited<ReturnType<MinionClient['start']>>>(timeoutMs, {isStart: true, hasLease: true}, (minion, answer, laterLeaseMs) => {
+					answer(minion.start({...startRequest, leaseDeadline: startRequest.leaseDeadline + laterLeaseMs}));
 				});
 				const unanswered: StartAnswer = startAnswer.unknown;
 				return result.isOk() ? result.value : {answer: unanswered, refusal: refusal.other, detail: result.error.message};
 			},
 			async stop(task, number, token, timeoutMs) {
-				const result = await send<boolean>(timeoutMs, false, (minion, answer) => {
+				const result = await send<boolean>(timeoutMs, {isStart: false, hasLease: false}, (minion, answer) => {
 					answer(minion.stop(task, number, token));
 				});
 				return result.andThen(isConfirmed => isConfirmed ? new Ok(undefined) : new Err(new Failure(failureCode.protocolError, 'unexpected status 409', origin)));
 			},
 			async hold(holdRequest, timeoutMs) {
-				const result = await send<Awaited<ReturnType<MinionClient['hold']>>>(timeoutMs, false, (minion, answer) => {
-					minion.hold(holdRequest, answer);
+				const {leaseDeadline} = holdRequest;
+				const result = await send<Awaited<ReturnType<MinionClient['hold']>>>(timeoutMs, {isStart: false, hasLease: leaseDeadline !== undefined}, (minion, answer, laterLeaseMs) => {
+					minion.hold({...holdRequest, leaseDeadline: leaseDeadline === undefined ? undefined : leaseDeadline + laterLeaseMs}, answer);
 				});
 				return result.isOk() ? result.value : result;
 			},
@@ -326,6 +372,19 @@
 		}
 	}
 
+	/** Asks the store to write a record; returns whether it has done so at once. */
+	requestWrite(topic: string, key: string, value: Uint8Array): boolean {
+		if (this.simulation.time >= this.writesLateUntil) {
+			this.write(topic, key, value);
+			return true;
+		}
+
+		this.simulation.schedule(lateWriteMs.least + (this.random() * (lateWriteMs.most - lateWriteMs.least)), () => {
+			this.write(topic, key, value);
+		});
+		return false;
+	}
+
 	/** Creates the client of the store for the process that runs now. */
 	createStoreClient(): StoreClient {
 		const from = this.simulation.currentProcess();
@@ -358,15 +417,27 @@
 
 				return {records: records.slice(offset), end: records.length};
 			}),
-			writeRecord: async (to: Topic, key, value) => call(() => {
-				this.write(to, key, new TextEncoder().encode(value));
-			}),
+			writeRecord: async (to: Topic, key, value) => {
+				const result = await call(() => this.requestWrite(to, key, new TextEncoder().encode(value)));
+				return result.andThen(isDone => isDone ? new Ok(undefined) : new Err(new Failure(failureCode.timedOut, 'no answer', {step: 'write', peer: 'store'})));
+			},
 			async close() {
 				// It has no connections.
 			},
 		};
 	}
 
+	/** The lateness of a request, if a disturbance meets it now. */
+	private drawLateness(hasLease: boolean): {ms: number; lease: Lateness['lease']} | undefined {
+		for (const {share, until, lease} of this.latenesses) {
+			if (this.simulation.time < until && (hasLease || lease === lateLease.kept) && this.random() < share) {
+				return {ms: Math.round(overtakenRequestMs.least + (this.random() * (overtakenRequestMs.most - overtakenRequestMs.least))), lease};
+			}
+		}
+
+		return undefined;
+	}
+
 	private topic(name: string): StoreTopic {
 		const found = this.topics.get(name) ?? {records: [], newest: new Map(), waiters: new Set()};
 		this.topics.set(name, found);
