Simulation: births in whole milliseconds, and a log line for each request that arrives late

A restart behind a cut gave the new incarnation a birth with a fraction of a millisecond. The log names each request that a late order or grant has carried out, without which no trace shows what had extended a lease.

--- a/packages/chivestream-host/src/__fixtures__/simulated-faults.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-faults.ts
@@ -252,10 +252,12 @@
 		lapsedUntil.set(id, simulation.time + lengthMs);
 	}
 
-	simulation.schedule(lengthMs / 3, () => {
+	// Minions tell when they started in whole milliseconds.
+	const partMs = Math.round(lengthMs / 3);
+	simulation.schedule(partMs, () => {
 		if (minion.isUp) {
 			minion.crash();
-			simulation.schedule(lengthMs / 3, () => {
+			simulation.schedule(partMs, () => {
 				minion.restart();
 			});
 		}
--- a/packages/chivestream-host/src/__fixtures__/simulated-network.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-network.ts
@@ -78,6 +78,7 @@
 	readonly minions = new Map<string, SimulatedMinion>();
 	private readonly simulation: Simulation;
 	private readonly random: Random;
+	private readonly log: (host: string, event: string, fields: Record<string, unknown>) => void;
 	private readonly latenesses: Lateness[] = [];
 	private readonly listeners = new Map<string, Listener>();
 	private readonly connections = new Set<Connection>();
@@ -88,9 +89,10 @@
 	private writesLateUntil = 0;
 	private readonly refusingUntil = new Map<string, number>();
 
-	constructor(simulation: Simulation, random: Random) {
+	constructor(simulation: Simulation, random: Random, log: (host: string, event: string, fields: Record<string, unknown>) => void) {
 		this.simulation = simulation;
 		this.random = random;
+		this.log = log;
 	}
 
 	/** Cuts the path between two ends silently; what is sent meanwhile arrives after it, unless its connection has broken by then. */
@@ -264,7 +266,7 @@
 		/** Sends a request; `handle` carries it out and passes its answer on. */
 		const send = async <Answer>(
 			timeoutMs: number,
-			kind: {isStart: boolean; hasLease: boolean},
+			kind: {isStart: boolean; hasLease: boolean; request: Record<string, unknown>},
 			handle: (minion: SimulatedMinion, answer: (reply: Answer) => void, laterLeaseMs: number) => void,
 		) => new Promise<Result<Answer, Failure>>(resolve => {
 			let isSettled = false;
@@ -301,6 +303,7 @@
 			if (lateness !== undefined) {
 				this.simulation.schedule(lateness.ms, () => {
 					if (minion.isUp) {
+						this.log(from.name, 'request-arrived-late', {minion: id, lateMs: lateness.ms, ...kind.request});
 						handle(minion, () => undefined, lateness.lease === lateLease.fromArrival ? lateness.ms : 0);
 					}
 				});
@@ -332,21 +335,21 @@
 
 		return {
 			async start(startRequest, timeoutMs) {
-				const result = await send<Awaited<ReturnType<MinionClient['start']>>>(timeoutMs, {isStart: true, hasLease: true}, (minion, answer, laterLeaseMs) => {
+				const result = await send<Awaited<ReturnType<MinionClient['start']>>>(timeoutMs, {isStart: true, hasLease: true, request: {start: startRequest.task, number: startRequest.number}}, (minion, answer, laterLeaseMs) => {
 					answer(minion.start({...startRequest, leaseDeadline: startRequest.leaseDeadline + laterLeaseMs}));
 				});
 				const unanswered: StartAnswer = startAnswer.unknown;
 				return result.isOk() ? result.value : {answer: unanswered, refusal: refusal.other, detail: result.error.message};
 			},
 			async stop(task, number, token, timeoutMs) {
-				const result = await send<boolean>(timeoutMs, {isStart: false, hasLease: false}, (minion, answer) => {
+				const result = await send<boolean>(timeoutMs, {isStart: false, hasLease: false, request: {stop: task, number}}, (minion, answer) => {
 					answer(minion.stop(task, number, token));
 				});
 				return result.andThen(isConfirmed => isConfirmed ? new Ok(undefined) : new Err(new Failure(failureCode.protocolError, 'unexpected status 409', origin)));
 			},
 			async hold(holdRequest, timeoutMs) {
 				const {leaseDeadline} = holdRequest;
-				const result = await send<Awaited<ReturnType<MinionClient['hold']>>>(timeoutMs, {isStart: false, hasLease: leaseDeadline !== undefined}, (minion, answer, laterLeaseMs) => {
+				const result = await send<Awaited<ReturnType<MinionClient['hold']>>>(timeoutMs, {isStart: false, hasLease: leaseDeadline !== undefined, request: {leaseDeadline}}, (minion, answer, laterLeaseMs) => {
 					minion.hold({...holdRequest, leaseDeadline: leaseDeadline === undefined ? undefined : leaseDeadline + laterLeaseMs}, answer);
 				});
 				return result.isOk() ? result.value : result;
--- a/packages/chivestream-host/src/__fixtures__/simulated-site.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-site.ts
@@ -75,7 +75,11 @@
 		this.options = options;
 		this.random = createRandom(options.seed);
 		this.simulation = new Simulation(this.random);
-		this.network = new SimulatedNetwork(this.simulation, this.random);
+		const log = (host: string, event: string, fields: Record<string, unknown>) => {
+			this.log(host, event, fields);
+		};
+
+		this.network = new SimulatedNetwork(this.simulation, this.random, log);
 		this.callers = new SimulatedCallers({
 			simulation: this.simulation,
 			network: this.network,
@@ -83,9 +87,7 @@
 			hosts: this.hosts,
 			resendsAtOnce: options.resendsAtOnce,
 			workMs: options.workMs,
-			log: (...line) => {
-				this.log(...line);
-			},
+			log,
 		});
 	}
 
