A host that has just started waits for the dispatcher of its zone

Callers saw two runs of a task in two zones: a dispatcher that held the caller's connection was killed, and the copy of the job reached a host that had just started. It knew no dispatcher of its zone yet, so it sent the copy to another zone at once, while the first run was alive on the minions of its own one. 7 ms later it claimed the cell and inherited that run.

Cause: a job waits up to 0.7 s for the dispatcher of its cell, counted from when the host last reached it. A host that had reached none counted it as unreachable for ever and did not wait.

Change: the dispatcher of each cell counts as reachable when the host starts.

The test "a host that has not reached a dispatcher of its zone yet sends jobs to another zone at once" expected what breaks the rule. The test that takes its place asks for both parts: the wait up to the last millisecond of homeDispatcherWaitMs, and the other zone from then on.

Evidence: the new test failed on the code before.

--- a/packages/chivestream-host/src/__tests__/dispatcher-table.test.ts
+++ b/packages/chivestream-host/src/__tests__/dispatcher-table.test.ts
@@ -47,8 +47,15 @@
 	expect(table.forJob('00000000000000aa')?.name).toBe('home');
 });
 
-test('a host that has not reached a dispatcher of its zone yet sends jobs to another zone at once', () => {
+// The first copy of the job ran in its cell, whose dispatcher was killed; the second one was sent to another zone at once by a host that had
+// just started and knew no dispatcher of its own zone yet.
+test('a host that has just started waits for the dispatcher of its zone as if it had been reachable, and then sends jobs to another zone', () => {
 	const {state, table} = create();
 	state.isHomeLinked = false;
+	expect(table.forJob('00000000000000aa')).toBeUndefined();
+	state.now = hostTiming.homeDispatcherWaitMs - 1;
+	expect(table.forJob('00000000000000aa')).toBeUndefined();
+	expect(table.hasAny()).toBe(true);
+	state.now += 1;
 	expect(table.forJob('00000000000000aa')?.name).toBe('other');
 });
--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -123,9 +123,10 @@
 	});
 
 	// The host that had a caller's connection was also its dispatcher, and was killed: only the minions knew of the first run when the copy
-	// of the job reached the next dispatcher. On each of these seeds the rule was broken before that dispatcher waited for their reports.
+	// of the job reached the next dispatcher. On each of these seeds the rule was broken before that dispatcher waited for their reports;
+	// on seed 1073 a host that had just started sent the copy to another zone.
 	test.each([
-		...[12, 14, 19, 26, 33, ...furtherSeeds].map(seed => ({seed, size: twoZones})),
+		...[12, 14, 19, 26, 33, 1073, ...furtherSeeds].map(seed => ({seed, size: twoZones})),
 		...[4, 8, 11, 19, 21, 24, 27, ...furtherSeeds].map(seed => ({seed, size: twoCells})),
 	])('no task has two runs when hosts are killed and callers send their jobs again at once, seed $seed', async ({seed, size}) => {
 		const random = createRandom(seed);
--- a/packages/chivestream-host/src/dispatcher-table.ts
+++ b/packages/chivestream-host/src/dispatcher-table.ts
@@ -31,17 +31,19 @@
 	private readonly options: DispatcherTableOptions;
 	/** When the dispatcher of each cell of the local zone was last reachable. */
 	private readonly reachableAt = new Map<number, number>();
+	private readonly startedAt: number;
 	private readonly waiters = new Set<() => void>();
 
 	constructor(options: DispatcherTableOptions) {
 		this.options = options;
+		this.startedAt = options.now();
 	}
 
 	/**
 	 * Returns the dispatcher of the job's home cell in the local zone, which is the same on every host of the zone, so that
 	 * copies of a job reach the same dispatcher. If that one has been unreachable for a while, returns the dispatcher of another cell of
 	 * the zone, or else one of another zone. A caller whose connection was reset may have sent the job to another host just before, which
-	 * has reached the dispatcher.
+	 * has reached the dispatcher. A host that has just started may be that caller's next one, so all dispatchers count as reachable then.
 	 */
 	forJob(id: string): DispatcherHandle | undefined {
 		const homeCell = cellOf(id, this.options.choices().length);
@@ -50,7 +52,7 @@
 			return home;
 		}
 
-		const waitEndsAt = (this.reachableAt.get(homeCell) ?? Number.NEGATIVE_INFINITY) + hostTiming.homeDispatcherWaitMs;
+		const waitEndsAt = (this.reachableAt.get(homeCell) ?? this.startedAt) + hostTiming.homeDispatcherWaitMs;
 		return this.options.now() < waitEndsAt ? undefined : this.nearest(homeCell);
 	}
 
