Go on from the last token of a minion that registers again

What callers could see: a cell without a dispatcher for a moment. A session that begins anew, as its minion's entry had expired and come back, started with the first token of the claim. After a request without an answer, or a restart, the minion had a higher one: its refusal was taken for that of another dispatcher, and the whole cell was given up.

A minion that came back before the next tick kept the session of its earlier entry and was not polled any more.

Evidence: found by a review of the fences; both tests of dispatch-service.test.ts failed before.

--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -1,7 +1,7 @@
 /** The dispatcher of a cell that this host has claimed, with a session for each minion. */
 import {type Random} from 'chivestream-core';
 import {
-	Dispatcher, type MinionRecord, type CellCapacity,
+	Dispatcher, type Minion, type MinionRecord, type CellCapacity,
 } from 'chivestream-dispatch';
 import {type Report} from './host-log.js';
 import {runMinionSession, type MinionSession} from './minion-session.js';
@@ -35,7 +35,7 @@
 const unregisteredMinionRetentionMs = 20_000;
 
 /** A session, the controller that ends it, and when its minion was first found unregistered; undefined while it is registered. */
-type ActiveMinionSession = MinionSession & {controller: AbortController; unregisteredAt: number | undefined};
+type ActiveMinionSession = MinionSession & {minion: Minion; controller: AbortController; unregisteredAt: number | undefined};
 
 /** Runs the dispatcher of a cell and sends its start and stop requests to the minions. */
 export class DispatchService {
@@ -43,6 +43,8 @@
 	readonly token: number;
 	private readonly options: DispatchServiceOptions;
 	private readonly sessions = new Map<string, ActiveMinionSession>();
+	/** The last token of each minion whose session has ended. */
+	private readonly lastTokens = new Map<string, number>();
 
 	constructor(options: DispatchServiceOptions) {
 		this.options = options;
@@ -76,10 +78,11 @@
 		this.dispatcher.setMinions(records, unregistered);
 		for (const [id, minion] of this.dispatcher.pool.minions) {
 			const existing = this.sessions.get(id);
-			if (existing?.address !== minion.record.address) {
+			if (existing?.address !== minion.record.address || existing.minion !== minion) {
 				existing?.controller.abort();
 				// Requests of the previous session may still be carried out.
-				this.startSession(id, existing === undefined ? this.token : nextToken(existing.token()));
+				const last = existing?.token() ?? this.lastTokens.get(id);
+				this.startSession(id, last === undefined ? this.token : nextToken(last));
 				if (existing !== undefined) {
 					this.dispatcher.handleNewSession(minion);
 				}
@@ -101,6 +104,7 @@
 			const isGone = session.unregisteredAt !== undefined && now > session.unregisteredAt + unregisteredMinionRetentionMs;
 			if (minion === undefined || (isGone && mayBeRemoved)) {
 				session.controller.abort();
+				this.lastTokens.set(id, session.token());
 				this.sessions.delete(id);
 				if (minion !== undefined) {
 					this.dispatcher.removeMinion(minion);
@@ -132,6 +136,8 @@
 		const session = runMinionSession({
 			minion, dispatcher: this.dispatcher, token, now, recentDelayMs, report, onFenced, signal: controller.signal,
 		});
-		this.sessions.set(id, {...session, controller, unregisteredAt: undefined});
+		this.sessions.set(id, {
+			...session, minion, controller, unregisteredAt: undefined,
+		});
 	}
 }
