Read the ends of a new incarnation before they are acknowledged

What callers could see: a task that was done started again. The numbers of ends begin anew with each incarnation of a minion. If one carried out a start of the time before and ended the run, the first poll acknowledged this end with a number of the earlier incarnation, and the minion forgot it. Now a poll acknowledges nothing after a request without an answer, until the minion has answered under the new token.

The answer of an earlier incarnation also counted as a report if the registry had shown the next one since it was asked for.

--- a/packages/chivestream-host/src/__tests__/minion-session.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-session.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
@@ -17,13 +18,13 @@
 let minion: MinionStandIn | undefined;
 let controller: AbortController;
 
-const startMinion = async (id: string, at?: {ip: string; port: number}) => startMinionStandIn({
-	id, zone: 'z', upstream: 'desk', checker: new Checker(), capacity: 32_000, leaseMs, workMs: () => 10_000, ...(at !== undefined && {at}),
+const startMinion = async (id: string, at?: {ip: string; port: number}, workMs = 10_000) => startMinionStandIn({
+	id, zone: 'z', upstream: 'desk', checker: new Checker(), capacity: 32_000, leaseMs, workMs: () => workMs, ...(at !== undefined && {at}),
 });
 
 /** A job of one task, which takes as long as the stand-in minion runs tasks. */
-const createJob = (): JobRequest => ({
-	id: '00000000000000aa',
+const createJob = (id = '00000000000000aa'): JobRequest => ({
+	id,
 	payload: 'x',
 	steps: [{
 		count: 1, millicores: 14_000, memoryMb: 64, accelerators: 0, estimateMs: 10_000, dependsOn: [],
@@ -42,10 +43,12 @@
 const startSession = (standIn: MinionStandIn, claim = token) => {
 	const now = () => performance.now();
 	const events: Array<{event: string; fields: Record<string, unknown>}> = [];
+	const starts: string[] = [];
 	const dispatcher: Dispatcher = new Dispatcher({
 		now,
 		random: createRandom(1),
 		requestStart(run, task) {
+			starts.push(run.task);
 			session.start(run, task);
 		},
 		requestStop(run) {
@@ -74,7 +77,9 @@
 		},
 		signal: controller.signal,
 	});
-	return {dispatcher, events};
+	return {
+		dispatcher, session, events, starts,
+	};
 };
 
 beforeEach(() => {
@@ -180,6 +185,58 @@
 	expect(runningAtExpiry).toBe(0);
 });
 
+test('the answer of an earlier incarnation counts for nothing once the registry shows the next one', async () => {
+	minion = await startMinion('i-1');
+	const {dispatcher, session} = startSession(minion);
+	const known = dispatcher.pool.minions.get('i-1')!;
+	await until(() => known.isSynced);
+	const tokensAtReports: number[] = [];
+	const handleReport = dispatcher.handleReport.bind(dispatcher);
+	dispatcher.handleReport = (...reported) => {
+		tokensAtReports.push(minion!.highestToken());
+		handleReport(...reported);
+	};
+
+	// The minion restarts while its answer is on the way.
+	minion.delayAnswers(100);
+	session.wake();
+	await sleep(30);
+	minion.crash();
+	dispatcher.setMinions([decodeMinionEntry('i-1', Buffer.from(minion.createRegistryEntry()))!]);
+	expect(known.isSynced).toBe(false);
+	await until(() => known.isSynced);
+	expect(tokensAtReports[0]).toBeGreaterThan(token);
+});
+
+// The end was acknowledged by the number of an end of the incarnation before, and the task started again.
+test('a run that the next incarnation has carried out and ended before its first report is not started again', async () => {
+	minion = await startMinion('i-1', undefined, 20);
+	const {dispatcher, starts} = startSession(minion);
+	const known = dispatcher.pool.minions.get('i-1')!;
+	await until(() => known.isSynced);
+	let completed = 0;
+	const settle = () => {
+		completed += 1;
+	};
+
+	dispatcher.submit(createJob('00000000000000a1'), settle);
+	await until(() => completed === 1 && known.runs.size === 0);
+	minion.delayStarts(1, () => 0);
+	dispatcher.submit(createJob('00000000000000a2'), settle);
+	await until(() => starts.length === 2);
+	await sleep(20);
+	minion.setAvailability(availability.silent);
+	await sleep(480);
+	minion.crash();
+	minion.delayStarts(0, () => 1);
+	await sleep(400);
+	minion.setAvailability(availability.up);
+	await until(() => minion!.highestToken() > token + 1);
+	dispatcher.setMinions([decodeMinionEntry('i-1', Buffer.from(minion.createRegistryEntry()))!]);
+	await until(() => completed === 2);
+	expect(starts).toHaveLength(2);
+});
+
 test('a minion is polled again after the handling of one report has failed', async () => {
 	minion = await startMinion('i-1');
 	const {dispatcher} = startSession(minion);
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -83,6 +83,8 @@
 	let {bornAt} = minion.record;
 	let {token} = options;
 	let endCursor = 0;
+	/** The highest token under which the current incarnation has reported its runs. */
+	let answeredToken: number | undefined;
 	let wake: (() => void) | undefined;
 
 	/** When the minion last closed a connection that had a request in progress, unless it has answered since. */
@@ -127,9 +129,13 @@
 	const pollOnce = async (waitMs: number, renewsLease: boolean): Promise<Result<void, Failure | Refusal>> => {
 		const sentAt = now();
 		const sentToken = token;
+		const sentToIncarnation = minion.bornAt;
 		const deadline = renewsLease ? grantLease() : undefined;
+		// A request without an answer may be due to a restart. The numbers of ends then begin anew, and an earlier one would acknowledge ends
+		// that nobody has read.
+		const acknowledgedCursor = answeredToken === sentToken ? endCursor : 0;
 		const hold = async (timeoutMs: number) => client.hold({
-			token: sentToken, acknowledgedCursor: endCursor, waitMs, leaseDeadline: deadline,
+			token: sentToken, acknowledgedCursor, waitMs, leaseDeadline: deadline,
 		}, timeoutMs);
 		const result = await (waitMs === 0
 			// A refusal is an answer, too.
@@ -145,15 +151,18 @@
 				fenceOffUnanswered(sentToken);
 			}
 
+			// A later request of this session has overtaken it.
 			return result.error === refusal.fenced && sentToken < token ? new Err(refusal.other) : result;
 		}
 
 		closedAt = Number.NEGATIVE_INFINITY;
+		answeredToken = Math.max(answeredToken ?? 0, sentToken);
 		const response = result.value;
 		if (response.bornAt !== bornAt) {
 			const isRestart = bornAt > 0;
 			bornAt = response.bornAt;
 			endCursor = 0;
+			answeredToken = undefined;
 			dispatcher.recordIncarnation(minion, bornAt);
 			if (isRestart) {
 				// The new incarnation has seen no stop, and would still carry out earlier start requests. A higher token fences them off,
@@ -164,6 +173,11 @@
 			}
 		}
 
+		if (minion.bornAt !== sentToIncarnation && response.bornAt < minion.bornAt) {
+			// The registry has shown a restart since.
+			return pollOnce(0, false);
+		}
+
 		if (!minion.isReachable) {
 			report('minion-reached', {minion: id});
 		}
