Apply a history to tasks of a copy that run or are done

A done task was taken for a running one if the late answer to an earlier poll had listed its run, and started again; a task that the history says is done went on, and started again if its run was interrupted; a task that has crashed too many minions ran on; and a release to two hosts with different histories named no minions while a run of one of them was not known.

--- a/packages/chivestream-dispatch/src/__tests__/lease.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/lease.test.ts
@@ -3,7 +3,7 @@
 	createRecordedDispatcher, jobRequest, leaseMs, minionRecord, type RecordedDispatcher,
 } from '../__fixtures__/recorded-dispatcher.js';
 import {
-	jobLeaseMs, leaseExpiryMs, outcomeKind, runState, startAnswer, type JobRequest, type Outcome,
+	endKind, jobLeaseMs, leaseExpiryMs, outcomeKind, runState, startAnswer, type JobRequest, type Outcome,
 } from '../index.js';
 
 const jobId = '00000000000000aa';
@@ -265,6 +265,81 @@
 	});
 });
 
+describe('a submission with a history that comes when a copy has started', () => {
+	const origin = (name: string) => ({origin: name, leaseEndsAt: () => Infinity});
+	const ignore = () => undefined;
+
+	/** A dispatcher that runs both tasks of a copy. */
+	const startCopy = () => {
+		const recorded = createRecordedDispatcher([minionRecord('m')], 9);
+		recorded.report('m');
+		recorded.dispatcher.submit(patient(jobId, {}, 2), ignore, ignore, origin('b'));
+		for (const run of recorded.starts) {
+			recorded.dispatcher.handleStartAnswer(run, startAnswer.started);
+		}
+
+		recorded.advance(10);
+		return recorded;
+	};
+
+	const addHistory = ({dispatcher}: RecordedDispatcher, history: Partial<JobRequest>) => {
+		dispatcher.submit(patient(jobId, {
+			submission: 1, mayHaveRun: true, previousSubmissions: [], ...history,
+		}, 2), ignore, ignore, origin('a'));
+	};
+
+	test('leaves a task done whose run is listed by the late answer to an earlier poll', () => {
+		const recorded = startCopy();
+		recorded.dispatcher.handleReport(recorded.minion('m'), {
+			polledAt: recorded.now(), running: [{task: task(1), number: 1, progress: 0}], ended: [{task: task(0), number: 1, kind: endKind.done}],
+		});
+		recorded.dispatcher.handleReport(recorded.minion('m'), {
+			polledAt: recorded.now() - 5, running: [0, 1].map(index => ({task: task(index), number: 1, progress: 0})), ended: [],
+		});
+		addHistory(recorded, {});
+		recorded.advance(10);
+		recorded.report('m', [[task(1), 1]]);
+		expect(recorded.starts).toHaveLength(2);
+	});
+
+	test('stops the run of a task that was done before', () => {
+		const recorded = startCopy();
+		addHistory(recorded, {doneTasks: [task(0)]});
+		expect(recorded.stops.map(run => run.task)).toEqual([task(0)]);
+		recorded.advance(10);
+		recorded.report('m', [[task(1), 1]], [[task(0), 1, 'interrupted']]);
+		recorded.dispatcher.tick();
+		expect(recorded.starts).toHaveLength(2);
+	});
+
+	test('ends the job if a task of it has crashed too many minions before', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m')], 9);
+		const outcomes = recorded.submit(patient(jobId, {}, 2));
+		addHistory(recorded, {
+			crashes: {
+				[task(0)]: {
+					incarnations: ['x@1', 'y@1', 'z@1'], wasAlone: true, isSuspect: true, isOnlySuspect: true,
+				},
+			},
+		});
+		expect(outcomes.map(({kind}) => kind)).toEqual([outcomeKind.failed]);
+	});
+
+	// Each host knows only its own history, and takes an empty list for a job without runs.
+	test('lets a release name no minions while a run that the history names is not known', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m'), minionRecord('silent')], 9);
+		const outcomes: Outcome[] = [];
+		recorded.dispatcher.submit(patient(jobId, {submission: 1, mayHaveRun: true, previousSubmissions: [{claim: 7, leaseEndsAt: 5}]}, 2), outcome => {
+			outcomes.push(outcome);
+		}, ignore, origin('b'));
+		addHistory(recorded, {previousSubmissions: [{claim: 8, leaseEndsAt: 1300, minionsByTask: {[task(0)]: ['silent'], [task(1)]: ['silent']}}]});
+		recorded.dispatcher.markUnreachable(recorded.minion('silent'));
+		recorded.report('m');
+		recorded.dispatcher.release();
+		expect(outcomes).toEqual([{kind: outcomeKind.released, doneTasks: []}]);
+	});
+});
+
 describe('a job that its caller sends again at once', () => {
 	// The caller's connection was reset while the request was on its way; the copy reached another host.
 	test('goes on for the second host when the first one notices that its caller has left', () => {
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -438,7 +438,9 @@
 		job.request = mergeHistories(job.request, request);
 		this.runs.restoreTasks(job);
 		unblockTasks(job);
-		this.settleIfComplete(job);
+		if (!this.settleIfComplete(job) && job.tasks.some(task => isGivenUp(task.crashes))) {
+			this.settleJob(job, {kind: outcomeKind.failed, reason: 'a task has crashed too many minions before'});
+		}
 	}
 
 	private withdrawalOf(job: Job, submission: Submission): Withdrawal {
@@ -486,7 +488,9 @@
 	/** Ids of the minions on which each task of a job may be running; undefined if others may run some that have not reported them yet. */
 	private minionsByTask(job: Job, now: number): Record<string, string[]> | undefined {
 		// A submitter without a history relies on this list alone.
-		if (job.hasUnknownHistory && !(this.jobsElsewhere.isKnown(now) && job.tasks.every(task => this.runs.hasObservedRuns(task, now)))) {
+		// A submitter with another history, or with none, relies on this list alone.
+		const isShared = job.hasUnknownHistory || job.submissions.length > 1;
+		if (isShared && !(this.jobsElsewhere.isKnown(now) && job.tasks.every(task => this.runs.hasObservedRuns(task, now)))) {
 			return undefined;
 		}
 
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -340,13 +340,23 @@
 		for (const task of job.tasks) {
 			task.crashes = mergeCrashes(job.request.crashes?.[task.name], this.crashes.get(task.name));
 			task.lastRunNumber = Math.max(task.lastRunNumber, runNumberBefore(job.request.submission));
-			if (task.state === taskState.running) {
+			if (task.state === taskState.done) {
 				continue;
 			}
 
 			if (this.inheritedDoneTasks.has(task.name) || job.request.doneTasks?.includes(task.name)) {
+				const {run} = task;
+				task.run = undefined;
 				task.state = taskState.done;
 				job.mayHaveRun = true;
+				if (run?.assignedTask === task) {
+					this.unassignAndStop(run);
+				}
+
+				continue;
+			}
+
+			if (task.state === taskState.running) {
 				continue;
 			}
 
