Simulation: silent cuts of callers, beside those that only the caller notices

The cut of callers had the caller give its connection up while the host went on waiting. A silent cut has neither end notice anything until it is over. Both are faults now, as "cut of callers" and "half-open callers".

--- a/packages/chivestream-host/src/__fixtures__/simulated-callers.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-callers.ts
@@ -35,7 +35,7 @@
 const deadlineMs = 5000;
 const maxAttempts = 4;
 
-type Attempt = {host: SimulatedProcess; isBroken: boolean; sentAt: number; fail: (delayMs: number, noticedLaterMs?: number) => void};
+type Attempt = {host: SimulatedProcess; caller: string; isBroken: boolean; sentAt: number; fail: (delayMs: number, noticedLaterMs?: number) => void};
 
 /** Sends jobs to the hosts. */
 export class SimulatedCallers {
@@ -78,8 +78,8 @@
 		}
 	}
 
-	/** Cuts the paths of a share of the callers to a host: they give their connections up, and the host notices it when the cut ends. */
-	cutAttempts(process: SimulatedProcess, share: number, lengthMs: number): void {
+	/** A share of the callers of a host give their connections up, and the host notices it late. */
+	halfOpenAttempts(process: SimulatedProcess, share: number, lengthMs: number): void {
 		for (const attempt of this.attempts) {
 			if (attempt.host === process && this.options.random() < share) {
 				attempt.fail(0, lengthMs);
@@ -87,6 +87,15 @@
 		}
 	}
 
+	/** Cuts the paths of a share of the callers to a host silently; both ends go on waiting. */
+	cutAttempts(process: SimulatedProcess, share: number, lengthMs: number): void {
+		for (const {host, caller} of this.attempts) {
+			if (host === process && this.options.random() < share) {
+				this.options.network.cut(caller, process.name, lengthMs);
+			}
+		}
+	}
+
 	private drawWorkMs(): number {
 		const {random, workMs} = this.options;
 		if (workMs !== undefined) {
@@ -103,7 +112,8 @@
 		const host = this.options.hosts[job.index]!;
 		const {process, service} = host;
 		this.options.log('-', 'job-sent', {job: id, host: process.name, number: job.number});
-		const path = () => network.delay(`caller ${id}`, process.name);
+		const caller = `caller ${id}`;
+		const path = () => network.delay(caller, process.name);
 		const resend = (index: number, delayMs: number) => {
 			if (job.number < maxAttempts && simulation.time + delayMs < job.deadline) {
 				simulation.schedule(delayMs, () => {
@@ -116,6 +126,7 @@
 		let cancel: (() => void) | undefined;
 		const attempt: Attempt = {
 			host: process,
+			caller,
 			isBroken: false,
 			sentAt: simulation.time,
 			fail: (delayMs, noticedLaterMs = 0) => {
--- a/packages/chivestream-host/src/__fixtures__/simulated-faults.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-faults.ts
@@ -41,8 +41,10 @@
 	clockStep: 'clock step',
 	/** Some minions refuse connections, and go on running. */
 	refusingMinions: 'refusing minions',
-	/** Callers lose their paths to a host, which notices it late. */
+	/** The paths of callers to a host are cut, and they go on waiting. */
 	cutCallers: 'cut of callers',
+	/** Callers give their connections to a host up, which notices it late. */
+	halfOpenCallers: 'half-open callers',
 	/** The store does writes late, out of order and without an answer. */
 	lateWrites: 'late writes',
 } as const;
@@ -235,6 +237,11 @@
 			break;
 		}
 
+		case newerFault.halfOpenCallers: {
+			site.callers.halfOpenAttempts(process, (1 + (other % 4)) / 4, lengthMs);
+			break;
+		}
+
 		case newerFault.lateWrites: {
 			network.delayWrites(lengthMs);
 		}
