Draw the tokens of two hosts that start at once from different seeds

The salt of a token, which tells hosts apart that claim in the same millisecond, was drawn from a generator that is seeded by the time alone: hosts that started in the same millisecond drew the same salts. Two equal tokens fence neither dispatcher.

Change: the name of the host is part of the seed. The new test failed before.

--- a/packages/chivestream-host/src/__tests__/claim-manager.test.ts
+++ b/packages/chivestream-host/src/__tests__/claim-manager.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	afterEach, describe, expect, test,
+	afterEach, describe, expect, jest, test,
 } from '@jest/globals';
 import {Checker, startMinionStandIn, type MinionStandIn} from 'chivestream-site-stand-ins';
 import {type Outcome} from 'chivestream-dispatch';
@@ -73,6 +73,25 @@
 		expect(claimsAt(3800, undefined)).toBe(true);
 	});
 
+	test('takes another token than one that starts and claims in the same milliseconds', () => {
+		const time = jest.spyOn(Date, 'now').mockReturnValue(Date.UTC(2026, 0, 1));
+		const tokens = ['a', 'b'].map(name => {
+			let now = 0;
+			const manager = create({
+				self: {
+					name, zone: 'z', address: '127.0.0.1:1', bornAt: 1, cpuShare: 1,
+				},
+				now: () => now,
+			});
+			now = 3800;
+			manager.evaluate();
+			return manager.claims()[0]?.token;
+		});
+		time.mockRestore();
+		expect(tokens[0]).toBeGreaterThan(0);
+		expect(tokens[0]).not.toBe(tokens[1]);
+	});
+
 	test('gives the hosts of the list time to answer', () => {
 		expect(claimsAt(1800, 1200)).toBe(false);
 		expect(claimsAt(2000, 1200)).toBe(true);
--- a/packages/chivestream-host/src/cells.ts
+++ b/packages/chivestream-host/src/cells.ts
@@ -16,7 +16,8 @@
 const fnvOffsetBasis = 2_166_136_261;
 const fnvPrime = 16_777_619;
 
-const fnv1a = (text: string): number => {
+/** The FNV-1a digest of a text, of 32 bits. */
+export const fnv1a = (text: string): number => {
 	let value = fnvOffsetBasis;
 	for (const character of text) {
 		// eslint-disable-next-line no-bitwise -- the algorithm works on bits
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -1,8 +1,10 @@
 /** Claims and releases cells of the local zone, and records which host dispatches for each of the other cells. */
-import {createRandom, randomInteger} from 'chivestream-core';
+import {createRandom, randomInteger, type Random} from 'chivestream-core';
 import {type CellCapacity, type MinionRecord} from 'chivestream-dispatch';
 import {DispatchService, type DispatchServiceOptions} from './dispatch-service.js';
-import {cellCountFor, cellName, cellOf} from './cells.js';
+import {
+	cellCountFor, cellName, cellOf, fnv1a,
+} from './cells.js';
 import {
 	chooseDispatchers, reachability, shouldHandOver, type Candidate, type DispatcherChoice,
 } from './election.js';
@@ -70,7 +72,7 @@
 	/** The chosen dispatcher of each cell, by cell number. */
 	choices: DispatcherChoice[] = [{kind: 'none'}];
 	private readonly options: ClaimManagerOptions;
-	private readonly random = createRandom(Date.now() % seedRange);
+	private readonly random: Random;
 	private readonly startedAt: number;
 	private followController: AbortController | undefined;
 	/** When this host was last fenced while it reached no other host of the zone. */
@@ -84,6 +86,8 @@
 	constructor(options: ClaimManagerOptions) {
 		this.options = options;
 		this.startedAt = options.now();
+		// Hosts that start in the same millisecond must not draw the same tokens.
+		this.random = createRandom((Date.now() + fnv1a(options.self.name)) % seedRange);
 	}
 
 	/** The number of cells into which the zone is divided. */
