Take a new token as soon as a restart of a minion is known

What callers could see: two runs of a task. A start without an answer was stopped and its task ran elsewhere; the minion crashed, and its next incarnation, which has seen neither the stop nor a token, carried the start out. The session took its next token only after an answer of the new incarnation, seconds after the registry had shown the restart.

Change: the first poll after the registry or the close of the port has shown the end of an incarnation carries the next token, so the minion refuses earlier requests from then on, also if the answer is lost. A start that arrives before that poll can't be prevented.

The new test in minion-session.test.ts failed before.

--- a/packages/chivestream-host/src/__tests__/minion-session.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-session.test.ts
@@ -208,6 +208,18 @@
 	expect(tokensAtReports[0]).toBeGreaterThan(token);
 });
 
+// A late start was carried out by the next incarnation, whose answers were lost.
+test('a minion that has restarted receives a higher token although none of its answers arrives', async () => {
+	minion = await startMinion('i-1');
+	const {dispatcher} = startSession(minion);
+	await until(() => dispatcher.pool.minions.get('i-1')!.isSynced);
+	minion.delayAnswers(60_000);
+	minion.crash();
+	dispatcher.setMinions([decodeMinionEntry('i-1', Buffer.from(minion.createRegistryEntry()))!]);
+	await until(() => minion!.highestToken() > 0);
+	expect(minion.highestToken()).toBeGreaterThan(token);
+});
+
 // The end was acknowledged by the number of an end of the incarnation before, and the task started again.
 test('a run that the next incarnation has carried out and ended before its first report is not started again', async () => {
 	minion = await startMinion('i-1', undefined, 20);
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -83,6 +83,8 @@
 	let {bornAt} = minion.record;
 	let {token} = options;
 	let endCursor = 0;
+	/** The incarnation for which the current token was taken, by its start. */
+	let tokenBornAt = bornAt;
 	/** The highest token under which the current incarnation has reported its runs. */
 	let answeredToken: number | undefined;
 	let wake: (() => void) | undefined;
@@ -127,6 +129,13 @@
 
 	/** Sends one request for the ends of runs, and applies its answer. */
 	const pollOnce = async (waitMs: number, renewsLease: boolean): Promise<Result<void, Failure | Refusal>> => {
+		if (minion.bornAt > tokenBornAt) {
+			// The registry has shown a restart. The first request that reaches the new incarnation fences off the earlier ones, also if its
+			// answer is lost.
+			token = nextToken(token);
+			tokenBornAt = minion.bornAt;
+		}
+
 		const sentAt = now();
 		const sentToken = token;
 		const sentToIncarnation = minion.bornAt;
@@ -163,6 +172,7 @@
 			bornAt = response.bornAt;
 			endCursor = 0;
 			answeredToken = undefined;
+			tokenBornAt = Math.max(tokenBornAt, bornAt);
 			dispatcher.recordIncarnation(minion, bornAt);
 			if (isRestart) {
 				// The new incarnation has seen no stop, and would still carry out earlier start requests. A higher token fences them off,
@@ -200,6 +210,8 @@
 			dispatcher.handleCrash(minion, crashEvidence.replaced);
 		} else if (last instanceof Error && wasRefused(last) && now() < closedAt + crashDetectionMs) {
 			dispatcher.handleCrash(minion, crashEvidence.stoppedListening);
+			// Its next incarnation carries out earlier requests until it has received a higher token.
+			token = nextToken(token);
 		}
 	};
 
