Test of the soak's processes: an empty file of process ids is no id

Between the creation of the file and the write it is empty, and an empty text counted as id 0: the test "a host that has been closed ..." stopped the program before it had written, and the clean-up sent SIGKILL to process 0, which is the process group of the test runner.

Ids now count only once they are complete. The tests expect what they did; they no longer go on before a program has started.

--- a/packages/chivestream-site-stand-ins/src/soak/__tests__/host-process.test.ts
+++ b/packages/chivestream-site-stand-ins/src/soak/__tests__/host-process.test.ts
@@ -22,9 +22,10 @@
 let folder: string;
 let host: HostProcess;
 
+/** The process ids in the file so far, which is empty for a moment after its creation: id 0 would stand for the test runner's own group. */
 const startedPids = (): number[] => {
 	try {
-		return readFileSync(path.join(folder, 'pids'), 'utf8').trim().split(' ').map(Number);
+		return (readFileSync(path.join(folder, 'pids'), 'utf8').match(/\d+(?= )/gv) ?? []).map(Number);
 	} catch {
 		return [];
 	}
