Log the cells whose dispatchers have not named the jobs that they hold

A new dispatcher asks those of other cells for the jobs of its cell. One that can't be reached, or doesn't answer within 0.3 s, counts as one that holds none, and a copy of a job that runs there may start. Nothing in the log said so. The comment of Dispatcher.minionsByTask stood there in two versions.

--- a/packages/chivestream-dispatch/src/__fixtures__/recorded-dispatcher.ts
+++ b/packages/chivestream-dispatch/src/__fixtures__/recorded-dispatcher.ts
@@ -11,6 +11,8 @@
 	starts: Run[];
 	/** Runs whose stop was requested. */
 	stops: Run[];
+	/** Log events. */
+	events: Array<{event: string; fields: Record<string, unknown>}>;
 	/** Free capacity of other cells that the dispatcher receives. */
 	otherCells: CellCapacity[];
 	/** Sets whether the registry lists every minion; it does at first. */
@@ -68,6 +70,7 @@
 	const starts: Run[] = [];
 	const stops: Run[] = [];
 	const otherCells: CellCapacity[] = [];
+	const events: RecordedDispatcher['events'] = [];
 	const dispatcher = new Dispatcher({
 		now: () => time,
 		random: createRandom(1),
@@ -81,8 +84,8 @@
 		claim,
 		isRegistryComplete: () => isRegistryComplete,
 		knowsMinionsOfClaim: () => true,
-		report() {
-			// Tests check requests and outcomes, not log events.
+		report(event, fields) {
+			events.push({event, fields});
 		},
 	}, {leaseMs, farFactor: 3});
 	dispatcher.setMinions(records);
@@ -91,6 +94,7 @@
 		dispatcher,
 		starts,
 		stops,
+		events,
 		otherCells,
 		minion,
 		setRegistryComplete(isComplete) {
--- a/packages/chivestream-dispatch/src/__tests__/jobs-elsewhere.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/jobs-elsewhere.test.ts
@@ -64,6 +64,18 @@
 		expect(silent.starts).toHaveLength(1);
 	});
 
+	test('starts beside log lines that name the cells without an answer, once each', () => {
+		const {dispatcher, events, advance} = createAsking();
+		dispatcher.retainAskedCells(new Set(['x']));
+		advance(answersDueAt);
+		dispatcher.tick();
+		dispatcher.tick();
+		expect(events.filter(({event}) => event === 'jobs-elsewhere-unknown').map(({fields}) => fields)).toEqual([
+			{cells: ['y'], reason: 'no dispatcher in reach', claim: 1},
+			{cells: ['x'], reason: 'no answer in time', claim: 1},
+		]);
+	});
+
 	test('is neither redirected for want of room nor refused as not run before that', () => {
 		const recorded = createAsking({isDraining: true});
 		recorded.otherCells.push({cell: 'z', freeTasks: 9});
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -294,7 +294,7 @@
 
 	/** Stops waiting for the answers of all cells but these. */
 	retainAskedCells(cells: ReadonlySet<string>): void {
-		this.jobsElsewhere.retain(cells);
+		this.reportUnanswered(this.jobsElsewhere.retain(cells), 'no dispatcher in reach');
 		this.schedule();
 	}
 
@@ -353,6 +353,7 @@
 	tick(): void {
 		const now = this.dependencies.now();
 		this.runs.tick(now);
+		this.reportUnanswered(this.jobsElsewhere.expire(now), 'no answer in time');
 		// A quarantine may have ended since the last tick, so tasks that found no minion are tried again.
 		this.pool.capacityRevision += 1;
 		this.schedule();
@@ -471,6 +472,13 @@
 		this.jobsElsewhere.record(id, cell, {now, until: now + jobLeaseMs(this.bounds.leaseMs)});
 	}
 
+	/** Logs the cells that count from now on as holding no job of this cell, though their dispatchers have not said so. */
+	private reportUnanswered(cells: readonly string[], reason: string): void {
+		if (cells.length > 0) {
+			this.dependencies.report('jobs-elsewhere-unknown', {cells, reason, claim: this.dependencies.claim});
+		}
+	}
+
 	private reportFollowing(job: string, cell: string): void {
 		this.dependencies.report('copy-redirected', {job, cell, claim: this.dependencies.claim});
 	}
@@ -487,7 +495,6 @@
 
 	/** Ids of the minions on which each task of a job may be running; undefined if others may run some that have not reported them yet. */
 	private minionsByTask(job: Job, now: number): Record<string, string[]> | undefined {
-		// A submitter without a history relies on this list alone.
 		// A submitter with another history, or with none, relies on this list alone.
 		const isShared = job.hasUnknownHistory || job.submissions.length > 1;
 		if (isShared && !(this.jobsElsewhere.isKnown(now) && job.tasks.every(task => this.runs.hasObservedRuns(task, now)))) {
--- a/packages/chivestream-dispatch/src/jobs-elsewhere.ts
+++ b/packages/chivestream-dispatch/src/jobs-elsewhere.ts
@@ -48,13 +48,19 @@
 		this.unanswered?.delete(cell);
 	}
 
-	/** Stops waiting for all cells but these. */
-	retain(cells: ReadonlySet<string>): void {
-		for (const cell of this.unanswered ?? []) {
-			if (!cells.has(cell)) {
-				this.unanswered!.delete(cell);
-			}
+	/** Stops waiting for all cells but these; returns the others that have not answered. */
+	retain(cells: ReadonlySet<string>): string[] {
+		const dropped = [...this.unanswered ?? []].filter(cell => !cells.has(cell));
+		for (const cell of dropped) {
+			this.unanswered!.delete(cell);
 		}
+
+		return dropped;
+	}
+
+	/** Stops waiting for the cells that have not answered in time, and returns them. */
+	expire(now: number): string[] {
+		return now >= this.answersDueAt ? this.retain(new Set()) : [];
 	}
 
 	/** Whether the dispatcher of each cell that was asked has answered, can't be reached or has not answered in time. */
