Keep the entry of a minion's latest incarnation when another host passes on an earlier one

A host that takes its table of minions from another one, as the store turns it away or it doesn't dispatch, took each entry for the newest. After a restart of a minion at another address, a table that was read before put back the old address: the next session was with whatever listens there, whose refusal of the minion's id counts as proof that the minion has ended, and its tasks start elsewhere while it runs them. The new test of minion-table-age.test.ts failed before (the entry went back). Entries that this host reads from the store itself replace earlier ones whatever their start is: these reads are in order.

--- a/packages/chivestream-host/src/__tests__/minion-table-age.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-table-age.test.ts
@@ -116,6 +116,27 @@
 		await ended;
 	});
 
+	// A session with an earlier address takes the answer of another minion there for the end of the one that runs.
+	test('keeps the entry of the latest incarnation when another host has read an earlier one', async () => {
+		const {state, follower} = create({one: 64_000});
+		const controller = new AbortController();
+		const ended = follower.follow(controller.signal, true);
+		await until(() => state.reads > 0);
+		const earlier = follower.table.get('one')!;
+		const latest: MinionRecord = {...earlier, bornAt: earlier.bornAt + 1, address: '127.0.0.1:2'};
+		state.isServed = false;
+		await until(() => !follower.reachesStore());
+		follower.mergeZone('z', [latest]);
+		follower.mergeZone('z', [earlier]);
+		expect(follower.table.get('one')).toEqual(latest);
+		follower.replace([earlier]);
+		expect(follower.table.get('one')).toEqual(latest);
+		follower.replace([]);
+		expect(follower.table.size).toBe(0);
+		controller.abort();
+		await ended;
+	});
+
 	test('keeps a minion for a while that another host hasn\'t found, and those of other zones', async () => {
 		const {state, follower} = create({one: 64_000, two: 64_000});
 		const controller = new AbortController();
--- a/packages/chivestream-host/src/minion-follower.ts
+++ b/packages/chivestream-host/src/minion-follower.ts
@@ -80,9 +80,10 @@
 
 	/** Replaces the table by that of a dispatcher. */
 	replace(records: readonly MinionRecord[]): void {
+		const latest = records.map(record => this.latest(record));
 		this.table.clear();
 		this.missing.clear();
-		for (const record of records) {
+		for (const record of latest) {
 			this.table.set(record.id, record);
 		}
 	}
@@ -97,7 +98,7 @@
 			}
 		}
 
-		this.applyEntries(records.map(record => [record.id, record]));
+		this.applyEntries(records.map(record => [record.id, this.latest(record)]));
 		this.markCurrent();
 	}
 
@@ -225,6 +226,12 @@
 		this.applyEntries(records.map(({key, value}) => [key, this.decode(key, value)]));
 	}
 
+	/** The given record, which another host has read at some time, or that in the table if it is of a later incarnation. */
+	private latest(record: MinionRecord): MinionRecord {
+		const known = this.table.get(record.id);
+		return known !== undefined && known.bornAt > record.bornAt ? known : record;
+	}
+
 	/** Applies entries of minions by id; a minion whose entry is undefined is missing. */
 	private applyEntries(entries: ReadonlyArray<[key: string, record: MinionRecord | undefined]>): void {
 		let isChanged = false;
