Keep a copy of a redirected job from every other cell while the first one may be running

What callers see: two runs of a task at the same time (TWICE), after nothing but resets of connections. Cause: a reset that breaks a caller's connection while it sends a request makes it send the job again at once. If the dispatcher of the job's cell had redirected the first copy, it sends the second one to the same cell. Change: the outcome of a copy says for how long the first one may be running in the cell to which it is sent (the lease on a job, counted again by the host that receives it), and until then the host submits the copy to no other cell. Two expectations of dispatcher tests contain the new time.

--- a/packages/chivestream-dispatch/src/__tests__/jobs-elsewhere.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/jobs-elsewhere.test.ts
@@ -31,8 +31,9 @@
 		recorded.dispatcher.handleJobsElsewhere([{cell: 'x', ids: []}]);
 		expect(recorded.starts).toHaveLength(0);
 		recorded.dispatcher.handleJobsElsewhere([{cell: 'y', ids: [jobId]}]);
-		expect(outcomes).toEqual([{kind: outcomeKind.redirected, cell: 'y'}]);
-		expect(recorded.submit(patient(jobId))).toEqual([{kind: outcomeKind.redirected, cell: 'y'}]);
+		const following = [{kind: outcomeKind.redirected, cell: 'y', mayRunForMs: jobLeaseMs(leaseMs)}];
+		expect(outcomes).toEqual(following);
+		expect(recorded.submit(patient(jobId))).toEqual(following);
 		recorded.advance(jobLeaseMs(leaseMs));
 		recorded.submit(patient(jobId));
 		expect(recorded.starts.map(run => run.task)).toEqual([task(jobId)]);
--- a/packages/chivestream-dispatch/src/__tests__/lease.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/lease.test.ts
@@ -378,7 +378,7 @@
 		recorded.otherCells.push({cell: 'y', freeTasks: 1}, {cell: 'x', freeTasks: 9});
 		expect(recorded.submit(patient(otherId, {}, 3))).toEqual([{kind: outcomeKind.redirected, cell: 'x'}]);
 		recorded.otherCells[0]!.freeTasks = 9;
-		expect(recorded.submit(patient(otherId, {}, 3))).toEqual([{kind: outcomeKind.redirected, cell: 'x'}]);
+		expect(recorded.submit(patient(otherId, {}, 3))).toEqual([{kind: outcomeKind.redirected, cell: 'x', mayRunForMs: jobLeaseMs(leaseMs)}]);
 		recorded.advance(jobLeaseMs(leaseMs));
 		expect(recorded.submit(patient(otherId, {}, 3))).toEqual([{kind: outcomeKind.redirected, cell: 'y'}]);
 	});
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -175,8 +175,7 @@
 		// A caller sends a job again at once if its connection breaks while it sends the request.
 		const redirectedTo = request.submission === 0 ? this.jobsElsewhere.cellOf(request.id, now) : undefined;
 		if (redirectedTo !== undefined) {
-			this.reportFollowing(request.id, redirectedTo);
-			settle({kind: outcomeKind.redirected, cell: redirectedTo});
+			settle(this.follow(request.id, redirectedTo));
 			return noWithdrawal;
 		}
 
@@ -308,8 +307,7 @@
 				const job = this.jobs.get(id);
 				const isCopy = job?.request.submission === 0 && !job.mayHaveRun && (job.request.previousSubmissions ?? []).length === 0;
 				if (isCopy) {
-					this.reportFollowing(id, cell);
-					this.settleJob(job, {kind: outcomeKind.redirected, cell});
+					this.settleJob(job, this.follow(id, cell));
 				}
 			}
 		}
@@ -479,8 +477,10 @@
 		}
 	}
 
-	private reportFollowing(job: string, cell: string): void {
+	/** The outcome of a copy of a job whose first copy went to another cell. */
+	private follow(job: string, cell: string): Outcome {
 		this.dependencies.report('copy-redirected', {job, cell, claim: this.dependencies.claim});
+		return {kind: outcomeKind.redirected, cell, mayRunForMs: jobLeaseMs(this.bounds.leaseMs)};
 	}
 
 	/** Whether a job without a history is unknown to all minions and other dispatchers that could be asked, and so has not run. */
--- a/packages/chivestream-dispatch/src/outcome.ts
+++ b/packages/chivestream-dispatch/src/outcome.ts
@@ -24,7 +24,12 @@
 		| {kind: typeof outcomeKind.failed; reason: string}
 		| {kind: typeof outcomeKind.refused; reason: string; retryAfterMs: number}
 		| {kind: typeof outcomeKind.abandoned; reason: string}
-		| {kind: typeof outcomeKind.redirected; cell: string}
+		| {
+			kind: typeof outcomeKind.redirected;
+			cell: string;
+			/** For how long the first copy of the job may be running there, in milliseconds; left out if this is the first, and by earlier builds. */
+			mayRunForMs?: number;
+		}
 		| {
 			kind: typeof outcomeKind.released;
 			doneTasks: string[];
--- a/packages/chivestream-host/src/job-client.ts
+++ b/packages/chivestream-host/src/job-client.ts
@@ -96,11 +96,13 @@
 	let homeCell: string | undefined;
 	/** Submissions to dispatchers that no longer have the job, as long as their runs may be alive. */
 	let previousSubmissions: CellSubmission[] = [];
+	/** Until when the first copy of the job may be running in `cell`, so that it may go to no other one. */
+	let confinedUntil = Number.NEGATIVE_INFINITY;
 	/** Token of the claim whose dispatcher released the job last, or 0; a handle that still has this token is out of date. */
 	let releasedClaim = 0;
 
 	const findDispatcher = async (): Promise<DispatcherHandle | undefined> => {
-		const runsEndAt = Math.max(now(), ...previousSubmissions.map(({leaseEndsAt}) => leaseEndsAt));
+		const runsEndAt = Math.max(now(), confinedUntil, ...previousSubmissions.map(({leaseEndsAt}) => leaseEndsAt));
 		const searchDeadline = Math.min(job.deadline, runsEndAt + hostTiming.findDispatcherTimeoutMs);
 		for (;;) {
 			// The caller may have left during a pause, and sent the job elsewhere.
@@ -110,7 +112,8 @@
 			}
 
 			previousSubmissions = previousSubmissions.filter(({leaseEndsAt}) => now() < leaseEndsAt);
-			const found = (cell === undefined ? undefined : options.dispatcherOfCell(cell)) ?? options.dispatcherForJob(job.id);
+			const isConfined = now() < confinedUntil;
+			const found = (cell === undefined ? undefined : options.dispatcherOfCell(cell)) ?? (isConfined ? undefined : options.dispatcherForJob(job.id));
 			// The next dispatcher of the same cell reads from its minions which tasks run.
 			const isSafe = previousSubmissions.every(previous => previous.cell === found?.cell);
 			if (found !== undefined && isSafe && found.claim !== releasedClaim) {
@@ -121,7 +124,8 @@
 				return undefined;
 			}
 
-			await options.untilChange(Math.min(searchDeadline, ...previousSubmissions.map(({leaseEndsAt}) => leaseEndsAt)));
+			const ends = [...previousSubmissions.map(({leaseEndsAt}) => leaseEndsAt), ...(isConfined ? [confinedUntil] : [])];
+			await options.untilChange(Math.min(searchDeadline, ...ends));
 		}
 	};
 
@@ -196,6 +200,7 @@
 				case outcomeKind.redirected: {
 					homeCell ??= found.cell;
 					cell = outcome.cell;
+					confinedUntil = now() + (outcome.mayRunForMs ?? Number.NEGATIVE_INFINITY);
 					job = {...job, submission: job.submission + 1};
 					break;
 				}
--- a/packages/chivestream-host/src/message-schemas.ts
+++ b/packages/chivestream-host/src/message-schemas.ts
@@ -85,7 +85,7 @@
 	z.object({kind: z.literal(outcomeKind.failed), reason: z.string()}),
 	z.object({kind: z.literal(outcomeKind.refused), reason: z.string(), retryAfterMs: z.number()}),
 	z.object({kind: z.literal(outcomeKind.abandoned), reason: z.string()}),
-	z.object({kind: z.literal(outcomeKind.redirected), cell: z.string()}),
+	z.object({kind: z.literal(outcomeKind.redirected), cell: z.string(), mayRunForMs: z.number().min(0).optional()}),
 	z.object({
 		kind: z.literal(outcomeKind.released), doneTasks: z.array(z.string()), crashes: crashesSchema.optional(), minionsByTask: minionsByTaskSchema.optional(),
 	}),
