A submission that a dispatcher has not accepted is no history of a job

What callers see: two runs of a task at the same time (TWICE) beside a change of the dispatcher of a cell. Cause: a host whose submission reaches a dispatcher that has just released its cell submits the job to the next one as a job that has been submitted before and of which nothing runs. If it was a copy that its caller sent at once, the dispatcher before may have started the first one; the next dispatcher waits for the reports of its minions only with jobs that name no earlier submission, so it started this one at once. Change: the outcome says that the submission was not accepted (isUnaccepted), and the host submits the job again as it was. Evidence: 'a copy that the previous dispatcher has not accepted any more waits likewise' failed before: the task started before the second minion had reported the first run. One expectation of dispatcher.test.ts has the new field.

--- a/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/dispatcher.test.ts
@@ -2,7 +2,9 @@
 import {
 	createRecordedDispatcher, jobRequest, leaseMs, minionRecord,
 } from '../__fixtures__/recorded-dispatcher.js';
-import {leaseExpiryMs, outcomeKind, startAnswer} from '../index.js';
+import {
+	leaseExpiryMs, outcomeKind, startAnswer, unaccepted,
+} from '../index.js';
 
 const jobId = '00000000000000aa';
 const task = (index: number, id = jobId) => `${id}.0.0.${index}`;
@@ -445,7 +447,7 @@
 		recorded.dispatcher.release();
 		expect(outcomes).toEqual([{kind: outcomeKind.released, doneTasks: [task(0)], minionsByTask: {[task(1)]: ['m']}}]);
 		expect(recorded.stops).toHaveLength(0);
-		expect(recorded.submit(jobRequest('00000000000000dd'))).toEqual([{kind: outcomeKind.released, doneTasks: [], minionsByTask: {}}]);
+		expect(recorded.submit(jobRequest('00000000000000dd'))).toEqual([unaccepted]);
 	});
 });
 
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -14,7 +14,7 @@
 	type Minion, type MinionRecord, type Resources, type Run,
 } from './minion.js';
 import {Isolation} from './isolation.js';
-import {outcomeKind, type Outcome} from './outcome.js';
+import {outcomeKind, unaccepted, type Outcome} from './outcome.js';
 import {
 	fitsWithin, isUsable, placeTask, type PoolView,
 } from './placement.js';
@@ -159,7 +159,7 @@
 	): Withdrawal {
 		const now = this.dependencies.now();
 		if (this.isLeaving) {
-			settle({kind: outcomeKind.released, doneTasks: [], minionsByTask: {}});
+			settle(unaccepted);
 			return noWithdrawal;
 		}
 
--- a/packages/chivestream-dispatch/src/outcome.ts
+++ b/packages/chivestream-dispatch/src/outcome.ts
@@ -36,5 +36,12 @@
 			crashes?: Readonly<Record<string, CrashRecord>>;
 			/** Ids of the minions on which each task may be running, by the name of the task; left out if others may, and by earlier builds. */
 			minionsByTask?: Readonly<Record<string, readonly string[]>>;
+			/** Whether the dispatcher has not accepted the submission, so that it knows nothing of the job; left out if it has. */
+			isUnaccepted?: boolean;
 		}
 		| {kind: typeof outcomeKind.cancelled};
+
+/** The outcome of a submission that a dispatcher which has released its cell does not accept. */
+export const unaccepted = {
+	kind: outcomeKind.released, doneTasks: [], minionsByTask: {}, isUnaccepted: true,
+} satisfies Outcome;
--- a/packages/chivestream-host/src/__tests__/copy-of-a-job.test.ts
+++ b/packages/chivestream-host/src/__tests__/copy-of-a-job.test.ts
@@ -78,3 +78,39 @@
 	expect(redirecting.starts.map(({task}) => task)).toEqual([]);
 	expect(target.dispatcher.jobs.has(id)).toBe(true);
 });
+
+/** A dispatcher that has just claimed the cell; only one of its two minions has reported its runs. */
+const createSuccessor = () => {
+	const recorded = createRecordedDispatcher([minionRecord('m'), minionRecord('n')], 2);
+	recorded.report('m');
+	return recorded;
+};
+
+test('a copy waits at a new dispatcher until each minion has reported its runs', async () => {
+	const successor = createSuccessor();
+	runCopy(successor, () => [handleOf(successor, home, 2)]);
+	await settled();
+	expect(successor.starts.map(({task}) => task)).toEqual([]);
+});
+
+// It was sent to a dispatcher that had just released the cell. That is no history: the job may run on a minion that has not reported.
+test('a copy that the previous dispatcher has not accepted any more waits likewise', async () => {
+	const [previous, successor] = [createRecordedDispatcher([minionRecord('m')]), createSuccessor()];
+	previous.dispatcher.release();
+	let isReleased = false;
+	const first = handleOf(previous, home, 1);
+	runCopy(successor, () => isReleased
+		? [handleOf(successor, home, 2)]
+		: [{
+			...first,
+			submit(job, callbacks) {
+				isReleased = true;
+				first.submit(job, callbacks);
+			},
+		}]);
+	await settled();
+	expect(successor.dispatcher.jobs.has(id)).toBe(true);
+	expect(successor.starts.map(({task}) => task)).toEqual([]);
+	successor.report('n', [[`${id}.0.0.0`, 1]]);
+	expect(successor.starts.map(({task}) => task)).toEqual([]);
+});
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -4,7 +4,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	jobLeaseMs, leaseExpiryMs, type CellJobs, type MinionRecord,
+	jobLeaseMs, leaseExpiryMs, unaccepted, type CellJobs, type MinionRecord,
 } from 'chivestream-dispatch';
 import {
 	callerJobState, createStoreClient, readinessPath, type CallerJobState,
@@ -196,7 +196,7 @@
 					report('submission-released', {
 						job: message.id, cell: message.cell, claim: message.claim, ownClaim: service?.token,
 					});
-					settle({kind: 'released', doneTasks: [], minionsByTask: {}});
+					settle(unaccepted);
 					return undefined;
 				}
 
--- a/packages/chivestream-host/src/job-client.ts
+++ b/packages/chivestream-host/src/job-client.ts
@@ -80,6 +80,9 @@
 	}),
 });
 
+/** An outcome of one kind. */
+type OutcomeOf<Kind extends Outcome['kind']> = Extract<Outcome, {kind: Kind}>;
+
 /** A previous submission of a job, with the cell to whose minions its runs are confined. */
 type CellSubmission = PreviousSubmission & {cell: string};
 
@@ -157,6 +160,22 @@
 		job: job.id, submission: job.submission, dispatcher: name, cell: submittedTo, claim,
 	});
 
+	const handleRelease = (found: DispatcherHandle, {doneTasks, minionsByTask, crashes, isUnaccepted = false}: OutcomeOf<typeof outcomeKind.released>) => {
+		releasedClaim = found.claim;
+		report('job-released', {
+			...describeSubmission(found), done: doneTasks.length, minionsByTask, ...(isUnaccepted && {isUnaccepted}),
+		});
+		if (isUnaccepted) {
+			// The next dispatcher must not take it for an earlier submission, all of whose runs are known.
+			return;
+		}
+
+		job = {...job, ...(crashes !== undefined && {crashes: {...job.crashes, ...crashes}})};
+		prepareResubmission({
+			cell: found.cell, claim: found.claim, leaseEndsAt: now() + options.releasedRunsMs(), ...(minionsByTask !== undefined && {minionsByTask}),
+		}, doneTasks);
+	};
+
 	const run = async (): Promise<Outcome> => {
 		for (;;) {
 			const found = await findDispatcher();
@@ -187,13 +206,7 @@
 				}
 
 				case outcomeKind.released: {
-					releasedClaim = found.claim;
-					job = {...job, ...(outcome.crashes !== undefined && {crashes: {...job.crashes, ...outcome.crashes}})};
-					const {doneTasks, minionsByTask} = outcome;
-					report('job-released', {...describeSubmission(found), done: doneTasks.length, minionsByTask});
-					prepareResubmission({
-						cell: found.cell, claim: found.claim, leaseEndsAt: now() + options.releasedRunsMs(), ...(minionsByTask !== undefined && {minionsByTask}),
-					}, doneTasks);
+					handleRelease(found, outcome);
 					break;
 				}
 
--- a/packages/chivestream-host/src/message-schemas.ts
+++ b/packages/chivestream-host/src/message-schemas.ts
@@ -87,7 +87,11 @@
 	z.object({kind: z.literal(outcomeKind.abandoned), reason: z.string()}),
 	z.object({kind: z.literal(outcomeKind.redirected), cell: z.string(), mayRunForMs: z.number().min(0).optional()}),
 	z.object({
-		kind: z.literal(outcomeKind.released), doneTasks: z.array(z.string()), crashes: crashesSchema.optional(), minionsByTask: minionsByTaskSchema.optional(),
+		kind: z.literal(outcomeKind.released),
+		doneTasks: z.array(z.string()),
+		crashes: crashesSchema.optional(),
+		minionsByTask: minionsByTaskSchema.optional(),
+		isUnaccepted: z.boolean().optional(),
 	}),
 	z.object({kind: z.literal(outcomeKind.cancelled)}),
 ]);
