A release names no minions once a job has had several histories, also if only one of its hosts is left

What callers see: two runs of a task at the same time (TWICE), with two copies of a job and two changes of the dispatcher of its cell. Cause: the host that submits a job to the next dispatcher relies on the minions that the release names. It knows its own history only. A dispatcher that was sent two of them says so while both hosts wait, but after one had left it named minions as if the other one knew all. Change: Job.hasSeveralHistories stays set. Evidence: 'lets a release name no minions either once the host with that history has left' failed before. By reading; no play has shown it.

--- a/packages/chivestream-dispatch/src/__tests__/lease.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/lease.test.ts
@@ -338,6 +338,22 @@
 		recorded.dispatcher.release();
 		expect(outcomes).toEqual([{kind: outcomeKind.released, doneTasks: []}]);
 	});
+
+	// The remaining host doesn't know the history of the other one.
+	test('lets a release name no minions either once the host with that history has left', () => {
+		const recorded = createRecordedDispatcher([minionRecord('m'), minionRecord('silent')], 9);
+		const outcomes: Outcome[] = [];
+		recorded.dispatcher.submit(patient(jobId, {submission: 1, mayHaveRun: true, previousSubmissions: [{claim: 7, leaseEndsAt: 5}]}, 2), outcome => {
+			outcomes.push(outcome);
+		}, ignore, origin('b'));
+		recorded.dispatcher.submit(patient(jobId, {
+			submission: 1, mayHaveRun: true, previousSubmissions: [{claim: 8, leaseEndsAt: 1300, minionsByTask: {[task(0)]: ['silent'], [task(1)]: ['silent']}}],
+		}, 2), ignore, ignore, origin('a')).cancel();
+		recorded.dispatcher.markUnreachable(recorded.minion('silent'));
+		recorded.report('m');
+		recorded.dispatcher.release();
+		expect(outcomes).toEqual([{kind: outcomeKind.released, doneTasks: []}]);
+	});
 });
 
 describe('a job that its caller sends again at once', () => {
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -434,6 +434,7 @@
 		}
 
 		job.mayHaveRun = true;
+		job.hasSeveralHistories = true;
 		job.request = mergeHistories(job.request, request);
 		this.runs.restoreTasks(job);
 		unblockTasks(job);
@@ -496,7 +497,7 @@
 	/** Ids of the minions on which each task of a job may be running; undefined if others may run some that have not reported them yet. */
 	private minionsByTask(job: Job, now: number): Record<string, string[]> | undefined {
 		// A submitter with another history, or with none, relies on this list alone.
-		const isShared = job.hasUnknownHistory || job.submissions.length > 1;
+		const isShared = job.hasUnknownHistory || job.hasSeveralHistories || job.submissions.length > 1;
 		if (isShared && !(this.jobsElsewhere.isKnown(now) && job.tasks.every(task => this.runs.hasObservedRuns(task, now)))) {
 			return undefined;
 		}
--- a/packages/chivestream-dispatch/src/job.ts
+++ b/packages/chivestream-dispatch/src/job.ts
@@ -110,6 +110,8 @@
 	mayHaveRun: boolean;
 	/** Whether a submission names no earlier one. The host with the caller's first connection may have been lost, and runs be alive. */
 	hasUnknownHistory: boolean;
+	/** Whether several submissions have named histories; the host of one doesn't know those of the others. */
+	hasSeveralHistories: boolean;
 	/** Whether this dispatcher has placed a task of the job. */
 	hasStarted: boolean;
 	/** Whether the job has an outcome. */
@@ -162,7 +164,7 @@
 /** Creates a job with its tasks; tasks of steps without dependencies can be placed at once. */
 export const createJob = (request: JobRequest, arrivedAt: number, submission: Submission): Job => {
 	const job: Job = {
-		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasUnknownHistory: !request.mayHaveRun, hasStarted: false, isSettled: false, submissions: [submission],
+		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasUnknownHistory: !request.mayHaveRun, hasSeveralHistories: false, hasStarted: false, isSettled: false, submissions: [submission],
 	};
 	for (const [stepIndex, step] of request.steps.entries()) {
 		for (let index = 0; index < step.count; index += 1) {
