A dispatcher keeps the entry of a minion's latest incarnation, whatever order its tables come in

As before for the table of a host: the dispatcher itself took the entries of each table that it was given. 'an entry of an earlier incarnation does not lead to the end of the runs of the current one' failed before: the session went to another minion at the earlier address, whose refusal ended the run that the first minion still had. Both use latestRecord now.

--- a/packages/chivestream-dispatch/src/job.ts
+++ b/packages/chivestream-dispatch/src/job.ts
@@ -164,7 +164,15 @@
 /** Creates a job with its tasks; tasks of steps without dependencies can be placed at once. */
 export const createJob = (request: JobRequest, arrivedAt: number, submission: Submission): Job => {
 	const job: Job = {
-		request, arrivedAt, tasks: [], mayHaveRun: request.mayHaveRun, hasUnknownHistory: !request.mayHaveRun, hasSeveralHistories: false, hasStarted: false, isSettled: false, submissions: [submission],
+		request,
+		arrivedAt,
+		tasks: [],
+		mayHaveRun: request.mayHaveRun,
+		hasUnknownHistory: !request.mayHaveRun,
+		hasSeveralHistories: false,
+		hasStarted: false,
+		isSettled: false,
+		submissions: [submission],
 	};
 	for (const [stepIndex, step] of request.steps.entries()) {
 		for (let index = 0; index < step.count; index += 1) {
--- a/packages/chivestream-dispatch/src/minion.ts
+++ b/packages/chivestream-dispatch/src/minion.ts
@@ -26,6 +26,10 @@
 	labels: readonly string[];
 };
 
+/** Of a minion's known entry and another one, which may have been read earlier, the one of the later incarnation; the other one if both are equal. */
+export const latestRecord = (known: MinionRecord | undefined, other: MinionRecord): MinionRecord =>
+	known !== undefined && known.bornAt > other.bornAt ? known : other;
+
 /** States of a run. */
 export const runState = {
 	/** The start request was sent; the minion has not answered it yet. */
--- a/packages/chivestream-dispatch/src/runs.ts
+++ b/packages/chivestream-dispatch/src/runs.ts
@@ -10,7 +10,7 @@
 } from './crash.js';
 import {leaseExpiryMs, type LeaseLengths} from './lease.js';
 import {
-	allResources, runKey, runState, type Minion, type MinionRecord, type Run,
+	allResources, latestRecord, runKey, runState, type Minion, type MinionRecord, type Run,
 } from './minion.js';
 import {taskResources} from './placement.js';
 import {endProbation, noteFailure, resetFailures} from './quarantine.js';
@@ -123,7 +123,9 @@
 	setMinions(records: readonly MinionRecord[], unregistered: readonly MinionRecord[] = []): void {
 		const ids = new Set(records.map(record => record.id));
 		for (const record of records) {
-			this.recordIncarnation(registerMinion(this.pool, record), record.bornAt);
+			// Two tables may cross: one that this host has read, and an earlier one that another host has passed on.
+			const latest = latestRecord(this.pool.minions.get(record.id)?.record, record);
+			this.recordIncarnation(registerMinion(this.pool, latest), latest.bornAt);
 		}
 
 		for (const record of unregistered) {
--- a/packages/chivestream-host/src/__tests__/dispatch-service.test.ts
+++ b/packages/chivestream-host/src/__tests__/dispatch-service.test.ts
@@ -96,3 +96,23 @@
 	await until(isSynced);
 	expect(fenced).toBe(0);
 });
+
+// Two tables of the zone may cross: one that this host has read itself, and an older one that another host has passed on.
+test('an entry of an earlier incarnation does not lead to the end of the runs of the current one', async () => {
+	const {minion: current} = await startService();
+	const record = {...decodeMinionEntry('i-1', Buffer.from(current.createRegistryEntry()))!};
+	service!.setMinions([record]);
+	await until(isSynced);
+	service!.dispatcher.submit({...job, steps: [{...job.steps[0]!, estimateMs: 60_000}]}, () => undefined);
+	await until(() => current.runningTasks().length > 0);
+	const other = await startMinionStandIn({
+		id: 'i-2', zone: 'z', upstream: 'desk', checker: new Checker(), capacity: 32_000, leaseMs, workMs: () => 400,
+	});
+	try {
+		service!.setMinions([{...record, bornAt: record.bornAt - 5000, address: other.address}]);
+		await until(() => service!.dispatcher.pool.minions.get('i-1')?.runs.size === 0 || current.runningTasks().length === 0);
+		expect(current.runningTasks()).toHaveLength(0);
+	} finally {
+		await other.close();
+	}
+});
--- a/packages/chivestream-host/src/minion-follower.ts
+++ b/packages/chivestream-host/src/minion-follower.ts
@@ -2,7 +2,7 @@
 /* eslint-disable no-await-in-loop -- iterations are sequential */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {failureCode} from 'chivestream-core';
-import {type MinionRecord} from 'chivestream-dispatch';
+import {latestRecord, type MinionRecord} from 'chivestream-dispatch';
 import {
 	decodeMinionEntry, topic, type KeyedRecord, type StoreClient,
 } from 'chivestream-platform';
@@ -80,7 +80,7 @@
 
 	/** Replaces the table by that of a dispatcher. */
 	replace(records: readonly MinionRecord[]): void {
-		const latest = records.map(record => this.latest(record));
+		const latest = records.map(record => latestRecord(this.table.get(record.id), record));
 		this.table.clear();
 		this.missing.clear();
 		for (const record of latest) {
@@ -98,7 +98,7 @@
 			}
 		}
 
-		this.applyEntries(records.map(record => [record.id, this.latest(record)]));
+		this.applyEntries(records.map(record => [record.id, latestRecord(this.table.get(record.id), record)]));
 		this.markCurrent();
 	}
 
@@ -226,12 +226,6 @@
 		this.applyEntries(records.map(({key, value}) => [key, this.decode(key, value)]));
 	}
 
-	/** The given record, which another host has read at some time, or that in the table if it is of a later incarnation. */
-	private latest(record: MinionRecord): MinionRecord {
-		const known = this.table.get(record.id);
-		return known !== undefined && known.bornAt > record.bornAt ? known : record;
-	}
-
 	/** Applies entries of minions by id; a minion whose entry is undefined is missing. */
 	private applyEntries(entries: ReadonlyArray<[key: string, record: MinionRecord | undefined]>): void {
 		let isChanged = false;
