Simulation: all connections reset at once, with callers that send their jobs again at once

The earlier faults reset one host at a time, and copies sent at once came only with kills. RUN_ORDER_RESETS=N plays N further seeds.

--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -68,6 +68,9 @@
 /** Further seeds of the kills of hosts, for a long search. */
 const furtherSeeds = Array.from({length: Number(process.env.RUN_ORDER_KILLS ?? 0)}, (_, index) => 1000 + index);
 
+/** Further seeds of resets of all connections, for a long search. */
+const furtherResets = Array.from({length: Number(process.env.RUN_ORDER_RESETS ?? 0)}, (_, index) => 1000 + index);
+
 beforeAll(async () => {
 	({EntryHost: hostClass} = await import('../host.js'));
 	Object.assign(globalThis, {
@@ -94,6 +97,9 @@
 /** Zone `a` has enough minions for two cells. */
 const twoCells = {zones: ['a', 'a', 'a', 'b'], minionsPerZone: {a: 44, b: 4}} as const;
 
+/** Zone `a` has few minions, so that many of its jobs are redirected to zone `b`. */
+const redirectingZone = {zones: ['a', 'a', 'b', 'b', 'b'], minionsPerZone: {a: 3, b: 12}} as const;
+
 /** Time with load and faults, in milliseconds. */
 const lengthMs = 8000;
 
@@ -188,4 +194,19 @@
 		});
 		expect(overlaps).toEqual([]);
 	});
+
+	// A copy was redirected to the cell that had the job, and went back to its own cell as the link to that one was not open again yet.
+	test.each([2, 3, 7, 9, ...furtherResets])('no task has two runs when all connections are reset at once and callers send their jobs again at once, seed %i', async seed => {
+		const random = createRandom(seed);
+		const faults = Array.from({length: 8}, () => {
+			const at = randomInteger(random, lengthMs);
+			return Array.from({length: 5}, (_, target): ScheduledFault => ({
+				at, kind: siteFault.reset, target, other: 3, lengthMs: 50,
+			}));
+		}).flat();
+		const {overlaps} = await play({
+			...redirectingZone, seed, resendsAtOnce: true, faults, lengthMs, jobIntervalMs: 40, workMs: {least: 300, most: 1000},
+		});
+		expect(overlaps).toEqual([]);
+	});
 });
