A host that has read its sockets late submits no job whose caller has left

What callers see: two runs of a task at the same time (TWICE) after a pause of a slow host. Cause: a caller's request and the end of its connection may lie in the host's socket together. The request is handled when it is read, the end one turn of the event loop later; by then the start of a task is sent, while the caller's copy may run elsewhere. The 0.1 s that a host waits after a pause do not cover a turn that takes longer. Change: while the process has recently been late by more than these 0.1 s, a request waits for two turns, and its job is submitted only if the connection has not ended. Other requests are handled as before. Evidence: 'a job is not submitted if the end of its caller's connection lies in the socket behind the request', on real sockets, failed before: the job was submitted and then cancelled; its control passed. One turn was not enough.

--- a/packages/chivestream-host/src/caller-service.ts
+++ b/packages/chivestream-host/src/caller-service.ts
@@ -27,6 +27,8 @@
 	jobState: (id: string) => CallerJobState | undefined;
 	/** Number of jobs of a route that haven't started; only those at this host's dispatchers are counted. */
 	pendingJobs: (route: string) => number;
+	/** Whether this process has recently read its sockets late. */
+	isDelayed: () => boolean;
 	/** Whether the host is shutting down; connections then close after their next answer. */
 	isLeaving: () => boolean;
 	/** When this host closes at the latest, on the monotonic clock; undefined unless it is shutting down. */
@@ -46,6 +48,10 @@
 	ok: 200, badRequest: 400, notFound: 404, methodNotAllowed: 405, gone: 410, tooLarge: 413, unavailable: 503, timedOut: 504,
 } as const;
 
+const untilNextTurn = async () => new Promise<void>(resolve => {
+	setImmediate(resolve);
+});
+
 /** How long idle connections of callers stay open, in milliseconds. */
 const keepAliveMs = 75_000;
 
@@ -121,6 +127,9 @@
 	};
 };
 
+/** Whether the caller has ended its connection. */
+const hasLeft = ({socket}: IncomingMessage): boolean => socket.destroyed || socket.readableEnded;
+
 /** Creates the service; it doesn't listen yet. */
 export const createCallerService = (options: CallerServiceOptions): CallerService => {
 	let inProgress = 0;
@@ -205,6 +214,17 @@
 			return;
 		}
 
+		if (options.isDelayed()) {
+			// The end of the connection may lie in the socket behind the request. It is read in the second turn of the event loop from here.
+			await untilNextTurn();
+			await untilNextTurn();
+		}
+
+		if (hasLeft(request)) {
+			options.report('caller-left', {job: id, afterMs: Math.round(options.now() - arrivedAt)});
+			return;
+		}
+
 		const callerTimeoutMs = readCallerTimeoutMs(request.headers);
 		const jobRequest = toJobRequest(id, job, route, {arrivedAt, callerTimeoutMs});
 		const shutdownDeadline = options.shutdownDeadline();
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -281,6 +281,7 @@
 			cancelJob: async id => this.cancellation.cancel(id),
 			jobState: id => this.jobState(id),
 			pendingJobs: route => this.pendingJobs(route),
+			isDelayed: () => this.delay.value() > hostTiming.pauseRecoveryMs,
 			isLeaving: () => this.isLeaving,
 			shutdownDeadline: () => this.shutdownDeadline,
 			onAnswer: (status, tookMs) => {
