Let a host read its sockets after a pause before it takes others for silent

Cause: after a pause, what the other hosts sent lies in the sockets, and the timers of the process run before it reads these. The first tick therefore took every other host for silent, closed the links, and claimed the cells of a healthy dispatcher with a higher token. A dispatcher that was paused gave its claim up in that tick and claimed the cell again in the same one, over the host that had taken it over. With the paused host and the dispatcher answering in turn, a cell changed hands up to four times after one pause.

Trace (tests of shrunk capacities beside a load of 24): h1 logs "frozen" for 702 ms, 0.8 ms later "h0 silent" and 0.2 ms after that "dispatching".

Change: after a tick that is late by more than 150 ms, silence is checked and dispatchers are chosen only in the next tick, 50 ms later; the event loop reads the sockets between the two. It waits for one tick only, so a host that is always late still takes over. Status messages are not held back.

Tests: on the simulated clock, ten seeds each.

--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -171,6 +171,44 @@
 		expect(overlaps).toEqual([]);
 	});
 
+	describe('the dispatcher of a zone, on ten seeds', () => {
+		/** The hosts that have claimed the cell, in their order, for each seed. */
+		const claimants = async (faults: ScheduledFault[]): Promise<string[]> => {
+			const names: string[] = [];
+			for (let seed = 1; seed <= 10; seed += 1) {
+				// eslint-disable-next-line no-await-in-loop -- one simulation at a time
+				const {log} = await play({
+					zones: ['a', 'a', 'a'], minionsPerZone: {a: 4}, seed, resendsAtOnce: false, lengthMs: 4000, faults,
+				});
+				names.push(log.flatMap(([_, host, event]) => event === 'dispatching' ? [host] : []).join(' '));
+			}
+
+			return names;
+		};
+
+		const freeze = (target: number, pauseMs: number): ScheduledFault => ({
+			at: 1000, kind: siteFault.freeze, target, other: 0, lengthMs: pauseMs,
+		});
+
+		// What the others had sent lay in the sockets of a paused host, and it took them all for silent before it had read that.
+		test.each([450, 700, 1000, 2000])('stays, if another host was paused for %i ms', async pauseMs => {
+			expect(new Set(await claimants([freeze(1, pauseMs)]))).toEqual(new Set(['h0']));
+		});
+
+		test.each([1000, 2000])('doesn\'t take the cell back from the next one, if it was paused for %i ms', async pauseMs => {
+			expect(new Set(await claimants([freeze(0, pauseMs)]))).toEqual(new Set(['h0 h1']));
+		});
+
+		test('is replaced after a pause by hosts all of which are always late', async () => {
+			const slow = [1, 2].map((target): ScheduledFault => ({
+				at: 0, kind: newerFault.slowHost, target, other: 3, lengthMs: 4000,
+			}));
+			for (const names of await claimants([...slow, freeze(0, 2500)])) {
+				expect(names).toMatch(/^h0 h[12]/v);
+			}
+		});
+	});
+
 	// The host that had a caller's connection was also its dispatcher, and was killed: only the minions knew of the first run when the copy
 	// of the job reached the next dispatcher. On each of these seeds the rule was broken before that dispatcher waited for their reports;
 	// on seed 1073 a host that had just started sent the copy to another zone, and on 1043, 1059, 1064 and 2046 the first copy had been
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -83,6 +83,10 @@
 	private readonly delay = createRecentMaximum();
 	private readonly pauseGuard: PauseGuard;
 	private lastTickAt = performance.now();
+	/** When this host last checked which others are silent, after it had read its sockets. */
+	private listenedAt = performance.now();
+	/** Whether the last tick was late, so that the sockets are read before the next one. */
+	private isReadingSockets = false;
 	private lastHeartbeatAt = 0;
 	private lastPublishedDispatchers = '';
 	private readonly now: () => number;
@@ -483,8 +487,18 @@
 		return count;
 	}
 
+	/** Whether this host has read what the others have sent. After a pause, that lies in its sockets, and they all seem silent. */
+	private isListening(): boolean {
+		return this.now() - this.listenedAt <= hostTiming.heartbeatMs + hostTiming.lateTickMs;
+	}
+
 	/** Chooses the zone's dispatchers again, publishes changes and wakes the jobs that wait for a dispatcher. */
 	private evaluate(): void {
+		if (!this.isListening()) {
+			// Done again once the sockets have been read.
+			return;
+		}
+
 		this.claim.evaluate();
 		this.updateAskedCells();
 		this.dispatcherHandles.recordReachable();
@@ -640,7 +654,8 @@
 
 	private async runTickLoop(): Promise<void> {
 		while (!this.controller.signal.aborted) {
-			const intervalMs = this.isDispatching() ? hostTiming.tickMs : hostTiming.heartbeatMs;
+			const wasReadingSockets = this.isReadingSockets;
+			const intervalMs = this.isDispatching() || wasReadingSockets ? hostTiming.tickMs : hostTiming.heartbeatMs;
 			await sleep(intervalMs);
 			const now = this.now();
 			const pausedMs = now - this.lastTickAt - intervalMs;
@@ -656,9 +671,16 @@
 
 			this.lastTickAt = now;
 			this.claim.tick();
-			this.peerServer.tick();
-			this.peers.tick();
-			if (now - this.lastHeartbeatAt >= hostTiming.heartbeatMs) {
+			// The sockets are read between two ticks, so a process that is always late waits for one tick only.
+			this.isReadingSockets = !wasReadingSockets && pausedMs > hostTiming.lateTickMs;
+			if (!this.isReadingSockets) {
+				this.listenedAt = now;
+				this.peerServer.tick();
+				this.peers.tick();
+			}
+
+			const isHeartbeatDue = now - this.lastHeartbeatAt >= hostTiming.heartbeatMs;
+			if (isHeartbeatDue || wasReadingSockets) {
 				this.lastHeartbeatAt = now;
 				this.peers.sendStatus(this.status());
 				this.peerServer.sendStatus(false);
--- a/packages/chivestream-host/src/timing.ts
+++ b/packages/chivestream-host/src/timing.ts
@@ -18,6 +18,8 @@
 	tickMs: 50,
 	/** The process counts as paused if a periodic check is late by more than this; checks are up to `heartbeatMs` apart. */
 	pauseThresholdMs: 600,
+	/** After a check that is late by more than this, no host counts as silent before the next one: the sockets are read first. */
+	lateTickMs: 150,
 	/** After a pause, jobs of this host's callers wait this long until the sockets have been read. */
 	pauseRecoveryMs: 100,
 	/** How long a job waits until a dispatcher is reachable. */
