Keep lost answers out of a minion's answer times

Cause: the second loss in a row counted as an answer time.

Change: only answers count as answer times. From the second loss in a row the next requests get more time, as before, but only until one is answered; a minion that has become slow so shows how long it takes, and that is kept.

The tests of slow minions, delayed processes and several losses in a row are unchanged and pass. A new one fails without the change (388 ms after an answer of 3 ms, with a random 30% of the answers lost); two more hold for a minion that has become slow, and passed before.

--- a/packages/chivestream-host/src/answer-timeout.ts
+++ b/packages/chivestream-host/src/answer-timeout.ts
@@ -35,24 +35,34 @@
 export type AnswerTimes = {
 	/** Records how long a request took, in milliseconds, and whether it was answered. */
 	record: (tookMs: number, isAnswered: boolean) => void;
-	/** The longest recent answer, in milliseconds. */
+	/** The longest recent answer, in milliseconds; after several losses in a row at least the longest wait for one of them. */
 	recentMs: () => number;
 };
 
 /**
- * Creates answer times without observations. A single lost answer says nothing about the speed of the minion; several in a row may.
+ * Creates answer times without observations. A single lost answer says nothing about the speed of the minion. Several in a row may be
+ * answers that take longer than the timeout, so the next request gets more time; the first answer then shows how long they do take. Were
+ * the losses kept among the answers, each timeout that ran out would lengthen many later ones.
  */
 export const createAnswerTimes = (): AnswerTimes => {
 	const times = createRecentMaximum(unknownAnswerMs);
 	let lostInRow = 0;
+	let silentMs = 0;
 	return {
 		record(tookMs, isAnswered) {
-			lostInRow = isAnswered ? 0 : lostInRow + 1;
-			if (lostInRow !== 1) {
+			if (isAnswered) {
+				lostInRow = 0;
+				silentMs = 0;
 				times.record(tookMs);
+				return;
+			}
+
+			lostInRow += 1;
+			if (lostInRow > 1) {
+				silentMs = Math.max(silentMs, tookMs);
 			}
 		},
-		recentMs: () => times.value(),
+		recentMs: () => Math.max(times.value(), silentMs),
 	};
 };
 
