--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -5,7 +5,9 @@
 } from '@jest/globals';
 import {createRandom, randomInteger} from 'chivestream-core';
 import fc from 'fast-check';
-import {latestFault, newerFault, siteFault, type ScheduledFault} from '../__fixtures__/simulated-faults.js';
+import {
+	latestFault, newerFault, siteFault, type ScheduledFault,
+} from '../__fixtures__/simulated-faults.js';
 import {
 	epochMs, SimulatedSite, type EntryHostConstructor, type SimulatedSiteOptions, type SimulatedSiteResult,
 } from '../__fixtures__/simulated-site.js';
