--- a/packages/chivestream-host/src/__fixtures__/site.ts
+++ b/packages/chivestream-host/src/__fixtures__/site.ts
@@ -25,6 +25,8 @@
 	deadlyTasks: Set<string>;
 	/** Number of log events of all hosts, by their name. */
 	eventCounts: Map<string, number>;
+	/** The longest time since the start of the site in which this process, with all its hosts, handled no event, in milliseconds. */
+	longestPauseMs: () => number;
 	hosts: Array<{host: EntryHost; settings: HostSettings}>;
 	/** The addresses of the store at which the hosts are served, by index; empty unless `hasEntrances` is set. */
 	entrances: StandInServer[];
@@ -58,6 +60,7 @@
 const upstream = 'desk';
 const pollIntervalMs = 50;
 const heartbeatMs = 300;
+const pauseCheckMs = 20;
 const usableByteValues = 250;
 const portsPerHost = 4;
 const unavailableStatus = 503;
@@ -96,6 +99,24 @@
 	});
 };
 
+/** Measures by how much the timers of this process are late. */
+const watchPauses = () => {
+	let longestMs = 0;
+	let checkedAt = performance.now();
+	const check = () => {
+		longestMs = Math.max(longestMs, performance.now() - checkedAt - pauseCheckMs);
+		checkedAt = performance.now();
+	};
+
+	const timer = setInterval(check, pauseCheckMs);
+	return {
+		longestMs: () => Math.max(longestMs, performance.now() - checkedAt - pauseCheckMs),
+		stop() {
+			clearInterval(timer);
+		},
+	};
+};
+
 /** Polls until a condition holds; the timeout of the test limits the wait. */
 export const until = async (condition: () => boolean | Promise<boolean>): Promise<void> => {
 	// eslint-disable-next-line no-await-in-loop -- polls are sequential
@@ -118,6 +139,7 @@
 
 /** Starts a site. Hosts and minions are spread evenly over the zones. */
 export const startSite = async (hostCount: number, minionCount: number, {zones = ['z'], initiallyRegistered = minionCount, leaseMs = defaultLeaseMs, hasEntrances = false}: SiteOptions = {}): Promise<TestSite> => {
+	const pauses = watchPauses();
 	const checker = new Checker();
 	const store = await startStoreStandIn();
 	const entrances = await Promise.all(Array.from({length: hasEntrances ? hostCount : 0}, async () => store.openEntrance()));
@@ -194,6 +216,7 @@
 		checker,
 		deadlyTasks,
 		eventCounts,
+		longestPauseMs: () => pauses.longestMs(),
 		hosts,
 		entrances,
 		async submit(hostIndex, {id, count, workMs, prefix = '/read/', callerTimeoutMs = 8000}) {
@@ -251,6 +274,7 @@
 		},
 		async close() {
 			clearInterval(heartbeatTimer);
+			pauses.stop();
 			await Promise.all(hosts.map(async ({host}) => host.close()));
 			await Promise.all(minions.map(async minion => minion.close()));
 			await Promise.all(entrances.map(async entrance => entrance.close()));
