--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -253,6 +253,19 @@
 		expect(overlaps).toEqual([]);
 	});
 
+	// The only host of a zone is suspended, and its time of day is set back by the same time, so that neither of its clocks shows anything. Its
+	// jobs run elsewhere when it wakes.
+	test.each([7, 10, 20, 22, 23])('no task has two runs when a lone dispatcher is suspended and no clock of its own shows it, seed %i', async seed => {
+		const random = createRandom(seed);
+		const faults = [1000, 4000, 7000].map((at): ScheduledFault => ({
+			at: at + randomInteger(random, 500), kind: latestFault.suspensionWithStep, target: 2, other: 0, lengthMs: 1200 + randomInteger(random, 1800),
+		}));
+		const {overlaps} = await play({
+			zones: ['a', 'a', 'b'], minionsPerZone: {a: 1, b: 3}, workMs: {least: 600, most: 1500}, jobIntervalMs: 180, seed, resendsAtOnce: false, faults, lengthMs: 10_000,
+		});
+		expect(overlaps).toEqual([]);
+	});
+
 	// The host that had a caller's connection was also its dispatcher, and was killed: only the minions knew of the first run when the copy
 	// of the job reached the next dispatcher. On each of these seeds the rule was broken before that dispatcher waited for their reports;
 	// on seed 1073 a host that had just started sent the copy to another zone, and on 1043, 1059, 1064 and 2046 the first copy had been
