--- a/packages/chivestream-host/src/__tests__/minion-session.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-session.test.ts
@@ -125,6 +125,22 @@
 	});
 });
 
+test('another minion at the address of an entry that is older than the known incarnation shows no crash', async () => {
+	minion = await startMinion('i-1');
+	const {dispatcher, events} = startSession(minion);
+	const known = dispatcher.pool.minions.get('i-1')!;
+	await until(() => known.isSynced);
+	dispatcher.submit(createJob(), () => undefined);
+	await until(() => minion!.runningTasks().length > 0);
+	known.record = {...known.record, bornAt: known.bornAt - 1000};
+	const [ip = '', port] = minion.address.split(':');
+	await minion.close();
+	minion = await startMinion('i-2', {ip, port: Number(port)});
+	await until(() => known.runs.size === 0);
+	expect(events.map(({event}) => event)).not.toContain('minion-crashed');
+	expect(events.map(({event}) => event)).toContain('lease-expired');
+});
+
 // The next dispatcher does not renew the lease, as no host has submitted the job to it yet.
 test('a run of the previous dispatcher is not given up while its minion is silent and its lease has not expired', async () => {
 	minion = await startMinion('i-1');
--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -139,6 +139,8 @@
 	siteFault.kill, siteFault.stop, siteFault.freeze, siteFault.isolate, siteFault.cutMinions, siteFault.minionCrash, siteFault.reset, siteFault.turnAway, newerFault.lateOrders,
 ].flatMap((older, column) => [
 	...(column === (2 * row) % 9 ? [200 + row] : []),
+	// An entry of an earlier incarnation led to another minion at its old address.
+	...(newer === latestFault.movedMinionStaleReads && (older === siteFault.stop || older === siteFault.turnAway) ? [5000] : []),
 	...Array.from({length: furtherPairs}, (_, index) => firstFurtherPair + index),
 ].map(seed => ({newer, older, seed}))));
 
