An entry of an earlier incarnation shows no crash of the known one

The table of another host can put back the address at which a minion was before its restart; another minion that answers there said nothing about the later incarnation, whose runs were started again while they ran.

--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -198,6 +198,9 @@
 		return new Ok(undefined);
 	};
 
+	/** Whether the registry's entry, and so the address of this session, is that of an earlier incarnation than the one that is known. */
+	const isEntryOutdated = () => minion.record.bornAt > 0 && minion.record.bornAt < minion.bornAt;
+
 	const handlePollFailure = (first: Failure | Refusal, last: Failure | Refusal) => {
 		if (last === refusal.fenced) {
 			options.onFenced();
@@ -206,6 +209,11 @@
 		}
 
 		dispatcher.markUnreachable(minion);
+		if (isEntryOutdated()) {
+			// The known incarnation is at another address.
+			return;
+		}
+
 		if (last === refusal.otherIncarnation && (minion.isSynced || minion.runsLostInSilence.length > 0)) {
 			dispatcher.handleCrash(minion, crashEvidence.replaced);
 		} else if (last instanceof Error && wasRefused(last) && now() < closedAt + crashDetectionMs) {
