--- a/packages/chivestream-host/src/__tests__/copy-of-a-job.test.ts
+++ b/packages/chivestream-host/src/__tests__/copy-of-a-job.test.ts
@@ -114,3 +114,114 @@
 	successor.report('n', [[`${id}.0.0.0`, 1]]);
 	expect(successor.starts.map(({task}) => task)).toEqual([]);
 });
+
+// All connections of its host are reset: those to its caller, and a moment later that to the dispatcher which has answered.
+test('a copy whose submission to its own cell was lost does not start there while the first one may be running', async () => {
+	const [redirecting, target] = [createRedirecting(), createRecordedDispatcher([minionRecord('n')], 2)];
+	target.advance(redirecting.now());
+	const first = handleOf(redirecting, home, 1);
+	let isLost = false;
+	runCopy(redirecting, () => [isLost
+		? first
+		: {
+			...first,
+			submit(job, {settle, onTaskCrashed}) {
+				isLost = true;
+				first.submit(job, {
+					settle() {
+						// The answer is lost with the connection.
+					},
+					onTaskCrashed,
+				});
+				settle({kind: 'lost', leaseEndsAt: redirecting.now() + 1300});
+			},
+		}, handleOf(target, other, 2)]);
+	await settled();
+	expect(redirecting.starts.map(({task}) => task)).toEqual([]);
+});
+
+// The host of the first copy can't reach the other cell, and has not noticed yet that its caller has left.
+test('a redirected job that comes back does not start while a copy that was sent after it may be running', async () => {
+	const [redirecting, target] = [createRedirecting(), createRecordedDispatcher([minionRecord('n')], 2)];
+	target.advance(redirecting.now());
+	target.report('n');
+	runCopy(redirecting, () => [handleOf(redirecting, home, 1), handleOf(target, other, 2)]);
+	await settled();
+	expect(target.dispatcher.jobs.has(id)).toBe(true);
+	redirecting.dispatcher.submit(request({submission: 1}), () => undefined, () => undefined, {origin: 'first', leaseEndsAt: () => Infinity});
+	expect(redirecting.starts.map(({task}) => task)).toEqual([]);
+});
+
+/** The next dispatcher of the cell, which has asked the other cell for the jobs that it holds; its minion runs nothing. */
+const createAskingSuccessor = (time: number) => {
+	const recorded = createRecordedDispatcher([minionRecord('m')], 3);
+	recorded.advance(time);
+	recorded.dispatcher.awaitJobsElsewhere([other], time + 300);
+	recorded.report('m');
+	return recorded;
+};
+
+test.each(['released', 'lost'])('a copy that a dispatcher with unanswered questions has %s waits for the answers at the next one', async how => {
+	const previous = createRecordedDispatcher([minionRecord('m')], 2);
+	previous.advance(3000);
+	previous.dispatcher.awaitJobsElsewhere([other], 3300);
+	previous.report('m');
+	let successor: RecordedDispatcher | undefined;
+	const first = handleOf(previous, home, 2);
+	runCopy(previous, () => [successor === undefined
+		? {
+			...first,
+			submit(job, callbacks) {
+				first.submit(job, callbacks);
+				expect(previous.starts).toEqual([]);
+				successor = createAskingSuccessor(previous.now());
+				if (how === 'released') {
+					previous.dispatcher.release();
+				} else {
+					callbacks.settle({kind: 'lost', leaseEndsAt: previous.now() + 1300});
+				}
+			},
+		}
+		: handleOf(successor, home, 3)]);
+	await settled();
+	expect(successor!.dispatcher.jobs.has(id)).toBe(true);
+	expect(successor!.starts.map(({task}) => task)).toEqual([]);
+	successor!.dispatcher.handleJobsElsewhere([{cell: other, ids: [id]}]);
+	expect(successor!.starts.map(({task}) => task)).toEqual([]);
+});
+
+// The dispatcher has said that the first copy may be running.
+test('a copy of a redirected job is not said to be not run if no dispatcher can be reached', async () => {
+	const redirecting = createRedirecting();
+	let isReached = true;
+	const first = handleOf(redirecting, home, 1);
+	const pending = runCopy(redirecting, () => isReached
+		? [{
+			...first,
+			submit(job, callbacks) {
+				isReached = false;
+				first.submit(job, callbacks);
+			},
+		}]
+		: []);
+	expect(await pending.outcome).toMatchObject({kind: outcomeKind.abandoned});
+});
+
+// `PeerLink.submit` settles a submission so that it could not send.
+test('a copy that could not be sent waits at the next dispatcher until each minion has reported its runs', async () => {
+	const successor = createRecordedDispatcher([minionRecord('m'), minionRecord('n')], 2);
+	successor.report('m');
+	let isLost = false;
+	runCopy(successor, () => [isLost
+		? handleOf(successor, home, 2)
+		: {
+			...handleOf(successor, home, 1),
+			submit(_, {settle}) {
+				isLost = true;
+				settle({kind: 'lost', leaseEndsAt: Number.NEGATIVE_INFINITY});
+			},
+		}]);
+	await settled();
+	expect(successor.dispatcher.jobs.has(id)).toBe(true);
+	expect(successor.starts.map(({task}) => task)).toEqual([]);
+});
--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -303,4 +303,19 @@
 		});
 		expect(overlaps).toEqual([]);
 	});
+
+	// The connections are not reset in the same millisecond: an answer to a copy may be on its way when that of its host is reset.
+	test.each([2, 3, 7, 9, ...furtherResets])('no task has two runs when all connections are reset within 30 ms and callers send their jobs again at once, seed %i', async seed => {
+		const random = createRandom(seed);
+		const faults = Array.from({length: 8}, () => {
+			const at = randomInteger(random, lengthMs);
+			return [0, 15].flatMap(() => Array.from({length: 5}, (_, target): ScheduledFault => ({
+				at: at + randomInteger(random, 30), kind: siteFault.reset, target, other: 3, lengthMs: 50,
+			})));
+		}).flat();
+		const {overlaps} = await play({
+			...redirectingZone, seed, resendsAtOnce: true, faults, lengthMs, jobIntervalMs: 40, workMs: {least: 300, most: 1000},
+		});
+		expect(overlaps).toEqual([]);
+	});
 });
