A copy of a redirected job is not said to be not run, and a submission that was not sent is no history

A copy that was told that the first one may be running, and then found no dispatcher, was answered with 'not run' (503). A submission that could not be sent, as its link had just broken, counted as an earlier one whose runs have ended, so the next dispatcher did not wait for its minions. Evidence: 'a copy of a redirected job is not said to be not run ...' and 'a copy that could not be sent ...' failed before. Found by the review.

--- a/packages/chivestream-host/src/job-client.ts
+++ b/packages/chivestream-host/src/job-client.ts
@@ -101,6 +101,8 @@
 	let previousSubmissions: CellSubmission[] = [];
 	/** Until when the first copy of the job may be running in `cell`, so that it may go to no other one. */
 	let confinedUntil = Number.NEGATIVE_INFINITY;
+	/** Whether a dispatcher has said that another copy of the job may have run. */
+	let isCopy = false;
 	/** Token of the claim whose dispatcher released the job last, or 0; a handle that still has this token is out of date. */
 	let releasedClaim = 0;
 
@@ -147,7 +149,7 @@
 		};
 	};
 
-	const outcomeWithoutDispatcher = (reason: string): Outcome => job.mayHaveRun
+	const outcomeWithoutDispatcher = (reason: string): Outcome => job.mayHaveRun || isCopy
 		? {kind: outcomeKind.abandoned, reason}
 		: {kind: outcomeKind.refused, reason, retryAfterMs};
 
@@ -200,6 +202,11 @@
 
 			switch (outcome.kind) {
 				case 'lost': {
+					if (outcome.leaseEndsAt === Number.NEGATIVE_INFINITY) {
+						// It was not sent: the link had just broken.
+						break;
+					}
+
 					report('dispatcher-lost', {...describeSubmission(found), leaseEndsInMs: Math.max(0, Math.round(outcome.leaseEndsAt - now()))});
 					prepareResubmission({cell: found.cell, claim: found.claim, leaseEndsAt: outcome.leaseEndsAt}, []);
 					break;
@@ -213,7 +220,11 @@
 				case outcomeKind.redirected: {
 					homeCell ??= found.cell;
 					cell = outcome.cell;
-					confinedUntil = now() + (outcome.mayRunForMs ?? Number.NEGATIVE_INFINITY);
+					if (outcome.mayRunForMs !== undefined) {
+						isCopy = true;
+						confinedUntil = now() + outcome.mayRunForMs;
+					}
+
 					job = {...job, submission: job.submission + 1};
 					break;
 				}
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -210,7 +210,7 @@
 
 		dispatcher.markUnreachable(minion);
 		if (isEntryOutdated()) {
-			// The known incarnation is at another address.
+			// The known incarnation may be at another address.
 			return;
 		}
 
