Take back the redirection of later submissions of a job

After a division into cells two dispatchers had each told the other of runs whose job they don't know, so each took the other for the place of these jobs and sent them on, 8,800 times in 6.5 s, until their deadlines.

--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -172,9 +172,8 @@
 			return this.join(existing, request, submission);
 		}
 
-		// A caller sends a job again at once if its connection breaks while it sends the request. The answer to its copy may be lost as well.
-		const isFirst = request.submission === 0;
-		const redirectedTo = this.jobsElsewhere.follow(request.id, {origin: submission.origin, isFirst}, {now, until: this.copiesFollowUntil(now)});
+		// A caller sends a job again at once if its connection breaks while it sends the request.
+		const redirectedTo = request.submission === 0 ? this.jobsElsewhere.cellOf(request.id, now) : undefined;
 		if (redirectedTo !== undefined) {
 			settle(this.follow(request.id, redirectedTo));
 			return noWithdrawal;
@@ -304,7 +303,7 @@
 		for (const {cell, ids} of jobs) {
 			this.jobsElsewhere.recordAnswer(cell);
 			for (const id of ids) {
-				this.recordRedirection(id, cell, {now, origin: undefined});
+				this.recordRedirection(id, cell, now);
 				const job = this.jobs.get(id);
 				const isCopy = job?.request.submission === 0 && !job.mayHaveRun && (job.request.previousSubmissions ?? []).length === 0;
 				if (isCopy) {
@@ -468,13 +467,8 @@
 		};
 	}
 
-	private recordRedirection(id: string, cell: string, {now, origin}: {now: number; origin: string | undefined}): void {
-		this.jobsElsewhere.record(id, cell, {now, until: this.copiesFollowUntil(now), origin});
-	}
-
-	/** Until when a job that is sent to another cell now may be running there without its host, in milliseconds of the monotonic clock. */
-	private copiesFollowUntil(now: number): number {
-		return now + jobLeaseMs(this.bounds.leaseMs);
+	private recordRedirection(id: string, cell: string, now: number): void {
+		this.jobsElsewhere.record(id, cell, {now, until: now + jobLeaseMs(this.bounds.leaseMs)});
 	}
 
 	/** Logs the cells that count from now on as holding no job of this cell, though their dispatchers have not said so. */
@@ -648,7 +642,7 @@
 		const otherCell = job.request.submission === 0 ? this.dependencies.otherCells().find(({freeTasks: free}) => free >= count) : undefined;
 		if (otherCell !== undefined) {
 			otherCell.freeTasks -= count;
-			this.recordRedirection(job.request.id, otherCell.cell, {now, origin: job.submissions[0]?.origin});
+			this.recordRedirection(job.request.id, otherCell.cell, now);
 			this.settleJob(job, {kind: outcomeKind.redirected, cell: otherCell.cell});
 			return;
 		}
--- a/packages/chivestream-dispatch/src/jobs-elsewhere.ts
+++ b/packages/chivestream-dispatch/src/jobs-elsewhere.ts
@@ -6,60 +6,33 @@
 	ids: string[];
 };
 
-/** Where a job went. */
-type Redirection = {
-	cell: string;
-	/** How long copies of the job follow. */
-	until: number;
-	/** The host that submitted the first copy; undefined if it isn't known. */
-	origin: string | undefined;
-	/** Whether a copy of another host was sent there, too. */
-	hasCopies: boolean;
-};
-
 /** Records to which cells jobs went, and of which cells the dispatchers have not said yet which jobs went there. */
 export class JobsElsewhere {
-	/** Where each job went, in the order in which copies no longer follow. */
-	private readonly redirections = new Map<string, Redirection>();
+	/** The cell of each job, and how long a copy of the job follows. The entries are in the order in which that ends. */
+	private readonly cells = new Map<string, {cell: string; until: number}>();
 	/** The cells whose dispatchers were asked and have not answered; undefined before any was asked. */
 	private unanswered: Set<string> | undefined;
 	/** Until when the answers are waited for. */
 	private answersDueAt = Number.NEGATIVE_INFINITY;
 
 	/** Records that a job went to a cell. `until` must not be less than in earlier calls. */
-	record(id: string, cell: string, {now, until, origin}: {now: number; until: number; origin: string | undefined}): void {
-		for (const [oldest, redirection] of this.redirections) {
-			if (now < redirection.until) {
+	record(id: string, cell: string, {now, until}: {now: number; until: number}): void {
+		for (const [oldest, entry] of this.cells) {
+			if (now < entry.until) {
 				break;
 			}
 
-			this.redirections.delete(oldest);
+			this.cells.delete(oldest);
 		}
 
-		this.redirections.delete(id);
-		this.redirections.set(id, {
-			cell, until, origin, hasCopies: false,
-		});
+		this.cells.delete(id);
+		this.cells.set(id, {cell, until});
 	}
 
-	/**
-	 * Returns the cell to which a submission of a job must follow, as another one went there and may be running; undefined if there is none, or
-	 * it went too long ago. The host of the first copy may bring the job back, unless a copy of another host has followed it.
-	 */
-	follow(id: string, {origin, isFirst}: {origin: string | undefined; isFirst: boolean}, {now, until}: {now: number; until: number}): string | undefined {
-		const redirection = this.redirections.get(id);
-		if (redirection === undefined || now >= redirection.until) {
-			return undefined;
-		}
-
-		const {cell, hasCopies} = redirection;
-		if (!isFirst && !hasCopies && origin === redirection.origin) {
-			return undefined;
-		}
-
-		this.redirections.delete(id);
-		this.redirections.set(id, {...redirection, until, hasCopies: true});
-		return cell;
+	/** The cell to which a job went; undefined if it went to none, or too long ago. */
+	cellOf(id: string, now: number): string | undefined {
+		const entry = this.cells.get(id);
+		return entry !== undefined && now < entry.until ? entry.cell : undefined;
 	}
 
 	/** Waits for the answers of the dispatchers of cells. Only the first call has an effect. */
