Count the lease on the jobs of a host's own callers from when it has read their connections

What callers could see: two runs of a task at the same time (TWICE), on a host that handles its events late by 0.3 s or more, but not by so much that it counts as paused. Cause: the jobs of a host's own callers had a lease without end while the process wasn't paused. The end of a caller's connection is read as late as everything else. Until then the host renewed the leases of the minions that run the job, for up to 1 s more than the caller waits before it sends the job again, less what the stop saves; a stop without an answer saves nothing. Jobs of other hosts have had a lease all along. Change: the lease on these jobs is counted from the time until which the sockets have been read, the tick before the last one (createCallerLease). The last pause still ends it at once. Evidence: caller-lease.test.ts failed for 300, 450 and 599 ms with a lease without end, and passes.

--- a/packages/chivestream-host/src/__tests__/dispatcher-table.test.ts
+++ b/packages/chivestream-host/src/__tests__/dispatcher-table.test.ts
@@ -26,7 +26,7 @@
 		services: () => new Map(),
 		link: () => state.isHomeLinked ? linkTo(home) : undefined,
 		otherZoneDispatchers: () => [linkTo(record('other', 'y'))],
-		isAwake: () => true,
+		callerLeaseEndsAt: () => Infinity,
 	});
 	return {state, table};
 };
--- a/packages/chivestream-host/src/dispatcher-table.ts
+++ b/packages/chivestream-host/src/dispatcher-table.ts
@@ -22,8 +22,8 @@
 	link: (name: string) => PeerLink | undefined;
 	/** Open links to the dispatchers of other zones. */
 	otherZoneDispatchers: () => PeerLink[];
-	/** Whether this process has read its sockets since its last pause. */
-	isAwake: () => boolean;
+	/** Until when the jobs of this host's own callers may run, in milliseconds of the monotonic clock. */
+	callerLeaseEndsAt: () => number;
 };
 
 /** Finds reachable dispatchers, and notifies code that waits for a change of them. */
@@ -146,7 +146,7 @@
 	}
 
 	private ofLocalCell(cell: number): DispatcherHandle | undefined {
-		const {self, isAwake} = this.options;
+		const {self, callerLeaseEndsAt} = this.options;
 		const service = this.options.services().get(cell);
 		if (service !== undefined) {
 			let withdrawal: Withdrawal | undefined;
@@ -157,9 +157,7 @@
 				submit(job, {settle, onTaskCrashed}) {
 					withdrawal = service.dispatcher.submit(job, settle, onTaskCrashed, {
 						origin: originOf(self),
-						// A caller extends no lease. Its connection may have broken during a pause; later, the runs of a caller that has left
-						// end with their stop, or with the lease of their minions.
-						leaseEndsAt: () => isAwake() ? Infinity : Number.NEGATIVE_INFINITY,
+						leaseEndsAt: callerLeaseEndsAt,
 					});
 				},
 				cancel() {
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -13,6 +13,7 @@
 import {createRecentMaximum} from './answer-timeout.js';
 import {runBackgroundLoop} from './background-loop.js';
 import {CallerJobs} from './caller-jobs.js';
+import {createCallerLease, type CallerLease} from './caller-lease.js';
 import {cellName} from './cells.js';
 import {createCallerService, type CallerService} from './caller-service.js';
 import {cancelFinding, CancelledJobs} from './cancelled-jobs.js';
@@ -82,6 +83,7 @@
 	/** By how much the ticks of this process were late, in milliseconds. */
 	private readonly delay = createRecentMaximum();
 	private readonly pauseGuard: PauseGuard;
+	private readonly callerLease: CallerLease;
 	private lastTickAt = performance.now();
 	/** When this host last checked which others are silent, after it had read its sockets. */
 	private listenedAt = performance.now();
@@ -109,6 +111,7 @@
 		this.pauseGuard = createPauseGuard({
 			now, elapsed, thresholdMs: hostTiming.heartbeatMs + hostTiming.pauseThresholdMs, recoveryMs: hostTiming.pauseRecoveryMs,
 		});
+		this.callerLease = createCallerLease({now, elapsed, jobLeaseMs: () => this.jobLeaseMs()});
 		this.report = report;
 		this.record = {
 			name: settings.host.name,
@@ -251,7 +254,8 @@
 			services: () => this.claim.services,
 			link: name => this.peers.findOpenLink(name),
 			otherZoneDispatchers: () => this.peers.otherZoneDispatchers(),
-			isAwake: () => this.pauseGuard.isAwake(),
+			// After a pause, a connection that broke meanwhile may not have been read yet.
+			callerLeaseEndsAt: () => this.pauseGuard.isAwake() ? this.callerLease.endsAt() : Number.NEGATIVE_INFINITY,
 		});
 		this.readinessServer = this.createReadinessServer();
 		this.cancelledJobs = new CancelledJobs(now);
@@ -675,6 +679,7 @@
 			}
 
 			this.lastTickAt = now;
+			this.callerLease.recordTick();
 			this.claim.tick();
 			// The sockets are read between two ticks, so a process that is always late waits for one tick only.
 			this.isReadingSockets = !wasReadingSockets && pausedMs > hostTiming.lateTickMs;
