A copy that a new dispatcher has lost or released keeps waiting for the answers of other cells

What callers see: two runs of a task at the same time (TWICE), after two changes of a cell's dispatcher within 0.3 s. Cause: a copy that its caller sent at once waits at a new dispatcher until the dispatchers of other cells have named the jobs that they hold. If that dispatcher was lost, or released the cell, before they had answered, the host submitted the copy again as a job that may have run. The next dispatcher took that for a known history, did not wait for the answers to its own questions, and started a task that ran in another cell. Change: a release says whether the history is unknown. The host of a job says so if the dispatcher was lost while its claim still asked for jobs and was told no known history. The next dispatcher then waits for the minions and for the answers. If a cell names the job, it waits until the leases there have ended: its host may submit it to another cell only once the leases on its own history have ended, so sending it there is no faster. All new fields are optional. Jobs whose lost dispatcher no longer asked are not held up.

--- a/packages/chivestream-dispatch/src/__tests__/jobs-elsewhere.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/jobs-elsewhere.test.ts
@@ -110,6 +110,44 @@
 	});
 });
 
+// The dispatcher before was lost, or has released the cell, before it knew whether the first submission was a copy.
+describe('a job whose history may lack a submission, at a new dispatcher that has asked others for the jobs of its cell', () => {
+	const resubmitted = patient(jobId, {
+		submission: 1, mayHaveRun: true, hasUnknownHistory: true, previousSubmissions: [{claim: 0, leaseEndsAt: 0, minionsByTask: {}}],
+	});
+
+	test('starts once all have answered, if none names it', () => {
+		const recorded = createAsking();
+		recorded.submit(resubmitted);
+		expect(recorded.starts).toHaveLength(0);
+		recorded.dispatcher.handleJobsElsewhere([{cell: 'y', ids: [otherId]}, {cell: 'x', ids: []}]);
+		expect(recorded.starts.map(run => run.task)).toEqual([task(jobId)]);
+	});
+
+	test('waits there until the leases in the cell that names it have ended', () => {
+		const recorded = createAsking();
+		const outcomes = recorded.submit(resubmitted);
+		recorded.dispatcher.handleJobsElsewhere([{cell: 'y', ids: [jobId]}, {cell: 'x', ids: []}]);
+		recorded.advance(jobLeaseMs(leaseMs) - 1);
+		recorded.dispatcher.tick();
+		expect(recorded.starts).toHaveLength(0);
+		recorded.advance(1);
+		recorded.dispatcher.tick();
+		expect(recorded.starts.map(run => run.task)).toEqual([task(jobId)]);
+		expect(outcomes).toEqual([]);
+	});
+
+	test('is released as such until all have answered', () => {
+		for (const [answers, hasUnknownHistory] of [[[], true], [[{cell: 'x', ids: []}, {cell: 'y', ids: []}], undefined]] as const) {
+			const recorded = createAsking();
+			const outcomes = recorded.submit(resubmitted);
+			recorded.dispatcher.handleJobsElsewhere(answers.map(({cell}) => ({cell, ids: []})));
+			recorded.dispatcher.release();
+			expect(outcomes.map(outcome => 'hasUnknownHistory' in outcome ? outcome.hasUnknownHistory : undefined)).toEqual([hasUnknownHistory]);
+		}
+	});
+});
+
 describe('a dispatcher that is asked for the jobs of another cell', () => {
 	test('names those that were redirected from there, and those of which only runs are known', () => {
 		const recorded = createRecordedDispatcher([minionRecord('m')]);
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -368,7 +368,11 @@
 			const crashes = crashesOf(job);
 			const minionsByTask = this.minionsByTask(job, now);
 			settleAll(job, {
-				kind: outcomeKind.released, doneTasks, ...(minionsByTask !== undefined && {minionsByTask}), ...(crashes !== undefined && {crashes}),
+				kind: outcomeKind.released,
+				doneTasks,
+				...(minionsByTask !== undefined && {minionsByTask}),
+				...(crashes !== undefined && {crashes}),
+				...(this.mayRunElsewhere(job, now) && {hasUnknownHistory: true}),
 			});
 		}
 
@@ -428,8 +432,8 @@
 
 	/** Adds what a further submission says about earlier dispatchers of a job. */
 	private addHistory(job: Job, request: JobRequest): void {
+		job.hasUnknownHistory ||= !request.mayHaveRun || request.hasUnknownHistory === true;
 		if (!request.mayHaveRun) {
-			job.hasUnknownHistory = true;
 			return;
 		}
 
@@ -489,6 +493,18 @@
 		return this.runs.hasAskedMinions(now) && this.jobsElsewhere.isKnown(now);
 	}
 
+	/**
+	 * Whether a copy of a job may be running in another cell. An earlier dispatcher may have redirected it. A job with a history is not sent
+	 * after that copy, as its hosts must not submit it to another cell before the leases on its history have ended; so it waits here.
+	 */
+	private mayRunElsewhere(job: Job, now: number): boolean {
+		if (!job.hasUnknownHistory) {
+			return false;
+		}
+
+		return !this.jobsElsewhere.isKnown(now) || (job.request.mayHaveRun && this.jobsElsewhere.cellOf(job.request.id, now) !== undefined);
+	}
+
 	/** Whether the lease on a job is too short for some minions, until its host extends it. */
 	private awaitsLease(job: Job, now: number): boolean {
 		return jobLeaseEndsAt(job) < now + leaseExpiryMs(this.leaseLengths.usualMs);
@@ -558,8 +574,7 @@
 				continue;
 			}
 
-			// An earlier dispatcher may have redirected it.
-			if (job.hasUnknownHistory && !this.jobsElsewhere.isKnown(now)) {
+			if (this.mayRunElsewhere(job, now)) {
 				continue;
 			}
 
--- a/packages/chivestream-dispatch/src/job.ts
+++ b/packages/chivestream-dispatch/src/job.ts
@@ -54,6 +54,11 @@
 	previousSubmissions?: readonly PreviousSubmission[];
 	/** Name of the cell in which the job belongs, if it was submitted to another one; left out by earlier builds. */
 	homeCell?: string;
+	/**
+	 * Whether the first of the named submissions may be a copy of a job that runs elsewhere, as its dispatcher had not heard of all others;
+	 * left out if not, and by earlier builds.
+	 */
+	hasUnknownHistory?: boolean;
 };
 
 /** A submission of a job to a dispatcher that no longer has the job. */
@@ -108,7 +113,10 @@
 	tasks: Task[];
 	/** Whether a task may have run: a start was requested, or another dispatcher may have started one. */
 	mayHaveRun: boolean;
-	/** Whether a submission names no earlier one. The host with the caller's first connection may have been lost, and runs be alive. */
+	/**
+	 * Whether a submission names no earlier one, or only such that named none either. The host with the caller's first connection may have
+	 * been lost, and runs be alive.
+	 */
 	hasUnknownHistory: boolean;
 	/** Whether several submissions have named histories; the host of one doesn't know those of the others. */
 	hasSeveralHistories: boolean;
@@ -168,7 +176,7 @@
 		arrivedAt,
 		tasks: [],
 		mayHaveRun: request.mayHaveRun,
-		hasUnknownHistory: !request.mayHaveRun,
+		hasUnknownHistory: !request.mayHaveRun || request.hasUnknownHistory === true,
 		hasSeveralHistories: false,
 		hasStarted: false,
 		isSettled: false,
--- a/packages/chivestream-dispatch/src/outcome.ts
+++ b/packages/chivestream-dispatch/src/outcome.ts
@@ -38,6 +38,8 @@
 			minionsByTask?: Readonly<Record<string, readonly string[]>>;
 			/** Whether the dispatcher has not accepted the submission, so that it knows nothing of the job; left out if it has. */
 			isUnaccepted?: boolean;
+			/** Whether the job may be running in another cell, as this one was not told yet; left out if not, and by earlier builds. */
+			hasUnknownHistory?: boolean;
 		}
 		| {kind: typeof outcomeKind.cancelled};
 
--- a/packages/chivestream-host/src/__tests__/job-client.test.ts
+++ b/packages/chivestream-host/src/__tests__/job-client.test.ts
@@ -1,8 +1,10 @@
 import {describe, expect, test} from '@jest/globals';
 import {outcomeKind, type CrashRecord, type JobRequest} from 'chivestream-dispatch';
+import {jobRequest} from '../../../chivestream-dispatch/src/__fixtures__/recorded-dispatcher.js';
 import {
 	fromJobMessage, runJob, toJobMessage, type DispatcherHandle, type JobClientOptions,
 } from '../job-client.js';
+import {parsePeerReply, parsePeerRequest} from '../message-schemas.js';
 import {type RemoteOutcome} from '../peer-link.js';
 
 const job: JobRequest = {
@@ -202,6 +204,41 @@
 		expect(received.map(({homeCell}) => homeCell)).toEqual([undefined, home, home, undefined]);
 	});
 
+	test('says so to the next dispatcher if the lost one was new and may not have known that it was a copy, also over the link', async () => {
+		const lost: RemoteOutcome = {kind: 'lost', leaseEndsAt: 50};
+		const cases: Array<{dispatcher: FakeDispatcher; expected: Array<boolean | undefined>}> = [
+			{dispatcher: {asksForJobs: true, answers: [lost]}, expected: [undefined, true]},
+			{dispatcher: {answers: [lost]}, expected: [undefined, true]},
+			{dispatcher: {asksForJobs: false, answers: [lost]}, expected: [undefined, false]},
+			{
+				dispatcher: {asksForJobs: true, answers: [{kind: outcomeKind.released, doneTasks: [], hasUnknownHistory: true}, lost]},
+				expected: [undefined, true, true],
+			},
+			{dispatcher: {asksForJobs: true, answers: [{kind: outcomeKind.released, doneTasks: []}, lost]}, expected: [undefined, false, false]},
+		];
+		for (const {dispatcher, expected} of cases) {
+			const client = createClient([dispatcher]);
+			client.options.untilChange = async () => {
+				client.handles[0]!.claim = 2;
+			};
+
+			// eslint-disable-next-line no-await-in-loop -- the cases are independent
+			expect(await runJob(client.options, job).outcome).toEqual({kind: outcomeKind.completed});
+			const received = client.submitted.map(({job: sent}) => fromJobMessage(toJobMessage(sent, {cell: 'c', claim: 1}, 0), 0));
+			expect(received.map(({hasUnknownHistory}) => hasUnknownHistory)).toEqual(expected);
+		}
+	});
+
+	test('keeps what is said of its history in the messages between hosts', () => {
+		const {steps} = jobRequest(job.id);
+		const message = {type: 'submit', job: toJobMessage({...job, steps, hasUnknownHistory: true}, {cell: 'c', claim: 1}, 0)};
+		expect(parsePeerRequest(message)).toEqual(message);
+		const reply = {
+			type: 'settled', id: job.id, submission: 0, outcome: {kind: outcomeKind.released, doneTasks: [], hasUnknownHistory: true},
+		};
+		expect(parsePeerReply(reply)).toEqual(reply);
+	});
+
 	test('names the cell in which it belongs if it went to another one for want of a dispatcher', async () => {
 		const client = createClient([{cell: 'y/1 of 1', homeCell: 'z/1 of 1', answers: []}]);
 		expect(await runJob(client.options, job).outcome).toEqual({kind: outcomeKind.completed});
--- a/packages/chivestream-host/src/dispatcher-table.ts
+++ b/packages/chivestream-host/src/dispatcher-table.ts
@@ -186,6 +186,8 @@
 		return {
 			name: record.name,
 			...target,
+			// Earlier builds leave it out, and once the claim is no longer new.
+			asksForJobs: claim.asksForJobs ?? false,
 			submit: (job, callbacks) => {
 				submission = job.submission;
 				link.submit(toJobMessage(job, target, this.options.now()), callbacks);
--- a/packages/chivestream-host/src/job-client.ts
+++ b/packages/chivestream-host/src/job-client.ts
@@ -18,6 +18,8 @@
 	claim: number;
 	/** Name of the cell in which the job belongs that was looked up, if it is another one. */
 	homeCell?: string;
+	/** Whether it asks others for the jobs of its cell, as its claim is new; left out if that is not known. */
+	asksForJobs?: boolean;
 	/** Submits a job. */
 	submit: (job: JobRequest, callbacks: SubmissionCallbacks) => void;
 	cancel: (id: string) => void;
@@ -68,6 +70,7 @@
 	...(job.crashes !== undefined && {crashes: {...job.crashes}}),
 	previousSubmissions: (job.previousSubmissions ?? []).map(({leaseEndsAt, ...previous}) => ({...previous, leaseEndsInMs: leaseEndsAt - now})),
 	...(job.homeCell !== undefined && {homeCell: job.homeCell}),
+	...(job.hasUnknownHistory !== undefined && {hasUnknownHistory: job.hasUnknownHistory}),
 });
 
 /** Converts a received message to a job, whose times are on the local monotonic clock, in milliseconds. */
@@ -138,14 +141,14 @@
 	 * Prepares the next submission. The same cell may take it at once, since its next dispatcher reads from the minions which tasks
 	 * run. Another cell may take it only when nothing of the previous submissions can still run.
 	 */
-	const prepareResubmission = (previous: CellSubmission, doneTasks: readonly string[]) => {
+	const prepareResubmission = (previous: CellSubmission, {doneTasks, hasUnknownHistory}: {doneTasks: readonly string[]; hasUnknownHistory: boolean}) => {
 		cell = previous.cell;
 		if (!hasNoRuns(previous)) {
 			previousSubmissions = [...previousSubmissions, previous];
 		}
 
 		job = {
-			...job, submission: job.submission + 1, mayHaveRun: true, doneTasks: [...job.doneTasks ?? [], ...doneTasks],
+			...job, submission: job.submission + 1, mayHaveRun: true, doneTasks: [...job.doneTasks ?? [], ...doneTasks], hasUnknownHistory,
 		};
 	};
 
@@ -162,10 +165,17 @@
 		job: job.id, submission: job.submission, dispatcher: name, cell: submittedTo, claim,
 	});
 
-	const handleRelease = (found: DispatcherHandle, {doneTasks, minionsByTask, crashes, isUnaccepted = false}: OutcomeOf<typeof outcomeKind.released>) => {
+	const handleRelease = (found: DispatcherHandle, outcome: OutcomeOf<typeof outcomeKind.released>) => {
+		const {
+			doneTasks, minionsByTask, crashes, isUnaccepted = false, hasUnknownHistory = false,
+		} = outcome;
 		releasedClaim = found.claim;
 		report('job-released', {
-			...describeSubmission(found), done: doneTasks.length, minionsByTask, ...(isUnaccepted && {isUnaccepted}),
+			...describeSubmission(found),
+			done: doneTasks.length,
+			minionsByTask,
+			...(isUnaccepted && {isUnaccepted}),
+			...(hasUnknownHistory && {hasUnknownHistory}),
 		});
 		if (isUnaccepted) {
 			// The next dispatcher must not take it for an earlier submission, all of whose runs are known.
@@ -175,7 +185,7 @@
 		job = {...job, ...(crashes !== undefined && {crashes: {...job.crashes, ...crashes}})};
 		prepareResubmission({
 			cell: found.cell, claim: found.claim, leaseEndsAt: now() + options.releasedRunsMs(), ...(minionsByTask !== undefined && {minionsByTask}),
-		}, doneTasks);
+		}, {doneTasks, hasUnknownHistory});
 	};
 
 	const run = async (): Promise<Outcome> => {
@@ -208,7 +218,9 @@
 					}
 
 					report('dispatcher-lost', {...describeSubmission(found), leaseEndsInMs: Math.max(0, Math.round(outcome.leaseEndsAt - now()))});
-					prepareResubmission({cell: found.cell, claim: found.claim, leaseEndsAt: outcome.leaseEndsAt}, []);
+					// A new dispatcher may have been lost before it knew whether this was a copy of a job that runs elsewhere.
+					const hasUnknownHistory = (!job.mayHaveRun || job.hasUnknownHistory === true) && found.asksForJobs !== false;
+					prepareResubmission({cell: found.cell, claim: found.claim, leaseEndsAt: outcome.leaseEndsAt}, {doneTasks: [], hasUnknownHistory});
 					break;
 				}
 
--- a/packages/chivestream-host/src/message-schemas.ts
+++ b/packages/chivestream-host/src/message-schemas.ts
@@ -78,6 +78,7 @@
 		claim: z.number(), leaseEndsInMs: z.number(), minionsByTask: minionsByTaskSchema.optional(),
 	})).optional(),
 	homeCell: z.string().optional(),
+	hasUnknownHistory: z.boolean().optional(),
 });
 
 const outcomeSchema: z.ZodType<Outcome> = z.discriminatedUnion('kind', [
@@ -92,6 +93,7 @@
 		crashes: crashesSchema.optional(),
 		minionsByTask: minionsByTaskSchema.optional(),
 		isUnaccepted: z.boolean().optional(),
+		hasUnknownHistory: z.boolean().optional(),
 	}),
 	z.object({kind: z.literal(outcomeKind.cancelled)}),
 ]);
--- a/packages/chivestream-host/src/messages.ts
+++ b/packages/chivestream-host/src/messages.ts
@@ -72,6 +72,8 @@
 	previousSubmissions?: Array<Omit<PreviousSubmission, 'leaseEndsAt'> & {leaseEndsInMs: number}>;
 	/** As in `JobRequest`. */
 	homeCell?: string;
+	/** As in `JobRequest`. */
+	hasUnknownHistory?: boolean;
 };
 
 /**
