A dispatcher holds a later submission of a redirected job while a copy may run in the other cell

What callers see: two runs of a task at the same time (TWICE), after two resets of connections within milliseconds. Cause: only a job's first submission follows a redirection. If the answer that sends a copy after the first one was lost, its host submitted the copy again, and the dispatcher started it; likewise if the host of the first copy brought the job back after a copy had followed it. See the ways weighed in docs/design/platform.md. Change: a redirection keeps the host of the first copy, and whether a copy has followed. Only that host may bring the job back, and only if none has; the redirection then ends. A held job is sent to no cell, and only first submissions are redirected, so there is no way to and fro. A job that another dispatcher has named is held only if its history is unknown.

--- a/packages/chivestream-dispatch/src/__tests__/jobs-elsewhere.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/jobs-elsewhere.test.ts
@@ -3,7 +3,7 @@
 	createRecordedDispatcher, jobRequest, leaseMs, minionRecord,
 } from '../__fixtures__/recorded-dispatcher.js';
 import {
-	jobLeaseMs, outcomeKind, type JobRequest, type MinionRecord,
+	jobLeaseMs, outcomeKind, type JobRequest, type MinionRecord, type Outcome,
 } from '../index.js';
 
 const jobId = '00000000000000aa';
@@ -148,6 +148,26 @@
 	});
 });
 
+test('a job that waits for its copy in another cell is released as such, and names no minions', () => {
+	const recorded = createRecordedDispatcher([minionRecord('m', {isDraining: true})]);
+	recorded.report('m');
+	recorded.otherCells.push({cell: 'x', freeTasks: 9});
+	const outcomes: Outcome[] = [];
+	const submit = (origin: string, submission: number) => {
+		recorded.dispatcher.submit(patient(jobId, {submission}), outcome => {
+			outcomes.push(outcome);
+		}, undefined, {origin, leaseEndsAt: () => Infinity});
+	};
+
+	submit('first', 0);
+	submit('copy', 0);
+	submit('first', 1);
+	expect(outcomes).toHaveLength(2);
+	recorded.dispatcher.tick();
+	recorded.dispatcher.release();
+	expect(outcomes[2]).toEqual({kind: outcomeKind.released, doneTasks: [], hasUnknownHistory: true});
+});
+
 describe('a dispatcher that is asked for the jobs of another cell', () => {
 	test('names those that were redirected from there, and those of which only runs are known', () => {
 		const recorded = createRecordedDispatcher([minionRecord('m')]);
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -173,14 +173,19 @@
 		}
 
 		// A caller sends a job again at once if its connection breaks while it sends the request.
-		const redirectedTo = request.submission === 0 ? this.jobsElsewhere.cellOf(request.id, now) : undefined;
-		if (redirectedTo !== undefined) {
-			settle(this.follow(request.id, redirectedTo));
+		const redirection = request.submission === 0 ? this.follow(request.id, now) : undefined;
+		if (redirection !== undefined) {
+			settle(redirection);
 			return noWithdrawal;
 		}
 
 		const job = createJob(request, now, submission);
 		this.jobs.set(request.id, job);
+		this.jobsElsewhere.recordReturn(job, now);
+		if (this.jobsElsewhere.mayRun(job, now)) {
+			this.dependencies.report('copy-held', {job: request.id, submission: request.submission, claim: this.dependencies.claim});
+		}
+
 		// For a resubmitted job, keeps the tasks that completed or are still running for a previous dispatcher.
 		this.runs.restoreTasks(job);
 		unblockTasks(job);
@@ -303,11 +308,12 @@
 		for (const {cell, ids} of jobs) {
 			this.jobsElsewhere.recordAnswer(cell);
 			for (const id of ids) {
-				this.recordRedirection(id, cell, now);
+				this.recordRedirection(id, {cell, origin: undefined, hasCopies: false}, now);
 				const job = this.jobs.get(id);
 				const isCopy = job?.request.submission === 0 && !job.mayHaveRun && (job.request.previousSubmissions ?? []).length === 0;
-				if (isCopy) {
-					this.settleJob(job, this.follow(id, cell));
+				const redirection = isCopy ? this.follow(id, now) : undefined;
+				if (redirection !== undefined) {
+					this.settleJob(job!, redirection);
 				}
 			}
 		}
@@ -471,8 +477,13 @@
 		};
 	}
 
-	private recordRedirection(id: string, cell: string, now: number): void {
-		this.jobsElsewhere.record(id, cell, {now, until: now + jobLeaseMs(this.bounds.leaseMs)});
+	private recordRedirection(id: string, redirection: {cell: string; origin: string | undefined; hasCopies: boolean}, now: number): void {
+		this.jobsElsewhere.record(id, redirection, {now, until: this.copiesFollowUntil(now)});
+	}
+
+	/** Until when a job that is sent to another cell now may be running there without its host, in milliseconds of the monotonic clock. */
+	private copiesFollowUntil(now: number): number {
+		return now + jobLeaseMs(this.bounds.leaseMs);
 	}
 
 	/** Logs the cells that count from now on as holding no job of this cell, though their dispatchers have not said so. */
@@ -482,8 +493,13 @@
 		}
 	}
 
-	/** The outcome of a copy of a job whose first copy went to another cell. */
-	private follow(job: string, cell: string): Outcome {
+	/** The outcome of a copy of a job whose first copy went to another cell; undefined if that went to none. */
+	private follow(job: string, now: number): Outcome | undefined {
+		const cell = this.jobsElsewhere.follow(job, {now, until: this.copiesFollowUntil(now)});
+		if (cell === undefined) {
+			return undefined;
+		}
+
 		this.dependencies.report('copy-redirected', {job, cell, claim: this.dependencies.claim});
 		return {kind: outcomeKind.redirected, cell, mayRunForMs: jobLeaseMs(this.bounds.leaseMs)};
 	}
@@ -494,15 +510,12 @@
 	}
 
 	/**
-	 * Whether a copy of a job may be running in another cell. An earlier dispatcher may have redirected it. A job with a history is not sent
-	 * after that copy, as its hosts must not submit it to another cell before the leases on its history have ended; so it waits here.
+	 * Whether a copy of a job may be running in another cell, to which this dispatcher or an earlier one has sent it. A job that has been
+	 * submitted before is held here until then instead of being sent after that copy. So no job goes to and fro between cells that each take the
+	 * other for its place.
 	 */
 	private mayRunElsewhere(job: Job, now: number): boolean {
-		if (!job.hasUnknownHistory) {
-			return false;
-		}
-
-		return !this.jobsElsewhere.isKnown(now) || (job.request.mayHaveRun && this.jobsElsewhere.cellOf(job.request.id, now) !== undefined);
+		return (job.hasUnknownHistory && !this.jobsElsewhere.isKnown(now)) || this.jobsElsewhere.mayRun(job, now);
 	}
 
 	/** Whether the lease on a job is too short for some minions, until its host extends it. */
@@ -514,6 +527,10 @@
 	private minionsByTask(job: Job, now: number): Record<string, string[]> | undefined {
 		// A submitter with another history, or with none, relies on this list alone.
 		const isShared = job.hasUnknownHistory || job.hasSeveralHistories || job.submissions.length > 1;
+		if (this.mayRunElsewhere(job, now)) {
+			return undefined;
+		}
+
 		if (isShared && !(this.jobsElsewhere.isKnown(now) && job.tasks.every(task => this.runs.hasObservedRuns(task, now)))) {
 			return undefined;
 		}
@@ -657,7 +674,7 @@
 		const otherCell = job.request.submission === 0 ? this.dependencies.otherCells().find(({freeTasks: free}) => free >= count) : undefined;
 		if (otherCell !== undefined) {
 			otherCell.freeTasks -= count;
-			this.recordRedirection(job.request.id, otherCell.cell, now);
+			this.recordRedirection(job.request.id, {cell: otherCell.cell, origin: job.submissions[0]?.origin, hasCopies: job.submissions.length > 1}, now);
 			this.settleJob(job, {kind: outcomeKind.redirected, cell: otherCell.cell});
 			return;
 		}
@@ -696,7 +713,7 @@
 
 	/** Whether a task of a job may have run, here or for a previous dispatcher whose runs are not all known yet. */
 	private mayHaveRun(job: Job, now: number): boolean {
-		return job.mayHaveRun || !this.hasAskedAll(now);
+		return job.mayHaveRun || !this.hasAskedAll(now) || this.mayRunElsewhere(job, now);
 	}
 
 	/** Number of tasks of mean size that the pool can run in parallel; at least 1. */
--- a/packages/chivestream-dispatch/src/jobs-elsewhere.ts
+++ b/packages/chivestream-dispatch/src/jobs-elsewhere.ts
@@ -1,38 +1,83 @@
 /** The jobs of a cell that the dispatchers of other cells hold, so that copies of these jobs follow them. */
 
+import {type Job} from './job.js';
+
 /** Ids of jobs that the dispatcher of a cell holds. */
 export type CellJobs = {
 	cell: string;
 	ids: string[];
 };
 
+/** Where a job went. */
+type JobElsewhere = {
+	cell: string;
+	/** Until when it may be running there for a host that has lost its caller; copies of the job follow until then. */
+	until: number;
+	/** The host of the first copy; undefined if the dispatcher of the other cell has named the job. */
+	origin: string | undefined;
+	/** Whether a copy has followed. */
+	hasCopies: boolean;
+};
+
 /** Records to which cells jobs went, and of which cells the dispatchers have not said yet which jobs went there. */
 export class JobsElsewhere {
-	/** The cell of each job, and how long a copy of the job follows. The entries are in the order in which that ends. */
-	private readonly cells = new Map<string, {cell: string; until: number}>();
+	/** Where each job went, in the order of `until`. */
+	private readonly jobs = new Map<string, JobElsewhere>();
 	/** The cells whose dispatchers were asked and have not answered; undefined before any was asked. */
 	private unanswered: Set<string> | undefined;
 	/** Until when the answers are waited for. */
 	private answersDueAt = Number.NEGATIVE_INFINITY;
 
 	/** Records that a job went to a cell. `until` must not be less than in earlier calls. */
-	record(id: string, cell: string, {now, until}: {now: number; until: number}): void {
-		for (const [oldest, entry] of this.cells) {
+	record(id: string, {cell, origin, hasCopies}: Omit<JobElsewhere, 'until'>, {now, until}: {now: number; until: number}): void {
+		for (const [oldest, entry] of this.jobs) {
 			if (now < entry.until) {
 				break;
 			}
 
-			this.cells.delete(oldest);
+			this.jobs.delete(oldest);
 		}
 
-		this.cells.delete(id);
-		this.cells.set(id, {cell, until});
+		const hadCopies = this.entryOf(id, now)?.hasCopies ?? false;
+		this.jobs.delete(id);
+		this.jobs.set(id, {
+			cell, until, origin, hasCopies: hasCopies || hadCopies,
+		});
 	}
 
-	/** The cell to which a job went; undefined if it went to none, or too long ago. */
-	cellOf(id: string, now: number): string | undefined {
-		const entry = this.cells.get(id);
-		return entry !== undefined && now < entry.until ? entry.cell : undefined;
+	/**
+	 * Returns the cell to which a copy of a job is to follow the first one, which may be running there; undefined if that went to none, or too
+	 * long ago. `until` must not be less than in earlier calls.
+	 */
+	follow(id: string, {now, until}: {now: number; until: number}): string | undefined {
+		const entry = this.entryOf(id, now);
+		if (entry !== undefined) {
+			this.jobs.delete(id);
+			this.jobs.set(id, {...entry, until, hasCopies: true});
+		}
+
+		return entry?.cell;
+	}
+
+	/**
+	 * Whether a job may be running in the cell to which it went, for another host than those that submit it here. The host of the first copy
+	 * may bring the job back, unless a copy has followed it.
+	 */
+	mayRun({request, submissions, hasUnknownHistory}: Job, now: number): boolean {
+		const entry = this.entryOf(request.id, now);
+		if (entry === undefined || entry.hasCopies) {
+			return entry !== undefined;
+		}
+
+		return entry.origin === undefined ? hasUnknownHistory : submissions.some(({origin}) => origin !== entry.origin);
+	}
+
+	/** Records that a job was accepted in its own cell: if the host of the first copy has brought it back, it is in no other cell. */
+	recordReturn(job: Job, now: number): void {
+		const entry = this.entryOf(job.request.id, now);
+		if (entry?.origin !== undefined && !this.mayRun(job, now)) {
+			this.jobs.delete(job.request.id);
+		}
 	}
 
 	/** Waits for the answers of the dispatchers of cells. Only the first call has an effect. */
@@ -67,4 +112,9 @@
 	isKnown(now: number): boolean {
 		return this.unanswered === undefined || this.unanswered.size === 0 || now >= this.answersDueAt;
 	}
+
+	private entryOf(id: string, now: number): JobElsewhere | undefined {
+		const entry = this.jobs.get(id);
+		return entry !== undefined && now < entry.until ? entry : undefined;
+	}
 }
--- a/packages/chivestream-host/src/__tests__/copy-of-a-job.test.ts
+++ b/packages/chivestream-host/src/__tests__/copy-of-a-job.test.ts
@@ -1,7 +1,9 @@
 import {expect, test} from '@jest/globals';
-import {outcomeKind, type JobRequest} from 'chivestream-dispatch';
 import {
-	createRecordedDispatcher, jobRequest, minionRecord, type RecordedDispatcher,
+	jobLeaseMs, outcomeKind, type JobRequest, type Outcome,
+} from 'chivestream-dispatch';
+import {
+	createRecordedDispatcher, jobRequest, leaseMs, minionRecord, type RecordedDispatcher,
 } from '../../../chivestream-dispatch/src/__fixtures__/recorded-dispatcher.js';
 import {runJob, type DispatcherHandle} from '../job-client.js';
 
@@ -23,7 +25,7 @@
 });
 
 /** Runs the copy of a job at a host that reaches these dispatchers at a time. Waits advance the time by 10 ms. */
-const runCopy = (clock: RecordedDispatcher, reach: (time: number) => DispatcherHandle[]) => {
+const runCopy = (clock: RecordedDispatcher, reach: (time: number) => DispatcherHandle[], job: JobRequest = request(), homeCell: string = home) => {
 	const reached = () => reach(clock.now());
 	return runJob({
 		now: clock.now,
@@ -35,11 +37,11 @@
 		},
 		releasedRunsMs: () => 1090,
 		dispatcherOfCell: cell => reached().find(handle => handle.cell === cell),
-		dispatcherForJob: () => reached().find(handle => handle.cell === home),
+		dispatcherForJob: () => reached().find(handle => handle.cell === homeCell),
 		async untilChange() {
 			clock.advance(10);
 		},
-	}, request());
+	}, job);
 };
 
 const settled = async () => new Promise<void>(resolve => {
@@ -119,7 +121,7 @@
 test('a copy whose submission to its own cell was lost does not start there while the first one may be running', async () => {
 	const [redirecting, target] = [createRedirecting(), createRecordedDispatcher([minionRecord('n')], 2)];
 	target.advance(redirecting.now());
-	const first = handleOf(redirecting, home, 1);
+	const first = {...handleOf(redirecting, home, 1), asksForJobs: false};
 	let isLost = false;
 	runCopy(redirecting, () => [isLost
 		? first
@@ -150,6 +152,72 @@
 	expect(target.dispatcher.jobs.has(id)).toBe(true);
 	redirecting.dispatcher.submit(request({submission: 1}), () => undefined, () => undefined, {origin: 'first', leaseEndsAt: () => Infinity});
 	expect(redirecting.starts.map(({task}) => task)).toEqual([]);
+	redirecting.advance(jobLeaseMs(leaseMs));
+	redirecting.dispatcher.tick();
+	expect(redirecting.starts.map(({task}) => task)).toEqual([`${id}.0.0.0`]);
+});
+
+// The other cell has lost its dispatcher, for example.
+test('a redirected job that its first host brings back starts at once if no copy was sent after it', async () => {
+	const redirecting = createRecordedDispatcher([minionRecord('m', {isDraining: true})]);
+	redirecting.report('m');
+	redirecting.otherCells.push({cell: other, freeTasks: 8});
+	const submit = (origin: string, submission: number) => {
+		const outcomes: Outcome[] = [];
+		const {steps: [step]} = jobRequest(id);
+		redirecting.dispatcher.submit(request({submission, steps: [step!, {...step!, dependsOn: [0]}]}), outcome => {
+			outcomes.push(outcome);
+		}, () => undefined, {origin, leaseEndsAt: () => Infinity});
+		return outcomes;
+	};
+
+	expect(submit('first', 0)).toEqual([{kind: outcomeKind.redirected, cell: other}]);
+	redirecting.dispatcher.setMinions([minionRecord('m')]);
+	expect(submit('first', 1)).toEqual([]);
+	expect(redirecting.starts.map(({task}) => task)).toEqual([`${id}.0.0.0`]);
+	// A copy that joins it there doesn't hold it up.
+	expect(submit('copy', 0)).toEqual([]);
+	redirecting.report('m', [], [[`${id}.0.0.0`, redirecting.starts[0]!.number, 'done']]);
+	expect(redirecting.starts.map(({task}) => task)).toEqual([`${id}.0.0.0`, `${id}.0.1.0`]);
+});
+
+// Each names the job to the other, since it doesn't know to which cell the runs on its minions belong.
+test.each([
+	['a copy', {}, 2], ['a later submission', {submission: 1}, 1], ['a submission with a history', {submission: 1, mayHaveRun: true, previousSubmissions: []}, 1],
+])('after a division, %s of a job that runs in two cells is not sent to and fro', async (_, changes, count) => {
+	const cells = ['z/1 of 2', 'z/2 of 2'];
+	const dispatchers = cells.map((_, cell) => {
+		const recorded = createRecordedDispatcher([minionRecord(`m${cell}`)], cell + 2);
+		recorded.dispatcher.awaitJobsElsewhere([cells[1 - cell]!], 300);
+		recorded.report(`m${cell}`, [[`${id}.0.0.${cell}`, 1]]);
+		return recorded;
+	});
+	for (const [cell, {dispatcher}] of dispatchers.entries()) {
+		dispatcher.handleJobsElsewhere([{cell: cells[1 - cell]!, ids: dispatchers[1 - cell]!.dispatcher.jobsOfCell(cells[cell]!)!}]);
+	}
+
+	const submittedTo: string[] = [];
+	const handles = dispatchers.map((recorded, cell) => {
+		const handle = handleOf(recorded, cells[cell]!, cell + 2);
+		return {
+			...handle,
+			submit(...[job, callbacks]: Parameters<DispatcherHandle['submit']>) {
+				submittedTo.push(handle.cell);
+				if (submittedTo.length < 10) {
+					handle.submit(job, callbacks);
+				}
+			},
+		};
+	});
+	const {steps} = jobRequest(id, {}, 2);
+	runCopy(dispatchers[0]!, () => handles, request({steps, ...changes}), cells[0]);
+	await settled();
+	expect(submittedTo).toEqual(cells.slice(0, count));
+	const last = dispatchers[count - 1]!;
+	last.advance(jobLeaseMs(leaseMs));
+	last.dispatcher.tick();
+	expect(last.dispatcher.jobs.has(id)).toBe(true);
+	expect(last.starts.map(({task}) => task)).toEqual([`${id}.0.0.${2 - count}`]);
 });
 
 /** The next dispatcher of the cell, which has asked the other cell for the jobs that it holds; its minion runs nothing. */
