Divide a zone by what its hosts can carry

Change: the settings take the speed of the link. A host counts with its cores, or with one core for each 32 Mbit/s of its link if that is less; the election, the links and the handover compare hosts by this figure, which stays the record's `cpuShare`, so that earlier builds compare alike. Each host distributes the cells over the zone's hosts as the election would and divides further while one of those that get cells would have more than 168 minions a core, the busiest one's load falls by a quarter, and there are as many hosts as cells and 5 minions a cell. The count remains a power of two, the highest that a host reports, and never falls.

--- a/packages/chivestream-host/src/__fixtures__/simulated-site.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-site.ts
@@ -19,6 +19,8 @@
 	/** The zone of each host. */
 	zones: readonly string[];
 	minionsPerZone: Readonly<Record<string, number>>;
+	/** Speed of the link in the settings of each host, in megabits per second; the simulated network has no limit. */
+	linkMbps?: readonly number[];
 	/** Whether callers whose connection breaks within a few milliseconds send their job again at once, to another host of the zone. */
 	resendsAtOnce: boolean;
 	faults: readonly ScheduledFault[];
@@ -113,7 +115,7 @@
 		}));
 		for (const [index, zone] of options.zones.entries()) {
 			const host: SimulatedHost = {
-				process: createProcess(`h${index}`), entryHost: undefined, service: undefined, settings: createSettings(index, zone),
+				process: createProcess(`h${index}`), entryHost: undefined, service: undefined, settings: createSettings(index, zone, options.linkMbps?.[index]),
 			};
 			this.hosts.push(host);
 			this.startHost(host, EntryHostClass);
@@ -248,10 +250,12 @@
 
 const encode = (value: unknown): Uint8Array => new TextEncoder().encode(JSON.stringify(value));
 
-const createSettings = (index: number, zone: string): HostSettings => {
+const createSettings = (index: number, zone: string, linkMbps: number | undefined): HostSettings => {
 	const ip = `127.0.1.${index + 1}`;
 	return hostSettingsSchema.parse({
-		host: {name: `h${index}`, zone, cpuShare: 1},
+		host: {
+			name: `h${index}`, zone, cpuShare: 1, linkMbps,
+		},
 		listen: {callers: `${ip}:9101`, readiness: `${ip}:9102`, peers: `${ip}:9103`},
 		seeds: [],
 		store: '127.0.2.1:9104',
--- a/packages/chivestream-host/src/__tests__/claim-manager.test.ts
+++ b/packages/chivestream-host/src/__tests__/claim-manager.test.ts
@@ -3,10 +3,12 @@
 	afterEach, describe, expect, jest, test,
 } from '@jest/globals';
 import {Checker, startMinionStandIn, type MinionStandIn} from 'chivestream-site-stand-ins';
-import {type Outcome} from 'chivestream-dispatch';
+import {type MinionRecord, type Outcome} from 'chivestream-dispatch';
 import {decodeMinionEntry} from 'chivestream-platform';
 import {request} from 'undici';
 import {ClaimManager, type ClaimManagerOptions} from '../claim-manager.js';
+import {reachability, type Candidate} from '../election.js';
+import {type HostRecord} from '../messages.js';
 
 let minion: MinionStandIn | undefined;
 let claimManager: ClaimManager | undefined;
@@ -17,41 +19,43 @@
 	[claimManager, minion] = [undefined, undefined];
 });
 
-/** A claim manager of a host that has started at time 0 and knows no other host. */
+/** Options of a host that has started at time 0 and knows no other host. */
+const defaultOptions: ClaimManagerOptions = {
+	self: {
+		name: 'a', zone: 'z', address: '127.0.0.1:1', bornAt: 1, cpuShare: 1,
+	},
+	bounds: () => ({leaseMs: 1000, farFactor: 1}),
+	now: () => 0,
+	recentDelayMs: () => 0,
+	report() {
+		// Not of interest.
+	},
+	isLeaving: () => false,
+	candidates: () => [],
+	zoneHosts: () => [],
+	zoneSize: () => 1,
+	canReachStore: () => true,
+	hostsKnownAt: () => undefined,
+	isZoneDiscovered: () => false,
+	isRegistryComplete: () => true,
+	knowsMinionsOfClaim: () => true,
+	minions: () => [],
+	unregisteredMinions: () => [],
+	areMinionsCurrent: () => true,
+	cellsOfOtherHosts: () => [],
+	followMinions() {
+		// The minions are fixed.
+	},
+	onClaimChange() {
+		// No other host is told.
+	},
+	onClaimLost() {
+		claimManager?.evaluate();
+	},
+};
+
 const create = (changes: Partial<ClaimManagerOptions>): ClaimManager => {
-	claimManager = new ClaimManager({
-		self: {
-			name: 'a', zone: 'z', address: '127.0.0.1:1', bornAt: 1, cpuShare: 1,
-		},
-		bounds: () => ({leaseMs: 1000, farFactor: 1}),
-		now: () => 0,
-		recentDelayMs: () => 0,
-		report() {
-			// Not of interest.
-		},
-		isLeaving: () => false,
-		candidates: () => [],
-		zoneSize: () => 1,
-		canReachStore: () => true,
-		hostsKnownAt: () => undefined,
-		isZoneDiscovered: () => false,
-		isRegistryComplete: () => true,
-		knowsMinionsOfClaim: () => true,
-		minions: () => [],
-		unregisteredMinions: () => [],
-		areMinionsCurrent: () => true,
-		cellsOfOtherHosts: () => [],
-		followMinions() {
-			// The minions are fixed.
-		},
-		onClaimChange() {
-			// No other host is told.
-		},
-		onClaimLost() {
-			claimManager?.evaluate();
-		},
-		...changes,
-	});
+	claimManager = new ClaimManager({...defaultOptions, ...changes});
 	return claimManager;
 };
 
@@ -181,3 +185,90 @@
 		expect(checker.violations).toEqual([]);
 	});
 });
+
+describe('the division of a zone', () => {
+	const discoveredAt = 3000;
+
+	const createHost = (name: string, cpuShare: number): HostRecord => ({
+		name, zone: 'z', address: '127.0.0.1:1', bornAt: 1, cpuShare,
+	});
+
+	const smallHosts = ['a', 'b', 'c', 'd', 'e'].map(name => createHost(name, 0.0625));
+	const largeHost = createHost('l', 1);
+
+	const minions = Array.from({length: 34}, (_, index): MinionRecord => ({
+		id: `i-${index}`, bornAt: 1, upstream: 'desk', address: '127.0.0.1:1', zone: 'z', isDraining: false, capacity: {millicores: 1, memoryMb: 1, accelerators: 0}, labels: [],
+	}));
+
+	/** Hosts of one zone that report their number of cells to each other. They are about to stop, so they claim nothing. */
+	const createZone = (records: readonly HostRecord[]) => {
+		const clock = {now: 0};
+		const known = new Set(records);
+		const managers = new Map<string, ClaimManager>();
+		for (const self of records) {
+			const others = () => [...known].filter(host => host !== self);
+			managers.set(self.name, new ClaimManager({
+				...defaultOptions,
+				self,
+				now: () => clock.now,
+				isLeaving: () => true,
+				hostsKnownAt: () => 500,
+				minions: () => minions,
+				zoneHosts: others,
+				candidates: () => others().map((record): Candidate => ({
+					record, claims: [], cellCount: managers.get(record.name)!.cellCount, isLeaving: true, reachability: reachability.alive,
+				})),
+			}));
+		}
+
+		const evaluate = (...names: string[]) => {
+			for (const name of names) {
+				managers.get(name)!.evaluate();
+			}
+
+			return names.map(name => managers.get(name)!.cellCount);
+		};
+
+		return {clock, known, evaluate};
+	};
+
+	test('follows from what its hosts can carry, and all of them come to the same one', () => {
+		const {clock, evaluate} = createZone(smallHosts);
+		clock.now = discoveredAt;
+		expect(evaluate('c', 'a', 'e', 'd', 'b')).toEqual([4, 4, 4, 4, 4]);
+	});
+
+	test('waits until the hosts that have started together are known', () => {
+		const {clock, known, evaluate} = createZone([...smallHosts, largeHost]);
+		known.delete(largeHost);
+		clock.now = 600;
+		expect(evaluate('a', 'b')).toEqual([1, 1]);
+		known.add(largeHost);
+		clock.now = discoveredAt;
+		expect(evaluate('a', 'b', 'c', 'd', 'e', 'l')).toEqual([1, 1, 1, 1, 1, 1]);
+	});
+
+	test('comes when the large host that dispatched is gone, and stays when it comes back', () => {
+		const {clock, known, evaluate} = createZone([...smallHosts, largeHost]);
+		clock.now = discoveredAt;
+		expect(evaluate('a', 'l')).toEqual([1, 1]);
+		known.delete(largeHost);
+		expect(evaluate('a', 'b')).toEqual([4, 4]);
+		known.add(largeHost);
+		expect(evaluate('l', 'a', 'c')).toEqual([4, 4, 4]);
+	});
+
+	test('is the finest that a host reports, also by one that knows other hosts or an earlier build', () => {
+		const {clock, evaluate, known} = createZone([...smallHosts, largeHost]);
+		clock.now = discoveredAt;
+		known.delete(largeHost);
+		expect(evaluate('a')).toEqual([4]);
+		known.add(largeHost);
+		expect(evaluate('l', 'a')).toEqual([4, 4]);
+		for (const name of smallHosts.slice(1)) {
+			known.delete(name);
+		}
+
+		expect(evaluate('l', 'a')).toEqual([4, 4]);
+	});
+});
--- a/packages/chivestream-host/src/__tests__/election.test.ts
+++ b/packages/chivestream-host/src/__tests__/election.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, test} from '@jest/globals';
 import {
-	chooseDispatchers, reachability, shouldHandOver, type Candidate,
+	chooseDispatchers, distributeCells, reachability, shouldHandOver, type Candidate,
 } from '../election.js';
 
 const candidate = (name: string, changes: Partial<Candidate> = {}, cpuShare = 1): Candidate => ({
@@ -53,6 +53,8 @@
 		const choices = hosts.map(self => choose(self, hosts.filter(host => host !== self), true, 4)
 			.map(name => name === 'claim' ? self.record.name : name));
 		expect(choices).toEqual(hosts.map(() => ['a', 'b', 'c', 'a']));
+		const cellCounts = distributeCells(hosts.map(({record}) => record), 4);
+		expect([...cellCounts].map(([{name}, cells]) => [name, cells])).toEqual([['a', 2], ['b', 1], ['c', 1]]);
 	});
 
 	test('that have a claimant stay there, and an unclaimed one goes to the least loaded host', () => {
--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -98,11 +98,20 @@
 	return site.run(hostClass);
 };
 
+/** The hosts that have divided their zone. */
+const divisions = ({log}: SimulatedSiteResult): string[] => log.flatMap(([_, host, event]) => event === 'zone-divided' ? [host] : []).toSorted();
+
 const twoZones = {zones: ['a', 'a', 'b', 'b'], minionsPerZone: {a: 4, b: 4}} as const;
 
 /** Zone `a` has enough minions for two cells. */
 const twoCells = {zones: ['a', 'a', 'a', 'b'], minionsPerZone: {a: 44, b: 4}} as const;
 
+/** The links of zone `a` are too slow for one dispatcher. */
+const smallHosts = {zones: ['a', 'a', 'a', 'b'], minionsPerZone: {a: 24, b: 4}, linkMbps: [2, 2, 2, 1000]} as const;
+
+/** The same, but for one host that can carry all minions. */
+const largeHost = {...smallHosts, linkMbps: [2, 1000, 2, 1000]} as const;
+
 /** Zone `a` has few minions, so that many of its jobs are redirected to zone `b`. */
 const redirectingZone = {zones: ['a', 'a', 'b', 'b', 'b'], minionsPerZone: {a: 3, b: 12}} as const;
 
@@ -159,6 +168,44 @@
 		expect(result.completed).toBe(result.submitted);
 	});
 
+	test('a zone of small hosts is divided, and serves all jobs without faults', async () => {
+		const result = await play({
+			...smallHosts, seed: 1, resendsAtOnce: false, faults: [], lengthMs: 2000,
+		});
+		expect(divisions(result)).toEqual(['h0', 'h1', 'h2']);
+		expect(result.overlaps).toEqual([]);
+		expect(result.completed).toBe(result.submitted);
+	});
+
+	test('a zone with a large host is not divided', async () => {
+		const result = await play({
+			...largeHost, seed: 1, resendsAtOnce: false, faults: [], lengthMs: 2000,
+		});
+		expect(divisions(result)).toEqual([]);
+		expect(result.completed).toBe(result.submitted);
+	});
+
+	test.each([1, 2, 3, 4])('no task has two runs when a zone is divided under load, as its large host is gone for long, seed %i', async seed => {
+		const random = createRandom(seed);
+		const faults = [
+			{
+				at: 0, kind: siteFault.isolate, target: 1, other: 0, lengthMs: 16_500,
+			},
+			...Array.from({length: 6}, () => ({
+				at: 14_000 + randomInteger(random, 3000),
+				kind: seed % 2 === 0 ? siteFault.reset : siteFault.freeze,
+				target: randomInteger(random, 12),
+				other: randomInteger(random, 12),
+				lengthMs: 50 + randomInteger(random, 1000),
+			})),
+		];
+		const result = await play({
+			...largeHost, ...longJobs, seed, resendsAtOnce: false, faults, lengthMs: 19_000,
+		});
+		expect(divisions(result)).toEqual(['h0', 'h1', 'h2']);
+		expect(result.overlaps).toEqual([]);
+	});
+
 	test('a seed repeats every event', async () => {
 		const faults = fc.sample(fc.array(arbitraryFault, {minLength: 4, maxLength: 4}), {seed: 1, numRuns: 1})[0]!;
 		const playOnce = async () => play({
--- a/packages/chivestream-host/src/cells.ts
+++ b/packages/chivestream-host/src/cells.ts
@@ -1,17 +1,54 @@
 /**
  * Divides the minions of a zone into cells, each with its own dispatcher.
  *
- * A process handles about 100 task starts per second and core, so a zone with a few dozen minions needs more than one
- * dispatcher. A small zone is a single cell.
+ * What a dispatcher can carry follows from its processor and its link, so a zone with a few dozen minions, or with small hosts, needs more
+ * than one. Any other zone is a single cell.
  */
+import {distributeCells} from './election.js';
+import {type HostRecord} from './messages.js';
 
-/** Minimum number of minions per cell, on average, after a division. */
+/** Minimum number of minions per cell, on average, after a division because of the number of minions. */
 const minMinionsPerCell = 20;
 
-/** Number of cells for a number of minions. It is a power of two, so that a division only splits cells and never merges parts of them. */
-export const cellCountFor = (minions: number): number =>
+/** Minimum number of minions per cell, on average, after a division because of the hosts. */
+const minMinionsPerSmallCell = 5;
+
+/** Number of minions that a dispatcher can carry for each core of its `cpuShare`. */
+const minionsPerCore = 168;
+
+/** A division because of the hosts must bring the highest load of a host below this fraction of what it was. */
+const maxLoadRatio = 0.75;
+
+const cellCountByMinions = (minions: number): number =>
 	2 ** Math.max(0, Math.floor(Math.log2(Math.max(1, minions) / minMinionsPerCell)));
 
+/** The highest load of a host that dispatches, as a fraction of what it can carry; 0 without hosts. */
+const highestLoad = (minions: number, hosts: readonly HostRecord[], cellCount: number): number => {
+	const loads = [...distributeCells(hosts, cellCount)].map(([{cpuShare}, cells]) => cells * minions / cellCount / (minionsPerCore * cpuShare));
+	return Math.max(0, ...loads);
+};
+
+/**
+ * Number of cells for a number of minions, at least `minCellCount`. It is a power of two, so that a division only splits cells and never
+ * merges parts of them.
+ *
+ * A zone is also divided if one of the hosts that would dispatch, which are the largest ones, couldn't carry its cells, and if smaller
+ * cells on more hosts help. Without hosts, only the number of minions counts.
+ */
+export const cellCountFor = (minions: number, hosts: readonly HostRecord[], minCellCount = 1): number => {
+	let cellCount = Math.max(minCellCount, cellCountByMinions(minions));
+	let load = highestLoad(minions, hosts, cellCount);
+	const maxCellCount = Math.min(hosts.length, minions / minMinionsPerSmallCell);
+	for (let count = 2 * cellCount; load >= 1 && count <= maxCellCount; count *= 2) {
+		const dividedLoad = highestLoad(minions, hosts, count);
+		if (dividedLoad < maxLoadRatio * load) {
+			[cellCount, load] = [count, dividedLoad];
+		}
+	}
+
+	return cellCount;
+};
+
 // FNV-1a is implemented here because the digest library loads asynchronously, which would delay the start of a host.
 const fnvOffsetBasis = 2_166_136_261;
 const fnvPrime = 16_777_619;
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -28,6 +28,8 @@
 	isLeaving: () => boolean;
 	/** The other hosts of the zone. */
 	candidates: () => Candidate[];
+	/** Records of the other hosts of the zone, without those that have not replied for long. */
+	zoneHosts: () => HostRecord[];
 	/** Number of hosts of the zone with which this one exchanges status, this one included. */
 	zoneSize: () => number;
 	canReachStore: () => boolean;
@@ -117,11 +119,12 @@
 	evaluate(): void {
 		const {now, self, report} = this.options;
 		const others = this.options.candidates();
-		this.updateCellCount(others);
+		const isAfterDeadline = now() > discoveryDeadline(this.startedAt, this.options.hostsKnownAt(), this.options.zoneSize());
+		// A division is for good, so hosts count only when those that have started together are known to each other.
+		this.updateCellCount(others, isAfterDeadline ? [self, ...this.options.zoneHosts()] : []);
 		const canReachStore = this.options.canReachStore();
 		const choices = chooseDispatchers(this.localCandidate(), others, canReachStore, this.cellCount);
-		const isDiscoveryOver = this.options.isZoneDiscovered()
-			|| now() > discoveryDeadline(this.startedAt, this.options.hostsKnownAt(), this.options.zoneSize());
+		const isDiscoveryOver = this.options.isZoneDiscovered() || isAfterDeadline;
 		const isBackingOff = now() < this.fencedWhileIsolatedAt + hostTiming.fencedBackoffMs;
 		for (const [cell, choice] of choices.entries()) {
 			if (describeChoice(choice) !== describeChoice(this.choices[cell]!)) {
@@ -185,12 +188,14 @@
 		};
 	}
 
-	/** Divides the zone into more cells when its number of minions requires it or another host reports more cells. */
-	private updateCellCount(others: readonly Candidate[]): void {
+	/** Divides the zone into more cells when its minions or hosts require it or another host reports more cells. */
+	private updateCellCount(others: readonly Candidate[], hosts: readonly HostRecord[]): void {
 		const minions = this.options.minions().length;
-		const cellCount = Math.max(this.cellCount, cellCountFor(minions), ...others.map(other => other.cellCount));
+		const cellCount = cellCountFor(minions, hosts, Math.max(this.cellCount, ...others.map(other => other.cellCount)));
 		if (cellCount > this.cellCount) {
-			this.options.report('zone-divided', {cells: cellCount, before: this.cellCount, minions});
+			this.options.report('zone-divided', {
+				cells: cellCount, before: this.cellCount, minions, hosts: hosts.length,
+			});
 			this.releaseAll('the number of cells has changed');
 			this.choices = Array.from({length: cellCount}, () => ({kind: 'none'}));
 		}
--- a/packages/chivestream-host/src/election.ts
+++ b/packages/chivestream-host/src/election.ts
@@ -57,12 +57,12 @@
 };
 
 /** The host with the lowest load after one more cell, in cells per core; among equals the one with the most cores. */
-const leastLoaded = (eligible: readonly Candidate[], cellCounts: ReadonlyMap<Candidate, number>): Candidate | undefined => {
-	const loadWithOneMore = (host: Candidate) => ((cellCounts.get(host) ?? 0) + 1) / host.record.cpuShare;
-	let best: Candidate | undefined;
-	for (const host of eligible) {
+const leastLoaded = (hosts: readonly HostRecord[], cellCounts: ReadonlyMap<HostRecord, number>): HostRecord | undefined => {
+	const loadWithOneMore = (host: HostRecord) => ((cellCounts.get(host) ?? 0) + 1) / host.cpuShare;
+	let best: HostRecord | undefined;
+	for (const host of hosts) {
 		const difference = best === undefined ? -1 : loadWithOneMore(host) - loadWithOneMore(best);
-		if (best === undefined || difference < 0 || (difference === 0 && isPreferred(host.record, best.record))) {
+		if (best === undefined || difference < 0 || (difference === 0 && isPreferred(host, best))) {
 			best = host;
 		}
 	}
@@ -70,14 +70,28 @@
 	return best;
 };
 
+/** The number of cells of each host that would dispatch if none of the cells had a claimant. */
+export const distributeCells = (hosts: readonly HostRecord[], cellCount: number): ReadonlyMap<HostRecord, number> => {
+	const cellCounts = new Map<HostRecord, number>();
+	for (let cell = 0; cell < cellCount; cell += 1) {
+		const host = leastLoaded(hosts, cellCounts);
+		if (host !== undefined) {
+			cellCounts.set(host, (cellCounts.get(host) ?? 0) + 1);
+		}
+	}
+
+	return cellCounts;
+};
+
 /** Chooses the dispatcher of each cell: the host that claims it with the highest token, or else the least loaded one. */
 export const chooseDispatchers = (self: Candidate, others: readonly Candidate[], canReachStore: boolean, cellCount: number): DispatcherChoice[] => {
 	const eligible = eligibleHosts(self, others);
-	const cellCounts = new Map<Candidate, number>();
+	const records = eligible.map(({record}) => record);
+	const cellCounts = new Map<HostRecord, number>();
 	const claimants = Array.from({length: cellCount}, (_, cell) => findClaimant(eligible, cell));
 	for (const claimant of claimants) {
 		if (claimant !== undefined) {
-			cellCounts.set(claimant, (cellCounts.get(claimant) ?? 0) + 1);
+			cellCounts.set(claimant.record, (cellCounts.get(claimant.record) ?? 0) + 1);
 		}
 	}
 
@@ -89,14 +103,14 @@
 			return {kind: 'follow', record: claimant.record};
 		}
 
-		const selected = leastLoaded(eligible, cellCounts);
+		const selected = leastLoaded(records, cellCounts);
 		if (selected === undefined) {
 			return {kind: 'none'};
 		}
 
 		cellCounts.set(selected, (cellCounts.get(selected) ?? 0) + 1);
-		if (selected !== self) {
-			return {kind: 'follow', record: selected.record};
+		if (selected !== self.record) {
+			return {kind: 'follow', record: selected};
 		}
 
 		return mayClaim ? {kind: 'claim'} : {kind: 'none'};
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -33,7 +33,7 @@
 import {serveStreams} from './peer-service.js';
 import {PeerTable} from './peer-table.js';
 import {applySettings, compareSettings} from './reload.js';
-import {type HostSettings} from './settings.js';
+import {countedCores, type HostSettings} from './settings.js';
 import {hostTiming, statusIntervalMs} from './timing.js';
 import {ClaimManager} from './claim-manager.js';
 
@@ -115,7 +115,7 @@
 			zone: settings.host.zone,
 			address: settings.listen.peers,
 			bornAt: Date.now(),
-			cpuShare: settings.host.cpuShare * settings.host.coreSpeed,
+			cpuShare: countedCores(settings.host),
 		};
 		this.store = createStoreClient(settings.store);
 		this.declarations = new DeclarationsFollower({
@@ -216,6 +216,7 @@
 			report,
 			isLeaving: () => this.isLeaving,
 			candidates: () => this.peers.candidates(),
+			zoneHosts: () => this.peers.zoneHosts(),
 			zoneSize: () => this.peers.linkedZoneSize(),
 			canReachStore: () => this.declarations.answerAgeMs() < storeAnswerMaxAgeMs,
 			hostsKnownAt: () => this.hostsKnownAt,
--- a/packages/chivestream-host/src/messages.ts
+++ b/packages/chivestream-host/src/messages.ts
@@ -13,7 +13,7 @@
 	address: string;
 	/** When its process started, in milliseconds since the Unix epoch; distinguishes incarnations. */
 	bornAt: number;
-	/** Number of cores of the usual speed that its processor time amounts to. */
+	/** Number of cores of the usual speed for which it counts: its processor time, or less if its link is too slow for the messages of that. */
 	cpuShare: number;
 };
 
--- a/packages/chivestream-host/src/peer-table.ts
+++ b/packages/chivestream-host/src/peer-table.ts
@@ -174,6 +174,12 @@
 		return candidates;
 	}
 
+	/** The other hosts of the local zone, without those that have not replied for long. One without a link counts as reachable. */
+	zoneHosts(): HostRecord[] {
+		return [...this.knownHosts.values()].filter(record => record.zone === this.options.self.zone
+			&& (this.links.get(record.name)?.unreachableMs() ?? 0) < hostTiming.silentHostExpiryMs);
+	}
+
 	/** Number of hosts of the local zone to which this one keeps links, including this one. */
 	linkedZoneSize(): number {
 		return [...this.links.values()].filter(link => link.record.zone === this.options.self.zone).length + 1;
--- a/packages/chivestream-host/src/settings.ts
+++ b/packages/chivestream-host/src/settings.ts
@@ -14,6 +14,8 @@
 		cpuShare: z.number().positive(),
 		/** Speed of its cores, as a multiple of the usual speed. */
 		coreSpeed: z.number().positive().default(1),
+		/** Speed of its link, in megabits per second; without it, the link is no limit. */
+		linkMbps: z.number().positive().optional(),
 	}),
 	listen: z.strictObject({
 		callers: listenAddressSchema,
@@ -40,3 +42,10 @@
 
 /** Validated settings of an entry host, with defaults filled in. */
 export type HostSettings = z.output<typeof hostSettingsSchema>;
+
+/** Speed of the link that the messages of one core's work need, in megabits per second. */
+const linkMbpsPerCore = 32;
+
+/** Number of cores of the usual speed for which a host counts: its processor time, or less if its link is too slow for the messages of that. */
+export const countedCores = ({cpuShare, coreSpeed, linkMbps = Infinity}: HostSettings['host']): number =>
+	Math.min(cpuShare * coreSpeed, linkMbps / linkMbpsPerCore);
