Count the time since a minion's last answer at the slowest speed of its clock

Cause: the end of a lease was computed as the minion's clock at its last answer, plus the time since then, plus the length granted. The minion's clock may run 2% slow, so the lease was longer than granted by 2% of the age of that answer. `leaseExpiryMs` allows for 2% of the granted length and for 50 ms, not for the age.

What it can do, worked out: a lease of 900 ms outlives its allowance when the answer is older than 3.3 s, one of 450 ms when it is older than 2.9 s. Without a late process the answer that a start is computed from is at most 2.3 s old: 1.5 s between polls of an idle minion, and two polls of 0.4 s each until it counts as unreachable. So no order of events was shown that breaks a rule.

Change: the time since the answer counts at 0.98.

Measured: the new test asks what lease the minion is asked for 10 s after its last answer, on clocks of its own: 1,075 ms before, where 900 were granted (failed); passes after, as do the nine other tests of minion-session.test.ts.

--- a/packages/chivestream-host/src/__tests__/minion-session.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-session.test.ts
@@ -4,7 +4,9 @@
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
 import {createRandom} from 'chivestream-core';
-import {crashEvidence, Dispatcher, type JobRequest} from 'chivestream-dispatch';
+import {
+	crashEvidence, Dispatcher, leaseLengths, type JobRequest,
+} from 'chivestream-dispatch';
 import {decodeMinionEntry} from 'chivestream-platform';
 import {
 	availability, Checker, startMinionStandIn, type MinionStandIn,
@@ -18,8 +20,8 @@
 let minion: MinionStandIn | undefined;
 let controller: AbortController;
 
-const startMinion = async (id: string, at?: {ip: string; port: number}, workMs = 10_000) => startMinionStandIn({
-	id, zone: 'z', upstream: 'desk', checker: new Checker(), capacity: 32_000, leaseMs, workMs: () => workMs, ...(at !== undefined && {at}),
+const startMinion = async (id: string, at?: {ip: string; port: number}, workMs = 10_000, now = () => performance.now()) => startMinionStandIn({
+	id, zone: 'z', upstream: 'desk', checker: new Checker(), capacity: 32_000, leaseMs, now, workMs: () => workMs, ...(at !== undefined && {at}),
 });
 
 /** A job of one task, which takes as long as the stand-in minion runs tasks. */
@@ -40,8 +42,7 @@
 });
 
 /** Starts a session with the minion; its dispatcher sends start requests over the session. */
-const startSession = (standIn: MinionStandIn, claim = token) => {
-	const now = () => performance.now();
+const startSession = (standIn: MinionStandIn, claim = token, now = () => performance.now()) => {
 	const events: Array<{event: string; fields: Record<string, unknown>}> = [];
 	const starts: string[] = [];
 	const dispatcher: Dispatcher = new Dispatcher({
@@ -201,6 +202,20 @@
 	expect(runningAtExpiry).toBe(0);
 });
 
+// Its clock was taken to have run at full speed since its last answer.
+test('a minion whose clock runs 2% slow is asked for no longer lease when its last answer is old', async () => {
+	let passedMs = 0;
+	const now = () => performance.now() + passedMs;
+	minion = await startMinion('i-1', undefined, 10_000, () => 0.98 * now());
+	const {dispatcher} = startSession(minion, token, now);
+	await until(() => dispatcher.pool.minions.get('i-1')!.isSynced);
+	passedMs = 10_000;
+	dispatcher.submit(createJob(), () => undefined);
+	await until(() => minion!.runningTasks().length > 0);
+	// Both ends round the minion's clock.
+	expect(minion.longestRequestedLeaseMs()).toBeLessThanOrEqual(leaseLengths(leaseMs).usualMs + 1);
+});
+
 test('the answer of an earlier incarnation counts for nothing once the registry shows the next one', async () => {
 	minion = await startMinion('i-1');
 	const {dispatcher, session} = startSession(minion);
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -48,6 +48,9 @@
  */
 const holdWaitMs = 300;
 
+/** The slowest speed of a minion's clock, as a multiple of the right one. */
+const slowestClockRate = 0.98;
+
 /** Pause after a failed request, in milliseconds. */
 const retryPauseMs = 100;
 
@@ -121,10 +124,15 @@
 	const sendStopRequest = async ({task, number}: Run) =>
 		send(async timeoutMs => client.stop(task, number, token, timeoutMs), result => result.isOk());
 
-	/** End of a lease granted now, on the minion's clock; undefined before its first answer, or if the lease must not be extended. */
+	/**
+	 * End of a lease granted now, on the minion's clock; undefined before its first answer, or if the lease must not be extended. Its clock
+	 * reads at least what it would read at its slowest, so the lease is never longer than granted.
+	 */
 	const grantLease = (): number | undefined => {
 		const grantedMs = minionClock === undefined ? undefined : dispatcher.grantLease(minion);
-		return minionClock === undefined || grantedMs === undefined ? undefined : Math.floor(minionClock.time + (now() - minionClock.at) + grantedMs);
+		return minionClock === undefined || grantedMs === undefined
+			? undefined
+			: Math.floor(minionClock.time + ((now() - minionClock.at) * slowestClockRate) + grantedMs);
 	};
 
 	/** Sends one request for the ends of runs, and applies its answer. */
--- a/packages/chivestream-site-stand-ins/src/minion.ts
+++ b/packages/chivestream-site-stand-ins/src/minion.ts
@@ -20,6 +20,8 @@
 	isDeadly?: (task: string) => boolean;
 	/** Longest lease, in milliseconds. */
 	leaseMs: number;
+	/** Its steady clock, in milliseconds; by default that of the process. */
+	now?: () => number;
 	/** Address at which to listen; a free port of 127.0.0.1 by default. */
 	at?: {ip: string; port: number};
 };
@@ -52,6 +54,8 @@
 	runningTasks: () => string[];
 	/** The highest fencing token that the current incarnation has received; 0 before the first. */
 	highestToken: () => number;
+	/** The longest lease that a request has asked for, in milliseconds of its clock. */
+	longestRequestedLeaseMs: () => number;
 };
 
 type ActiveRun = {task: string; run: number; timer: NodeJS.Timeout; fails: boolean};
@@ -78,13 +82,14 @@
 
 /** Starts a minion. It does not register itself: the caller writes its registry entry into the store. */
 export const startMinionStandIn = async (options: MinionStandInOptions): Promise<MinionStandIn> => {
-	const {id, checker} = options;
+	const {id, checker, now = () => performance.now()} = options;
 	let bornAt = Date.now();
 	let {capacity} = options;
 	let checkedCapacity = options.capacity;
-	let clockStart = performance.now();
+	let clockStart = now();
 	let highestToken = 0;
 	let leaseDeadline = 0;
+	let longestRequestedLeaseMs = 0;
 	let lastCursor = 0;
 	let activeRuns = new Map<string, ActiveRun>();
 	let ended: Array<[number, string, number, string, string]> = [];
@@ -95,7 +100,7 @@
 	let answerDelayMs = 0;
 	let passHeldRenewal: ((carryOut: () => void) => void) | undefined;
 
-	const clock = () => Math.round(performance.now() - clockStart);
+	const clock = () => Math.round(now() - clockStart);
 
 	const finish = (key: string, endKind: string) => {
 		const activeRun = activeRuns.get(key);
@@ -124,6 +129,7 @@
 
 	const extendLease = (deadline: number | undefined) => {
 		if (deadline !== undefined) {
+			longestRequestedLeaseMs = Math.max(longestRequestedLeaseMs, deadline - clock());
 			leaseDeadline = Math.max(leaseDeadline, Math.min(deadline, clock() + options.leaseMs));
 		}
 	};
@@ -286,7 +292,7 @@
 		leaseDeadline = 0;
 		lastCursor = 0;
 		bornAt = Math.max(bornAt + 1, Date.now());
-		clockStart = performance.now();
+		clockStart = now();
 	};
 
 	/** Crashes under a task if the run is still active, and listens again at the same address after a while. */
@@ -352,6 +358,7 @@
 		},
 		runningTasks: () => [...activeRuns.values()].map(({task}) => task),
 		highestToken: () => highestToken,
+		longestRequestedLeaseMs: () => longestRequestedLeaseMs,
 		async close() {
 			isClosed = true;
 			clearInterval(leaseTimer);
