Simulate full links: a queue for each direction of a host, and callers that leave

The simulation had no queue on a link. `simulated-links.ts` passes all messages of a host on through one queue for each direction, with a rate, filled by them and by other traffic: streams, requests to minions and to the store, opened and ended connections, callers' requests and the notice that they have left. Requests that their sender has given up still arrive, in order.

--- a/packages/chivestream-host/src/__fixtures__/simulated-callers.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-callers.ts
@@ -4,6 +4,7 @@
 import {type CallerServiceOptions} from '../caller-service.js';
 import {type EntryHost} from '../host.js';
 import {type HostSettings} from '../settings.js';
+import {messageBytes} from './simulated-links.js';
 import {type SimulatedNetwork} from './simulated-network.js';
 import {type SimulatedProcess, type Simulation} from './simulation.js';
 
@@ -23,6 +24,8 @@
 	resendsAtOnce: boolean;
 	/** As in `SimulatedSiteOptions`. */
 	workMs: LengthRange | undefined;
+	/** As in `SimulatedSiteOptions`. */
+	patienceMs: number | undefined;
 	log: (host: string, event: string, fields: Record<string, unknown>) => void;
 };
 
@@ -123,7 +126,32 @@
 		};
 
 		const anyHost = () => randomInteger(this.options.random, this.options.hosts.length);
+		const {patienceMs} = this.options;
+		const order = patienceMs === undefined ? undefined : {arrivedAt: 0};
 		let cancel: (() => void) | undefined;
+		/** Whether the caller has closed its connection; the host reads what was sent before. */
+		let hasLeft = false;
+		const end = (event: string) => {
+			attempt.isBroken = true;
+			this.options.log('-', event, {job: id, host: process.name, number: job.number});
+			this.attempts.delete(attempt);
+		};
+
+		const leave = () => {
+			if (!this.attempts.has(attempt)) {
+				return;
+			}
+
+			hasLeft = true;
+			end('caller-left');
+			resend(anyHost(), resendMs);
+			network.links.transmit({
+				from: caller, to: process.name, bytes: messageBytes.control, delayMs: path(), ...(order !== undefined && {order}),
+			}, () => {
+				cancel?.();
+			}, process);
+		};
+
 		const attempt: Attempt = {
 			host: process,
 			caller,
@@ -134,9 +162,7 @@
 					return;
 				}
 
-				attempt.isBroken = true;
-				this.options.log('-', 'caller-connection-broken', {job: id, host: process.name, number: job.number});
-				this.attempts.delete(attempt);
+				end('caller-connection-broken');
 				const isFresh = this.options.resendsAtOnce && simulation.time - attempt.sentAt < freshRequestMs;
 				const nearby = this.options.hosts.flatMap(({settings}, index) => settings.host.zone === host.settings.host.zone && index !== job.index ? [index] : []);
 				if (isFresh && nearby.length > 0) {
@@ -158,7 +184,9 @@
 		}
 
 		const answer = (outcome: Outcome) => {
-			simulation.schedule(path(), () => {
+			network.links.transmit({
+				from: process.name, to: caller, bytes: messageBytes.callerAnswer, delayMs: path(),
+			}, () => {
 				if (attempt.isBroken) {
 					return;
 				}
@@ -172,13 +200,19 @@
 			});
 		};
 
-		simulation.schedule(path(), () => {
-			if (attempt.isBroken) {
+		if (patienceMs !== undefined) {
+			simulation.schedule(patienceMs, leave);
+		}
+
+		network.links.transmit({
+			from: caller, to: process.name, bytes: messageBytes.callerRequest, delayMs: path(), ...(order !== undefined && {order}),
+		}, () => {
+			if (attempt.isBroken && !hasLeft) {
 				return;
 			}
 
 			const now = service.now();
-			const pending = service.runJob(this.createRequest(id, job.count, {now, deadline: now + job.deadline - attempt.sentAt}));
+			const pending = service.runJob(this.createRequest(id, job.count, {now, deadline: now + (patienceMs ?? job.deadline - attempt.sentAt)}));
 			cancel = () => {
 				pending.cancel();
 			};
--- a/packages/chivestream-host/src/__fixtures__/simulated-faults.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-faults.ts
@@ -1,5 +1,6 @@
 /** Faults of a simulated site. */
 import {type SimulatedCallers, type SimulatedHost} from './simulated-callers.js';
+import {linkDirection} from './simulated-links.js';
 import {type SimulatedMinion} from './simulated-minion.js';
 import {lateLease, type SimulatedNetwork} from './simulated-network.js';
 import {type Simulation} from './simulation.js';
@@ -65,7 +66,17 @@
 	closingMinions: 'closing minions',
 } as const;
 
-type FaultKind = (typeof siteFault)[keyof typeof siteFault] | (typeof newerFault)[keyof typeof newerFault] | (typeof latestFault)[keyof typeof latestFault];
+/** Kinds of faults of the links of hosts, which came after all of these. */
+export const linkFault = {
+	/** What a host sends and receives waits in the queues of its link. */
+	fullLink: 'full link',
+	fullInbound: 'full inbound link',
+	fullOutbound: 'full outbound link',
+	/** The links of all hosts are full. */
+	fullLinks: 'full links',
+} as const;
+
+type FaultKind = (typeof siteFault)[keyof typeof siteFault] | (typeof newerFault)[keyof typeof newerFault] | (typeof latestFault)[keyof typeof latestFault] | (typeof linkFault)[keyof typeof linkFault];
 
 /** A fault at a time after the start of the load, both times in milliseconds; the targets are chosen by their numbers. */
 export type ScheduledFault = {at: number; kind: FaultKind; target: number; other: number; lengthMs: number};
@@ -99,6 +110,9 @@
 /** The share of requests that a disturbance meets, chosen by a number. */
 const shareOf = (other: number): number => (1 + (other % 5)) / 10;
 
+/** Least rate of a full link, in bytes per millisecond. */
+const leastBytesPerMs = 20;
+
 /** Injects a fault now. */
 export const injectFault = (site: FaultySite, {kind, target, other, lengthMs}: ScheduledFault): void => {
 	const {
@@ -125,6 +139,14 @@
 		}
 	};
 
+	const fill = (names: readonly string[], directions: ReadonlyArray<(typeof linkDirection)[keyof typeof linkDirection]>) => {
+		for (const name of names) {
+			for (const direction of directions) {
+				network.links.fill(name, direction, {bytesPerMs: leastBytesPerMs * (1 + (other % 6)), lengthMs});
+			}
+		}
+	};
+
 	switch (kind) {
 		case siteFault.kill: {
 			if (process.isAlive) {
@@ -319,6 +341,27 @@
 					}
 				}
 			}
+
+			break;
+		}
+
+		case linkFault.fullLink: {
+			fill([process.name], [linkDirection.inbound, linkDirection.outbound]);
+			break;
+		}
+
+		case linkFault.fullInbound: {
+			fill([process.name], [linkDirection.inbound]);
+			break;
+		}
+
+		case linkFault.fullOutbound: {
+			fill([process.name], [linkDirection.outbound]);
+			break;
+		}
+
+		case linkFault.fullLinks: {
+			fill(hosts.map(found => found.process.name), [linkDirection.inbound, linkDirection.outbound]);
 		}
 	}
 };
--- a/packages/chivestream-host/src/__fixtures__/simulated-network.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-network.ts
@@ -6,6 +6,7 @@
 	refusal, type KeyedRecord, type MinionClient, type StoreClient, type Topic,
 } from 'chivestream-platform';
 import {Err, Ok, type Result} from 'ts-results-es';
+import {linkDirection, messageBytes, SimulatedLinks} from './simulated-links.js';
 import {type SimulatedMinion} from './simulated-minion.js';
 import {type SimulatedProcess, type Simulation} from './simulation.js';
 
@@ -45,7 +46,8 @@
 type Connection = {
 	from: SimulatedProcess;
 	to: string;
-	break: (reason: string) => void;
+	/** The other end than `at`, if that is named, notices it behind the queues of its link. */
+	break: (reason: string, at?: string) => void;
 	/** From now on it passes nothing on, and neither end notices it. */
 	silence: () => void;
 };
@@ -97,6 +99,7 @@
 	readonly minions = new Map<string, SimulatedMinion>();
 	/** The ids of the minions that listen at the addresses. */
 	readonly addresses = new Map<string, string>();
+	readonly links: SimulatedLinks;
 	private readonly simulation: Simulation;
 	private readonly random: Random;
 	private readonly log: (host: string, event: string, fields: Record<string, unknown>) => void;
@@ -121,6 +124,7 @@
 		this.simulation = simulation;
 		this.random = random;
 		this.log = log;
+		this.links = new SimulatedLinks(simulation, random);
 	}
 
 	/** Cuts the path between two ends silently; what is sent meanwhile arrives after it, unless its connection has broken by then. */
@@ -177,7 +181,7 @@
 	reset(host: string, share: number): void {
 		for (const connection of this.connections) {
 			if ((connection.from.name === host || connection.to === host) && this.random() < share) {
-				connection.break('ECONNRESET');
+				connection.break('ECONNRESET', host);
 			}
 		}
 	}
@@ -191,7 +195,7 @@
 	close(process: SimulatedProcess): void {
 		for (const connection of this.connections) {
 			if (connection.from === process || connection.to === process.name) {
-				connection.break('UND_ERR_SOCKET');
+				connection.break('UND_ERR_SOCKET', process.name);
 			}
 		}
 	}
@@ -200,7 +204,7 @@
 	closeMinion(id: string): void {
 		for (const connection of this.connections) {
 			if (connection.to === id) {
-				connection.break('UND_ERR_SOCKET');
+				connection.break('UND_ERR_SOCKET', id);
 			}
 		}
 	}
@@ -230,10 +234,12 @@
 		let isBroken = false;
 		let isSilent = false;
 		let server: StreamEnd | undefined;
-		const arrivals = {request: 0, reply: 0};
-		const deliver = (kind: keyof typeof arrivals, process: SimulatedProcess, run: () => void) => {
-			arrivals[kind] = Math.max(arrivals[kind], this.simulation.time + this.delay(from.name, toName));
-			this.simulation.schedule(arrivals[kind] - this.simulation.time, () => {
+		const orders = {request: {arrivedAt: 0}, reply: {arrivedAt: 0}};
+		const deliver = (kind: keyof typeof orders, process: SimulatedProcess, bytes: number, run: () => void) => {
+			const [sender, receiver] = kind === 'request' ? [from.name, toName] : [toName, from.name];
+			this.links.transmit({
+				from: sender, to: receiver, bytes, delayMs: this.delay(from.name, toName), order: orders[kind],
+			}, () => {
 				if (!isSilent) {
 					run();
 				}
@@ -241,7 +247,7 @@
 		};
 
 		/** Ends the stream; the other end notices it when the path is open. */
-		const finish = (notifies: {client: boolean; server: boolean}, reason: string) => {
+		const finish = (notifies: {client: boolean; server: boolean}, reason: string, at?: string) => {
 			if (isBroken) {
 				return;
 			}
@@ -254,14 +260,14 @@
 
 			const noticeMs = () => this.random() * breakNoticeMs;
 			if (notifies.client) {
-				this.simulation.schedule(noticeMs(), () => {
+				this.links.notify({from: toName, to: from.name, delayMs: noticeMs(), at}, () => {
 					client.writable = false;
 					client.emit('error', new Error(reason));
 				}, from);
 			}
 
 			if (notifies.server && to !== undefined) {
-				this.simulation.schedule(noticeMs() + this.delay(from.name, toName) - latencyMs.least, () => {
+				this.links.notify({from: from.name, to: toName, delayMs: noticeMs() + this.delay(from.name, toName) - latencyMs.least, at}, () => {
 					if (server !== undefined) {
 						server.writable = false;
 						server.emit('close');
@@ -273,8 +279,8 @@
 		const connection: Connection = {
 			from,
 			to: toName,
-			break(reason) {
-				finish({client: true, server: true}, reason);
+			break(reason, at) {
+				finish({client: true, server: true}, reason, at);
 			},
 			silence() {
 				isSilent = true;
@@ -282,7 +288,7 @@
 		};
 		const client: StreamEnd = new StreamEnd(message => {
 			if (to !== undefined) {
-				deliver('request', to, () => {
+				deliver('request', to, bytesOf(message), () => {
 					if (!isBroken) {
 						server?.emit('data', message);
 					}
@@ -292,7 +298,9 @@
 			finish({client: false, server: true}, 'closed');
 		});
 		this.connections.add(connection);
-		this.simulation.schedule(this.delay(from.name, toName), () => {
+		this.links.transmit({
+			from: from.name, to: toName, bytes: messageBytes.control, delayMs: this.delay(from.name, toName),
+		}, () => {
 			if (isBroken || isSilent) {
 				return;
 			}
@@ -302,13 +310,13 @@
 			}
 		});
 		if (to !== undefined) {
-			deliver('request', to, () => {
+			deliver('request', to, messageBytes.control, () => {
 				if (isBroken || this.listeners.get(address) !== listener) {
 					return;
 				}
 
 				server = new StreamEnd(message => {
-					deliver('reply', from, () => {
+					deliver('reply', from, bytesOf(message), () => {
 						if (!isBroken) {
 							client.emit('data', message);
 						}
@@ -334,6 +342,8 @@
 		const origin = {step: 'request', peer: id};
 		const stale: StaleConnections = {from, count: 0, until: Number.NEGATIVE_INFINITY};
 		this.staleToMinions.add(stale);
+		/** Connections that a request over a queued link may use without opening one. */
+		let idleConnections = 0;
 
 		/** Sends a request; `handle` carries it out and passes its answer on. */
 		const send = async <Answer>(
@@ -347,6 +357,7 @@
 			const settle = (result: Result<Answer, Failure>) => {
 				if (!isSettled) {
 					isSettled = true;
+					idleConnections += result.isOk() ? 1 : 0;
 					cancelTimer();
 					this.connections.delete(connection);
 					resolve(result);
@@ -360,13 +371,13 @@
 				silence() {
 					isSilent = true;
 				},
-				break: code => {
+				break: (code, at) => {
 					this.connections.delete(connection);
 					if (isSilent) {
 						return;
 					}
 
-					this.simulation.schedule(this.random() * breakNoticeMs, () => {
+					this.links.notify({from: holder ?? id, to: from.name, delayMs: this.random() * breakNoticeMs, at}, () => {
 						settle(new Err(new Failure(failureCode.connectionFailed, code, origin, {cause: {code}})));
 					}, from);
 				},
@@ -392,7 +403,8 @@
 				return;
 			}
 
-			this.simulation.schedule(arrivalMs, () => {
+			const isRefused = () => holder === undefined || this.addresses.get(address) !== holder || !minion.isUp || this.simulation.time < (this.refusingUntil.get(holder) ?? 0);
+			const arrive = () => {
 				// What a cut has held up is lost once its sender has given the request up.
 				if (!isLate && !this.connections.has(connection) && arrivalMs > latencyMs.most) {
 					return;
@@ -402,13 +414,15 @@
 					return;
 				}
 
-				if (holder === undefined || this.addresses.get(address) !== holder || !minion.isUp || this.simulation.time < (this.refusingUntil.get(holder) ?? 0)) {
+				if (isRefused()) {
 					connection.break('ECONNREFUSED');
 					return;
 				}
 
-				if (holder !== id) {
-					this.simulation.schedule(this.delay(from.name, holder), () => {
+				if (holder !== undefined && holder !== id) {
+					this.links.transmit({
+						from: holder, to: from.name, bytes: messageBytes.minionAnswer, delayMs: this.delay(from.name, holder),
+					}, () => {
 						if (this.connections.has(connection) && !isSilent) {
 							settle(new Ok(otherMinion));
 						}
@@ -427,14 +441,43 @@
 
 				handle(minion, reply => {
 					if (!isLate) {
-						this.simulation.schedule(this.delay(from.name, id), () => {
+						this.links.transmit({
+							from: id, to: from.name, bytes: messageBytes.minionAnswer, delayMs: this.delay(from.name, id),
+						}, () => {
 							if (this.connections.has(connection) && !isSilent) {
 								settle(new Ok(reply));
 							}
 						}, from);
 					}
 				}, 0);
-			});
+			};
+
+			const transmit = () => {
+				this.links.transmit({
+					from: from.name, to: id, bytes: messageBytes.minionRequest, delayMs: arrivalMs,
+				}, arrive);
+			};
+
+			if (!this.links.areQueued(from.name, id)) {
+				transmit();
+			} else if (idleConnections > 0) {
+				idleConnections -= 1;
+				transmit();
+			} else {
+				this.links.openConnection({from, to: id, delayMs: () => this.delay(from.name, id)}, () => {
+					if (isRefused()) {
+						connection.break('ECONNREFUSED');
+						return false;
+					}
+
+					return true;
+				}, () => {
+					// Its sender may have given it up.
+					if (this.connections.has(connection)) {
+						transmit();
+					}
+				});
+			}
 		});
 
 		return {
@@ -508,14 +551,20 @@
 				return timeOut();
 			}
 
-			await this.simulation.sleep(storeAnswerMs);
-			const awayUntil = Math.max(this.storeAwayUntil.get('*') ?? 0, this.storeAwayUntil.get(from.name) ?? 0);
-			if (this.simulation.time < awayUntil) {
-				return new Err(new Failure(failureCode.logUnavailable, 'unexpected status 503', {step: 'read', peer: 'store'}));
-			}
+			const answer = async (): Promise<Result<Value, Failure>> => {
+				await this.simulation.sleep(storeAnswerMs);
+				await this.links.pass(from, linkDirection.outbound, messageBytes.storeRequest);
+				const awayUntil = Math.max(this.storeAwayUntil.get('*') ?? 0, this.storeAwayUntil.get(from.name) ?? 0);
+				if (this.simulation.time < awayUntil) {
+					return new Err(new Failure(failureCode.logUnavailable, 'unexpected status 503', {step: 'read', peer: 'store'}));
+				}
+
+				const value = await read();
+				await this.links.pass(from, linkDirection.inbound, messageBytes.storeAnswer);
+				return (this.storeSilentSince.get(from.name) ?? Number.NEGATIVE_INFINITY) >= startedAt ? timeOut() : new Ok(value);
+			};
 
-			const value = await read();
-			return (this.storeSilentSince.get(from.name) ?? Number.NEGATIVE_INFINITY) >= startedAt ? timeOut() : new Ok(value);
+			return this.links.areQueued(from.name) ? Promise.race([answer(), timeOut()]) : answer();
 		};
 
 		return {
@@ -599,4 +648,6 @@
 	}
 }
 
+const bytesOf = (message: unknown): number => messageBytes.streamHeader + JSON.stringify(message).length;
+
 const pathOf = (one: string, other: string): string => one < other ? `${one} ${other}` : `${other} ${one}`;
--- a/packages/chivestream-host/src/__fixtures__/simulated-site.ts
+++ b/packages/chivestream-host/src/__fixtures__/simulated-site.ts
@@ -26,6 +26,10 @@
 	areClocksSlow?: boolean;
 	/** How long the tasks take; by default half of them up to 0.3 s and half up to 2.5 s. */
 	workMs?: LengthRange;
+	/** How long callers wait for an answer before they close their connection and send the job again, in milliseconds. */
+	patienceMs?: number;
+	/** Minions of a zone that start during the load, in milliseconds after its start. */
+	laterMinions?: {zone: string; count: number; at: number};
 	/** Time between two new jobs, in milliseconds. */
 	jobIntervalMs?: number;
 	/** Time with load, in milliseconds. */
@@ -89,6 +93,7 @@
 			hosts: this.hosts,
 			resendsAtOnce: options.resendsAtOnce,
 			workMs: options.workMs,
+			patienceMs: options.patienceMs,
 			log,
 		});
 	}
@@ -133,6 +138,16 @@
 			});
 		}
 
+		const {laterMinions} = options;
+		if (laterMinions !== undefined) {
+			const {zone, count, at} = laterMinions;
+			simulation.schedule(at, () => {
+				for (let added = 0; added < count; added += 1) {
+					this.createMinion(zone, options.minionsPerZone[zone]! + added);
+				}
+			});
+		}
+
 		await simulation.runUntil(startMs + options.lengthMs + drainMs);
 		for (const {process} of this.hosts) {
 			process.isAlive = false;
@@ -167,30 +182,7 @@
 	private createMinions(): void {
 		for (const [zone, count] of Object.entries(this.options.minionsPerZone)) {
 			for (let index = 0; index < count; index += 1) {
-				const record: MinionRecord = {
-					id: `i-${zone}-${index}`, bornAt: 0, upstream, address: `127.1.0.1:${2000 + this.minions.length}`, zone, isDraining: false, capacity, labels: ['a', 'r1'],
-				};
-				const clockRate = 0.98 + (this.random() * 0.02);
-				const minion = new SimulatedMinion({
-					simulation: this.simulation,
-					record,
-					leaseMs,
-					clockRate: this.options.areClocksSlow === true ? 0.98 : clockRate,
-					workMs: task => this.callers.workMs(task.slice(0, task.indexOf('.'))),
-					observer: {
-						recordStart: (...run) => {
-							this.recordStart(...run);
-						},
-						recordEnd: (id, task, number) => {
-							this.log('-', 'run-ended', {task, number, minion: id});
-							this.activeRuns.get(task)?.delete(`${id} run ${number}`);
-						},
-					},
-					epochMs,
-				});
-				this.minions.push(minion);
-				this.network.minions.set(record.id, minion);
-				this.network.addresses.set(record.address, record.id);
+				this.createMinion(zone, index);
 			}
 		}
 
@@ -207,6 +199,33 @@
 		writeEntries();
 	}
 
+	private createMinion(zone: string, index: number): void {
+		const record: MinionRecord = {
+			id: `i-${zone}-${index}`, bornAt: 0, upstream, address: `127.1.0.1:${2000 + this.minions.length}`, zone, isDraining: false, capacity, labels: ['a', 'r1'],
+		};
+		const clockRate = 0.98 + (this.random() * 0.02);
+		const minion = new SimulatedMinion({
+			simulation: this.simulation,
+			record,
+			leaseMs,
+			clockRate: this.options.areClocksSlow === true ? 0.98 : clockRate,
+			workMs: task => this.callers.workMs(task.slice(0, task.indexOf('.'))),
+			observer: {
+				recordStart: (...run) => {
+					this.recordStart(...run);
+				},
+				recordEnd: (id, task, number) => {
+					this.log('-', 'run-ended', {task, number, minion: id});
+					this.activeRuns.get(task)?.delete(`${id} run ${number}`);
+				},
+			},
+			epochMs,
+		});
+		this.minions.push(minion);
+		this.network.minions.set(record.id, minion);
+		this.network.addresses.set(record.address, record.id);
+	}
+
 	private writeEntry(minion: SimulatedMinion): void {
 		const {id, address, zone, bornAt, labels} = minion.entry();
 		this.network.requestWrite('keyed.servers', id, encode({
--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -6,7 +6,7 @@
 import {createRandom, randomInteger} from 'chivestream-core';
 import fc from 'fast-check';
 import {
-	latestFault, newerFault, siteFault, type ScheduledFault,
+	latestFault, linkFault, newerFault, siteFault, type ScheduledFault,
 } from '../__fixtures__/simulated-faults.js';
 import {
 	epochMs, SimulatedSite, type EntryHostConstructor, type SimulatedSiteOptions, type SimulatedSiteResult,
@@ -71,6 +71,10 @@
 const furtherPairs = Number(process.env.RUN_ORDER_PAIRS ?? 0);
 const firstFurtherPair = Number(process.env.RUN_ORDER_FIRST_PAIR ?? 1000);
 
+/** Further seeds of each pair of a full link and another fault, for a long search; their number, and the first one. */
+const furtherLinks = Number(process.env.RUN_ORDER_LINKS ?? 0);
+const firstFurtherLink = Number(process.env.RUN_ORDER_FIRST_LINK ?? 1000);
+
 /** Further seeds of the kills of hosts, for a long search. */
 const furtherSeeds = Array.from({length: Number(process.env.RUN_ORDER_KILLS ?? 0)}, (_, index) => 1000 + index);
 
@@ -106,6 +110,9 @@
 /** Zone `a` has few minions, so that many of its jobs are redirected to zone `b`. */
 const redirectingZone = {zones: ['a', 'a', 'b', 'b', 'b'], minionsPerZone: {a: 3, b: 12}} as const;
 
+/** Zone `a` is divided into two cells during the load. */
+const dividedZone = {zones: ['a', 'a', 'a', 'b'], minionsPerZone: {a: 36, b: 4}, laterMinions: {zone: 'a', count: 8, at: 3000}} as const;
+
 /** Time with load and faults, in milliseconds. */
 const lengthMs = 8000;
 
@@ -147,6 +154,23 @@
 	...Array.from({length: furtherPairs}, (_, index) => firstFurtherPair + index),
 ].map(seed => ({newer, older, seed}))));
 
+const sitesOfLinkCases = [
+	{size: 'two zones', site: twoZones, jobIntervalMs: 100},
+	{size: 'two cells', site: twoCells, jobIntervalMs: 100},
+	{size: 'a redirecting zone', site: redirectingZone, jobIntervalMs: 40},
+	{size: 'a divided zone', site: dividedZone, jobIntervalMs: 100},
+] as const;
+
+/** Each kind of full link with another fault or none, at each size of a site in turn; the cases have seeds of their own. */
+const linkCases = Object.values(linkFault).flatMap((full, row) => [
+	undefined, siteFault.kill, siteFault.stop, siteFault.isolate, siteFault.cutMinions, siteFault.minionCrash, siteFault.reset, newerFault.lateOrders, newerFault.slowHost,
+].flatMap((older, column) => [
+	...(column % 4 === row ? [300 + row] : []),
+	...Array.from({length: furtherLinks}, (_, index) => firstFurtherLink + index),
+].map(seed => ({
+	full, older, seed, ...sitesOfLinkCases[(row + column + seed) % sitesOfLinkCases.length]!,
+}))));
+
 /** Jobs whose tasks are alive for as long as the effects of the newer faults last. */
 const longJobs = {workMs: {least: 1000, most: 3000}, jobIntervalMs: 200} as const;
 
@@ -258,6 +282,28 @@
 		expect(overlaps).toEqual([]);
 	});
 
+	test.each(linkCases)('no task has two runs when $full comes with $older in $size, seed $seed', async ({
+		full, older, site: sizes, jobIntervalMs, seed,
+	}) => {
+		const random = createRandom(seed);
+		const fault = (kind: ScheduledFault['kind'], leastMs: number, rangeMs: number): ScheduledFault => ({
+			at: randomInteger(random, lengthMs), kind, target: randomInteger(random, 12), other: randomInteger(random, 12), lengthMs: leastMs + randomInteger(random, rangeMs),
+		});
+		const faults = Array.from({length: 6}, () => [fault(full, 300, 2000), ...older === undefined ? [] : [fault(older, 50, 3000)]]).flat();
+		const {overlaps} = await play({
+			...sizes,
+			workMs: {least: 100, most: 2500},
+			jobIntervalMs,
+			patienceMs: seed % 2 === 0 ? 700 : 1500,
+			seed,
+			resendsAtOnce: false,
+			areClocksSlow: seed % 3 === 0,
+			faults,
+			lengthMs,
+		});
+		expect(overlaps).toEqual([]);
+	});
+
 	// The only host of a zone is suspended, and its time of day is set back by the same time, so that neither of its clocks shows anything. Its
 	// jobs run elsewhere when it wakes.
 	test.each([7, 10, 20, 22, 23])('no task has two runs when a lone dispatcher is suspended and no clock of its own shows it, seed %i', async seed => {
