End the lease on a job of the dispatcher's own caller when the host is behind on its link

Seen in the simulation: a host that is origin and dispatcher of a job has a full link. It reads the request 1.0 to 1.5 s late, when the caller has already left, and starts its tasks; the start waits on the outbound queue, the end of the caller's connection on the inbound one. The copy of the job, sent 1.3 s after the caller left, starts in another zone within the lease of the first run: two runs of one task for 50 to 110 ms.

Cause: a dispatcher counts the lease on a job from its own message that the origin has acknowledged, but for its own callers' jobs it had no end ("a caller extends no lease"). Ruled out: a stop without an answer, late orders, a clock that is 2% slow.

Change: such a lease counts from the sending of the newest answer of a minion or another host that this host has read. Answers come over the same link as the end of the connection, so the caller had not left when that was sent. A hold that waited for the end of a run is dated by the minion's clock.

--- a/packages/chivestream-host/src/__tests__/claim-manager.test.ts
+++ b/packages/chivestream-host/src/__tests__/claim-manager.test.ts
@@ -44,6 +44,9 @@
 		followMinions() {
 			// The minions are fixed.
 		},
+		onAnswer() {
+			// Not of interest.
+		},
 		onClaimChange() {
 			// No other host is told.
 		},
--- a/packages/chivestream-host/src/__tests__/dispatch-service.test.ts
+++ b/packages/chivestream-host/src/__tests__/dispatch-service.test.ts
@@ -34,6 +34,9 @@
 		isRegistryComplete: () => true,
 		knowsMinionsOfClaim: () => true,
 		otherCells: () => [],
+		onAnswer() {
+			// Not of interest.
+		},
 		onFenced() {
 			fenced += 1;
 		},
--- a/packages/chivestream-host/src/__tests__/dispatcher-table.test.ts
+++ b/packages/chivestream-host/src/__tests__/dispatcher-table.test.ts
@@ -1,4 +1,6 @@
 import {expect, test} from '@jest/globals';
+import {type JobRequest, type Submission} from 'chivestream-dispatch';
+import {type DispatchService} from '../dispatch-service.js';
 import {DispatcherTable} from '../dispatcher-table.js';
 import {type HostRecord, type HostStatus} from '../messages.js';
 import {type PeerLink} from '../peer-link.js';
@@ -16,19 +18,24 @@
 // eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion, @typescript-eslint/consistent-type-assertions
 const linkTo = (host: HostRecord) => ({record: host, status}) as PeerLink;
 
+const jobLeaseMs = 1300;
+
 const create = () => {
 	const home = record('home', 'z');
-	const state = {now: 0, isHomeLinked: true};
+	const state = {now: 0, readUntil: 0, isHomeLinked: true};
+	const services = new Map<number, DispatchService>();
 	const table = new DispatcherTable({
 		self: record('self', 'z'),
 		now: () => state.now,
 		choices: () => [{kind: 'follow', record: home}],
-		services: () => new Map(),
+		services: () => services,
 		link: () => state.isHomeLinked ? linkTo(home) : undefined,
 		otherZoneDispatchers: () => [linkTo(record('other', 'y'))],
 		isAwake: () => true,
+		readUntil: () => state.readUntil,
+		jobLeaseMs: () => jobLeaseMs,
 	});
-	return {state, table};
+	return {state, services, table};
 };
 
 // The caller's connection and the link between two hosts were reset at once: the copy of a job went to another zone.
@@ -67,3 +74,46 @@
 	state.now = hostTiming.homeDispatcherWaitMs;
 	expect(table.forJob('00000000000000aa')).toMatchObject({cell: 'y/1 of 1', homeCell: 'z/1 of 1'});
 });
+
+// The end of the caller's connection waited on the full link of its host: the copy of the job, 1.3 s later, ran elsewhere beside the first one.
+test('the lease on a job of a caller of the dispatcher counts from the sending of the newest answer that has been read', () => {
+	const {state, services, table} = create();
+	const submitters: Array<Pick<Submission, 'leaseEndsAt'>> = [];
+	let asked = 0;
+	// The table uses only these parts of a service and of a job.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	services.set(0, {
+		token: 7,
+		askIdleMinions() {
+			asked += 1;
+		},
+		dispatcher: {
+			submit(_job: unknown, _settle: unknown, _onTaskCrashed: unknown, submitter: Pick<Submission, 'leaseEndsAt'>) {
+				submitters.push(submitter);
+			},
+		},
+	} as unknown as DispatchService);
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion, @typescript-eslint/consistent-type-assertions
+	const job = {id: '00000000000000aa'} as JobRequest;
+	const submit = () => {
+		table.forJob(job.id)?.submit(job, {
+			settle() {
+				// It has no outcome.
+			},
+			onTaskCrashed() {
+				// Nothing runs.
+			},
+		});
+	};
+
+	state.now = hostTiming.jobLeaseRenewalMs;
+	submit();
+	expect(asked).toBe(0);
+	const leaseEnds = () => submitters.map(({leaseEndsAt}) => leaseEndsAt());
+	expect(leaseEnds()).toEqual([jobLeaseMs - hostTiming.jobLeaseMarginMs]);
+	state.now += 1;
+	submit();
+	expect(asked).toBe(1);
+	state.readUntil = 100;
+	expect(leaseEnds()).toEqual(Array.from({length: 2}, () => 100 + jobLeaseMs - hostTiming.jobLeaseMarginMs));
+});
--- a/packages/chivestream-host/src/__tests__/minion-session.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-session.test.ts
@@ -73,6 +73,9 @@
 		report() {
 			// Not of interest.
 		},
+		onAnswer() {
+			// Not of interest.
+		},
 		onFenced() {
 			// No other dispatcher exists.
 		},
--- a/packages/chivestream-host/src/__tests__/peer-server.test.ts
+++ b/packages/chivestream-host/src/__tests__/peer-server.test.ts
@@ -76,6 +76,9 @@
 		},
 		isDispatcher: () => false,
 		jobsOfCell: () => undefined,
+		onAnswer() {
+			// Not of interest.
+		},
 		onLeaseExtended() {
 			// Not of interest.
 		},
--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -71,8 +71,9 @@
 const furtherPairs = Number(process.env.RUN_ORDER_PAIRS ?? 0);
 const firstFurtherPair = Number(process.env.RUN_ORDER_FIRST_PAIR ?? 1000);
 
-/** Further seeds of each pair of a full link and another fault, for a long search; their number, and the first one. */
+/** Further seeds of each pair of a full link and another fault, and of lone dispatchers with a full link, for a long search; the first one. */
 const furtherLinks = Number(process.env.RUN_ORDER_LINKS ?? 0);
+const furtherLoneLinks = Number(process.env.RUN_ORDER_LONE_LINKS ?? 0);
 const firstFurtherLink = Number(process.env.RUN_ORDER_FIRST_LINK ?? 1000);
 
 /** Further seeds of the kills of hosts, for a long search. */
@@ -171,6 +172,9 @@
 	full, older, seed, ...sitesOfLinkCases[(row + column + seed) % sitesOfLinkCases.length]!,
 }))));
 
+/** On each of these seeds the rule was broken before the lease on a job of the dispatcher's own callers ended. */
+const loneLinkSeeds = [69, 121, 136, ...Array.from({length: furtherLoneLinks}, (_, index) => firstFurtherLink + index)];
+
 /** Jobs whose tasks are alive for as long as the effects of the newer faults last. */
 const longJobs = {workMs: {least: 1000, most: 3000}, jobIntervalMs: 200} as const;
 
@@ -304,6 +308,19 @@
 		expect(overlaps).toEqual([]);
 	});
 
+	// The only host of its zone read a job after its caller had left, and started it; the end of the connection still waited on the link when
+	// the copy of the job started in another zone.
+	test.each(loneLinkSeeds)('no task has two runs when the link of a lone dispatcher is full and callers leave soon, seed %i', async seed => {
+		const random = createRandom(seed);
+		const faults = Array.from({length: 12}, (): ScheduledFault => ({
+			at: randomInteger(random, lengthMs), kind: linkFault.fullLink, target: 0, other: randomInteger(random, 12), lengthMs: 300 + randomInteger(random, 2000),
+		}));
+		const {overlaps} = await play({
+			zones: ['a', 'b'], minionsPerZone: {a: 2, b: 4}, workMs: {least: 300, most: 2500}, jobIntervalMs: 100, patienceMs: 500, seed, resendsAtOnce: false, faults, lengthMs,
+		});
+		expect(overlaps).toEqual([]);
+	});
+
 	// The only host of a zone is suspended, and its time of day is set back by the same time, so that neither of its clocks shows anything. Its
 	// jobs run elsewhere when it wakes.
 	test.each([7, 10, 20, 22, 23])('no task has two runs when a lone dispatcher is suspended and no clock of its own shows it, seed %i', async seed => {
--- a/packages/chivestream-host/src/claim-manager.ts
+++ b/packages/chivestream-host/src/claim-manager.ts
@@ -49,6 +49,8 @@
 	cellsOfOtherHosts: () => CellCapacity[];
 	/** Starts to follow the records of the minions, which goes on until the signal aborts. */
 	followMinions: (signal: AbortSignal) => void;
+	/** Called when an answer of a minion has been read that it sent at this time or later. */
+	onAnswer: (sentAt: number) => void;
 	/** Called when this host has claimed or released a cell. */
 	onClaimChange: () => void;
 	/** Called when a claim was lost to another host and the choice of dispatchers must be re-evaluated. */
@@ -249,6 +251,9 @@
 			isRegistryComplete: () => this.options.isRegistryComplete(claimedAt),
 			knowsMinionsOfClaim: (claim, until) => this.options.knowsMinionsOfClaim(claim, until),
 			otherCells: () => this.otherCells(cell),
+			onAnswer: sentAt => {
+				this.options.onAnswer(sentAt);
+			},
 			onFenced: () => {
 				this.handleFenced(cell, service);
 			},
--- a/packages/chivestream-host/src/dispatch-service.ts
+++ b/packages/chivestream-host/src/dispatch-service.ts
@@ -27,6 +27,8 @@
 	knowsMinionsOfClaim: (claim: number, until: number) => boolean;
 	/** Free capacity of other cells, nearest first. */
 	otherCells: () => CellCapacity[];
+	/** Called when an answer of a minion has been read that it sent at this time or later. */
+	onAnswer: (sentAt: number) => void;
 	/** Called when a minion refuses a request because another dispatcher has sent it a higher token. */
 	onFenced: () => void;
 };
@@ -34,6 +36,9 @@
 /** How long a minion may be unregistered before its session ends and its runs are dropped, in milliseconds. */
 const unregisteredMinionRetentionMs = 20_000;
 
+/** Number of minions that are asked for an answer at once: one of them may be lost. */
+const askedMinions = 2;
+
 /** A session, the controller that ends it, and when its minion was first found unregistered; undefined while it is registered. */
 type ActiveMinionSession = MinionSession & {minion: Minion; controller: AbortController; unregisteredAt: number | undefined};
 
@@ -93,6 +98,14 @@
 		}
 	}
 
+	/** Asks minions that have no runs for an answer; one with runs answers soon without this. */
+	askIdleMinions(): void {
+		const idle = [...this.sessions.values()].filter(({minion}) => minion.isReachable && minion.runs.size === 0);
+		for (const session of idle.slice(0, askedMinions)) {
+			session.wake();
+		}
+	}
+
 	/** Runs the dispatcher's time-based checks, and drops minions that have been unregistered for too long. */
 	tick(): void {
 		this.dispatcher.tick();
@@ -131,10 +144,10 @@
 
 		const controller = new AbortController();
 		const {
-			now, recentDelayMs, report, onFenced,
+			now, recentDelayMs, report, onAnswer, onFenced,
 		} = this.options;
 		const session = runMinionSession({
-			minion, dispatcher: this.dispatcher, token, now, recentDelayMs, report, onFenced, signal: controller.signal,
+			minion, dispatcher: this.dispatcher, token, now, recentDelayMs, report, onAnswer, onFenced, signal: controller.signal,
 		});
 		this.sessions.set(id, {
 			...session, minion, controller, unregisteredAt: undefined,
--- a/packages/chivestream-host/src/dispatcher-table.ts
+++ b/packages/chivestream-host/src/dispatcher-table.ts
@@ -24,6 +24,10 @@
 	otherZoneDispatchers: () => PeerLink[];
 	/** Whether this process has read its sockets since its last pause. */
 	isAwake: () => boolean;
+	/** All that had been sent to this host by this time has been read, on the monotonic clock. */
+	readUntil: () => number;
+	/** Length of the lease on a job, in milliseconds. */
+	jobLeaseMs: () => number;
 };
 
 /** Finds reachable dispatchers, and notifies code that waits for a change of them. */
@@ -146,7 +150,9 @@
 	}
 
 	private ofLocalCell(cell: number): DispatcherHandle | undefined {
-		const {self, isAwake} = this.options;
+		const {
+			self, now, isAwake, readUntil, jobLeaseMs,
+		} = this.options;
 		const service = this.options.services().get(cell);
 		if (service !== undefined) {
 			let withdrawal: Withdrawal | undefined;
@@ -155,11 +161,15 @@
 				cell: this.localCellName(cell),
 				claim: service.token,
 				submit(job, {settle, onTaskCrashed}) {
+					if (readUntil() < now() - hostTiming.jobLeaseRenewalMs) {
+						service.askIdleMinions();
+					}
+
 					withdrawal = service.dispatcher.submit(job, settle, onTaskCrashed, {
 						origin: originOf(self),
-						// A caller extends no lease. Its connection may have broken during a pause; later, the runs of a caller that has left
-						// end with their stop, or with the lease of their minions.
-						leaseEndsAt: () => isAwake() ? Infinity : Number.NEGATIVE_INFINITY,
+						// A caller extends no lease. It may have left during a pause, or the end of its connection may wait on a full link. An
+						// answer that has been read shows that the caller had not left when that was sent, as both come over the same link.
+						leaseEndsAt: () => isAwake() ? readUntil() + jobLeaseMs() - hostTiming.jobLeaseMarginMs : Number.NEGATIVE_INFINITY,
 					});
 				},
 				cancel() {
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -89,6 +89,8 @@
 	private isReadingSockets = false;
 	private lastHeartbeatAt = 0;
 	private lastPublishedDispatchers = '';
+	/** All that had been sent to this host by this time has been read. */
+	private readUntil = Number.NEGATIVE_INFINITY;
 	private readonly now: () => number;
 
 	constructor(settings: HostSettings, writeLine: Report) {
@@ -105,6 +107,11 @@
 			writeLine(event, fields);
 		};
 
+		// Answers and requests wait on the same link: what was sent before an answer has been read before it, or will be at once.
+		const onAnswer = (sentAt: number) => {
+			this.readUntil = Math.max(this.readUntil, sentAt);
+		};
+
 		const elapsed = createElapsedClock(now, () => Date.now());
 		this.pauseGuard = createPauseGuard({
 			now, elapsed, thresholdMs: hostTiming.heartbeatMs + hostTiming.pauseThresholdMs, recoveryMs: hostTiming.pauseRecoveryMs,
@@ -181,6 +188,7 @@
 			},
 			isDispatcher: host => this.peers.isDispatcher(host.name),
 			jobsOfCell: cell => this.isDispatching() ? this.jobsOfCell(cell) : undefined,
+			onAnswer,
 			onLeaseExtended: () => {
 				for (const service of this.claim.services.values()) {
 					service.dispatcher.resume();
@@ -234,6 +242,7 @@
 				// The status that announces the claim then carries the request to the source.
 				this.chooseMinionSource();
 			},
+			onAnswer,
 			onClaimChange: () => {
 				this.askForJobs();
 				this.publishStatus();
@@ -252,6 +261,8 @@
 			link: name => this.peers.findOpenLink(name),
 			otherZoneDispatchers: () => this.peers.otherZoneDispatchers(),
 			isAwake: () => this.pauseGuard.isAwake(),
+			readUntil: () => this.readUntil,
+			jobLeaseMs: () => this.jobLeaseMs(),
 		});
 		this.readinessServer = this.createReadinessServer();
 		this.cancelledJobs = new CancelledJobs(now);
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -25,6 +25,8 @@
 	/** By how much this process has recently handled its events late, in milliseconds. */
 	recentDelayMs: () => number;
 	report: Report;
+	/** Called when an answer of the minion has been read that it sent at this time or later, on the monotonic clock. */
+	onAnswer: (sentAt: number) => void;
 	/** Called when the minion refuses a request because another dispatcher has sent it a higher token. */
 	onFenced: () => void;
 	signal: AbortSignal;
@@ -83,6 +85,8 @@
 	const client: MinionClient = createMinionClient(id, address);
 	/** The minion's clock read `time` when the local clock read `at`. */
 	let minionClock: {at: number; time: number} | undefined;
+	/** The clock of the minion's current incarnation read zero at this time or later, on the local clock. */
+	let minionClockStart = Number.NEGATIVE_INFINITY;
 	let {bornAt} = minion.record;
 	let {token} = options;
 	let endCursor = 0;
@@ -118,6 +122,10 @@
 		const sentAt = now();
 		const answer = await request(answerTimeout(answerTimes.recentMs(), options.recentDelayMs()));
 		answerTimes.record(now() - sentAt, isAnswered(answer));
+		if (isAnswered(answer)) {
+			options.onAnswer(sentAt);
+		}
+
 		return answer;
 	};
 
@@ -179,6 +187,7 @@
 			const isRestart = bornAt > 0;
 			bornAt = response.bornAt;
 			endCursor = 0;
+			minionClockStart = Number.NEGATIVE_INFINITY;
 			answeredToken = undefined;
 			tokenBornAt = Math.max(tokenBornAt, bornAt);
 			dispatcher.recordIncarnation(minion, bornAt);
@@ -201,6 +210,9 @@
 		}
 
 		minionClock = {at: now(), time: response.minionTime};
+		// Its clock doesn't run fast, so it shows when an answer was sent that waited for the end of a run.
+		minionClockStart = Math.max(minionClockStart, sentAt - response.minionTime);
+		options.onAnswer(minionClockStart + response.minionTime);
 		dispatcher.handleReport(minion, {polledAt: sentAt, running: response.running, ended: response.ended});
 		endCursor = Math.max(endCursor, ...response.ended.map(end => end.cursor));
 		return new Ok(undefined);
--- a/packages/chivestream-host/src/peer-server.ts
+++ b/packages/chivestream-host/src/peer-server.ts
@@ -36,6 +36,8 @@
 	jobsOfCell: (cell: string) => CellJobs[] | undefined;
 	/** Called when the lease on jobs that have waited for it was extended. */
 	onLeaseExtended: () => void;
+	/** Called when a message of another host has been read that it sent at this time or later, on the monotonic clock. */
+	onAnswer: (sentAt: number) => void;
 	/** Cancels a job at a caller's request; see `JobCancellation.handleRequest`. */
 	cancelJob: (id: string, asksHosts: boolean) => Promise<CancelAnswer>;
 };
@@ -214,7 +216,12 @@
 	private handleRequest(attachment: Attachment, message: PeerRequest & Acknowledgement): void {
 		const elapsed = this.options.elapsed();
 		// Earlier builds acknowledge nothing.
-		this.extendLease(attachment, Math.min(elapsed, readTime(message.acknowledgedSentAt) ?? elapsed));
+		const acknowledgedSentAt = readTime(message.acknowledgedSentAt);
+		this.extendLease(attachment, Math.min(elapsed, acknowledgedSentAt ?? elapsed));
+		if (acknowledgedSentAt !== undefined) {
+			this.options.onAnswer(this.options.now() - Math.max(0, elapsed - acknowledgedSentAt));
+		}
+
 		const request = parsePeerRequest(message);
 		switch (request.type) {
 			case 'hello': {
