--- a/packages/chivestream-host/src/__tests__/claim-manager.test.ts
+++ b/packages/chivestream-host/src/__tests__/claim-manager.test.ts
@@ -46,6 +46,9 @@
 	followMinions() {
 		// The minions are fixed.
 	},
+	onAnswer() {
+		// Not of interest.
+	},
 	onClaimChange() {
 		// No other host is told.
 	},
--- a/packages/chivestream-host/src/__tests__/run-order.test.ts
+++ b/packages/chivestream-host/src/__tests__/run-order.test.ts
@@ -6,7 +6,7 @@
 import {createRandom, randomInteger} from 'chivestream-core';
 import fc from 'fast-check';
 import {
-	latestFault, newerFault, siteFault, type ScheduledFault,
+	latestFault, linkFault, newerFault, siteFault, type ScheduledFault,
 } from '../__fixtures__/simulated-faults.js';
 import {
 	epochMs, SimulatedSite, type EntryHostConstructor, type SimulatedSiteOptions, type SimulatedSiteResult,
@@ -71,6 +71,11 @@
 const furtherPairs = Number(process.env.RUN_ORDER_PAIRS ?? 0);
 const firstFurtherPair = Number(process.env.RUN_ORDER_FIRST_PAIR ?? 1000);
 
+/** Further seeds of each pair of a full link and another fault, and of lone dispatchers with a full link, for a long search; the first one. */
+const furtherLinks = Number(process.env.RUN_ORDER_LINKS ?? 0);
+const furtherLoneLinks = Number(process.env.RUN_ORDER_LONE_LINKS ?? 0);
+const firstFurtherLink = Number(process.env.RUN_ORDER_FIRST_LINK ?? 1000);
+
 /** Further seeds of the kills of hosts, for a long search. */
 const furtherSeeds = Array.from({length: Number(process.env.RUN_ORDER_KILLS ?? 0)}, (_, index) => 1000 + index);
 
@@ -115,6 +120,9 @@
 /** Zone `a` has few minions, so that many of its jobs are redirected to zone `b`. */
 const redirectingZone = {zones: ['a', 'a', 'b', 'b', 'b'], minionsPerZone: {a: 3, b: 12}} as const;
 
+/** Zone `a` is divided into two cells during the load. */
+const dividedZone = {zones: ['a', 'a', 'a', 'b'], minionsPerZone: {a: 36, b: 4}, laterMinions: {zone: 'a', count: 8, at: 3000}} as const;
+
 /** Time with load and faults, in milliseconds. */
 const lengthMs = 8000;
 
@@ -156,6 +164,26 @@
 	...Array.from({length: furtherPairs}, (_, index) => firstFurtherPair + index),
 ].map(seed => ({newer, older, seed}))));
 
+const sitesOfLinkCases = [
+	{size: 'two zones', site: twoZones, jobIntervalMs: 100},
+	{size: 'two cells', site: twoCells, jobIntervalMs: 100},
+	{size: 'a redirecting zone', site: redirectingZone, jobIntervalMs: 40},
+	{size: 'a divided zone', site: dividedZone, jobIntervalMs: 100},
+] as const;
+
+/** Each kind of full link with another fault or none, at each size of a site in turn; the cases have seeds of their own. */
+const linkCases = Object.values(linkFault).flatMap((full, row) => [
+	undefined, siteFault.kill, siteFault.stop, siteFault.isolate, siteFault.cutMinions, siteFault.minionCrash, siteFault.reset, newerFault.lateOrders, newerFault.slowHost,
+].flatMap((older, column) => [
+	...(column % 4 === row ? [300 + row] : []),
+	...Array.from({length: furtherLinks}, (_, index) => firstFurtherLink + index),
+].map(seed => ({
+	full, older, seed, ...sitesOfLinkCases[(row + column + seed) % sitesOfLinkCases.length]!,
+}))));
+
+/** On each of these seeds the rule was broken before the lease on a job of the dispatcher's own callers ended. */
+const loneLinkSeeds = [69, 121, 136, ...Array.from({length: furtherLoneLinks}, (_, index) => firstFurtherLink + index)];
+
 /** Jobs whose tasks are alive for as long as the effects of the newer faults last. */
 const longJobs = {workMs: {least: 1000, most: 3000}, jobIntervalMs: 200} as const;
 
@@ -305,6 +333,41 @@
 		expect(overlaps).toEqual([]);
 	});
 
+	test.each(linkCases)('no task has two runs when $full comes with $older in $size, seed $seed', async ({
+		full, older, site: sizes, jobIntervalMs, seed,
+	}) => {
+		const random = createRandom(seed);
+		const fault = (kind: ScheduledFault['kind'], leastMs: number, rangeMs: number): ScheduledFault => ({
+			at: randomInteger(random, lengthMs), kind, target: randomInteger(random, 12), other: randomInteger(random, 12), lengthMs: leastMs + randomInteger(random, rangeMs),
+		});
+		const faults = Array.from({length: 6}, () => [fault(full, 300, 2000), ...older === undefined ? [] : [fault(older, 50, 3000)]]).flat();
+		const {overlaps} = await play({
+			...sizes,
+			workMs: {least: 100, most: 2500},
+			jobIntervalMs,
+			patienceMs: seed % 2 === 0 ? 700 : 1500,
+			seed,
+			resendsAtOnce: false,
+			areClocksSlow: seed % 3 === 0,
+			faults,
+			lengthMs,
+		});
+		expect(overlaps).toEqual([]);
+	});
+
+	// The only host of its zone read a job after its caller had left, and started it; the end of the connection still waited on the link when
+	// the copy of the job started in another zone.
+	test.each(loneLinkSeeds)('no task has two runs when the link of a lone dispatcher is full and callers leave soon, seed %i', async seed => {
+		const random = createRandom(seed);
+		const faults = Array.from({length: 12}, (): ScheduledFault => ({
+			at: randomInteger(random, lengthMs), kind: linkFault.fullLink, target: 0, other: randomInteger(random, 12), lengthMs: 300 + randomInteger(random, 2000),
+		}));
+		const {overlaps} = await play({
+			zones: ['a', 'b'], minionsPerZone: {a: 2, b: 4}, workMs: {least: 300, most: 2500}, jobIntervalMs: 100, patienceMs: 500, seed, resendsAtOnce: false, faults, lengthMs,
+		});
+		expect(overlaps).toEqual([]);
+	});
+
 	// The only host of a zone is suspended, and its time of day is set back by the same time, so that neither of its clocks shows anything. Its
 	// jobs run elsewhere when it wakes.
 	test.each([7, 10, 20, 22, 23])('no task has two runs when a lone dispatcher is suspended and no clock of its own shows it, seed %i', async seed => {
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -13,7 +13,6 @@
 import {createRecentMaximum} from './answer-timeout.js';
 import {runBackgroundLoop} from './background-loop.js';
 import {CallerJobs} from './caller-jobs.js';
-import {createCallerLease, type CallerLease} from './caller-lease.js';
 import {cellName} from './cells.js';
 import {createCallerService, type CallerService} from './caller-service.js';
 import {cancelFinding, CancelledJobs} from './cancelled-jobs.js';
@@ -83,7 +82,6 @@
 	/** By how much the ticks of this process were late, in milliseconds. */
 	private readonly delay = createRecentMaximum();
 	private readonly pauseGuard: PauseGuard;
-	private readonly callerLease: CallerLease;
 	private lastTickAt = performance.now();
 	/** When this host last checked which others are silent, after it had read its sockets. */
 	private listenedAt = performance.now();
@@ -91,6 +89,8 @@
 	private isReadingSockets = false;
 	private lastHeartbeatAt = 0;
 	private lastPublishedDispatchers = '';
+	/** All that had been sent to this host by this time has been read. */
+	private readUntil = Number.NEGATIVE_INFINITY;
 	private readonly now: () => number;
 
 	constructor(settings: HostSettings, writeLine: Report) {
@@ -107,11 +107,15 @@
 			writeLine(event, fields);
 		};
 
+		// Answers and requests wait on the same link: what was sent before an answer has been read before it, or will be at once.
+		const onAnswer = (sentAt: number) => {
+			this.readUntil = Math.max(this.readUntil, sentAt);
+		};
+
 		const elapsed = createElapsedClock(now, () => Date.now());
 		this.pauseGuard = createPauseGuard({
 			now, elapsed, thresholdMs: hostTiming.heartbeatMs + hostTiming.pauseThresholdMs, recoveryMs: hostTiming.pauseRecoveryMs,
 		});
-		this.callerLease = createCallerLease({now, elapsed, jobLeaseMs: () => this.jobLeaseMs()});
 		this.report = report;
 		this.record = {
 			name: settings.host.name,
@@ -184,6 +188,7 @@
 			},
 			isDispatcher: host => this.peers.isDispatcher(host.name),
 			jobsOfCell: cell => this.isDispatching() ? this.jobsOfCell(cell) : undefined,
+			onAnswer,
 			onLeaseExtended: () => {
 				for (const service of this.claim.services.values()) {
 					service.dispatcher.resume();
@@ -238,6 +243,7 @@
 				// The status that announces the claim then carries the request to the source.
 				this.chooseMinionSource();
 			},
+			onAnswer,
 			onClaimChange: () => {
 				this.askForJobs();
 				this.publishStatus();
@@ -255,8 +261,9 @@
 			services: () => this.claim.services,
 			link: name => this.peers.findOpenLink(name),
 			otherZoneDispatchers: () => this.peers.otherZoneDispatchers(),
-			// After a pause, a connection that broke meanwhile may not have been read yet.
-			callerLeaseEndsAt: () => this.pauseGuard.isAwake() ? this.callerLease.endsAt() : Number.NEGATIVE_INFINITY,
+			isAwake: () => this.pauseGuard.isAwake(),
+			readUntil: () => this.readUntil,
+			jobLeaseMs: () => this.jobLeaseMs(),
 		});
 		this.readinessServer = this.createReadinessServer();
 		this.cancelledJobs = new CancelledJobs(now);
@@ -680,7 +687,6 @@
 			}
 
 			this.lastTickAt = now;
-			this.callerLease.recordTick();
 			this.claim.tick();
 			// The sockets are read between two ticks, so a process that is always late waits for one tick only.
 			this.isReadingSockets = !wasReadingSockets && pausedMs > hostTiming.lateTickMs;
