Bound the lease on the jobs of own callers by what was sent by others, and don't wait for it in vain

Only a reply with the minion's clock counts now. minion-session.test.ts "a start that could not be sent is no answer" failed before. - The time of an answer that waited for the end of a run was computed from the first answers of its minion. After a suspension, and with clocks that drift, it lay in the future, for good. It now counts from when its request was sent. - A process that handles its events late reads the end of a connection after an answer that was sent later.

--- a/packages/chivestream-dispatch/src/__tests__/lease.test.ts
+++ b/packages/chivestream-dispatch/src/__tests__/lease.test.ts
@@ -50,6 +50,31 @@
 		expect(recorded.starts.map(run => run.task)).toEqual([task(0)]);
 	});
 
+	// A host that no minion answered, and no other host, held the jobs of its callers until they could not end in time.
+	test('is not waited for while no minion takes tasks: the job is redirected at once', () => {
+		const recorded = createLeased(['m']);
+		recorded.report('m');
+		recorded.advance(2100);
+		recorded.dispatcher.markUnreachable(recorded.minion('m'));
+		recorded.otherCells.push({cell: 'y', freeTasks: 8});
+		recorded.submitLeased(patient(jobId));
+		expect(recorded.outcomes).toEqual([{kind: outcomeKind.redirected, cell: 'y'}]);
+	});
+
+	test('is waited for until its host should have extended it, and then the job is redirected', () => {
+		const recorded = createLeased(['m']);
+		recorded.report('m');
+		recorded.advance(2100);
+		recorded.otherCells.push({cell: 'y', freeTasks: 8});
+		recorded.submitLeased(patient(jobId));
+		recorded.advance(299);
+		recorded.dispatcher.tick();
+		expect(recorded.outcomes).toEqual([]);
+		recorded.advance(1);
+		recorded.dispatcher.tick();
+		expect(recorded.outcomes).toEqual([{kind: outcomeKind.redirected, cell: 'y'}]);
+	});
+
 	test('limits the lease of a minion that runs a task of the job, also for the tasks beside it', () => {
 		const recorded = createLeased(['m']);
 		recorded.report('m');
--- a/packages/chivestream-dispatch/src/dispatcher.ts
+++ b/packages/chivestream-dispatch/src/dispatcher.ts
@@ -94,6 +94,9 @@
 /** Assumed mean size of a task before the first job is submitted, in thousandths of a core. */
 const defaultTaskMillicores = 1000;
 
+/** How long a job waits for a longer lease, in milliseconds: several times what the answer of its host takes. */
+const maxLeaseWaitMs = 300;
+
 /** Weight of each newly submitted step in the moving mean of the task size. */
 const newSizeWeight = 0.05;
 
@@ -518,8 +521,16 @@
 		return (job.hasUnknownHistory && !this.jobsElsewhere.isKnown(now)) || this.jobsElsewhere.mayRun(job, now);
 	}
 
-	/** Whether the lease on a job is too short for some minions, until its host extends it. */
+	/**
+	 * Whether the lease on a job is too short for some minions, and its host is about to extend it. A job that waits for longer than a message takes,
+	 * or while no minion takes tasks anyway, counts as one without room.
+	 */
 	private awaitsLease(job: Job, now: number): boolean {
+		return this.hasShortLease(job, now) && now < job.arrivedAt + maxLeaseWaitMs
+			&& [...this.pool.minions.values()].some(minion => isUsable(minion, now));
+	}
+
+	private hasShortLease(job: Job, now: number): boolean {
 		return jobLeaseEndsAt(job) < now + leaseExpiryMs(this.leaseLengths.usualMs);
 	}
 
@@ -614,7 +625,7 @@
 			return;
 		}
 
-		if (this.awaitsLease(task.job, view.now)) {
+		if (this.hasShortLease(task.job, view.now)) {
 			return;
 		}
 
--- a/packages/chivestream-host/src/__tests__/dispatcher-table.test.ts
+++ b/packages/chivestream-host/src/__tests__/dispatcher-table.test.ts
@@ -22,7 +22,7 @@
 
 const create = () => {
 	const home = record('home', 'z');
-	const state = {now: 0, readUntil: 0, isHomeLinked: true};
+	const state = {now: 0, leaseEndsAt: jobLeaseMs, isHomeLinked: true};
 	const services = new Map<number, DispatchService>();
 	const table = new DispatcherTable({
 		self: record('self', 'z'),
@@ -31,8 +31,7 @@
 		services: () => services,
 		link: () => state.isHomeLinked ? linkTo(home) : undefined,
 		otherZoneDispatchers: () => [linkTo(record('other', 'y'))],
-		isAwake: () => true,
-		readUntil: () => state.readUntil,
+		callerLeaseEndsAt: () => state.leaseEndsAt,
 		jobLeaseMs: () => jobLeaseMs,
 	});
 	return {state, services, table};
@@ -76,7 +75,7 @@
 });
 
 // The end of the caller's connection waited on the full link of its host: the copy of the job, 1.3 s later, ran elsewhere beside the first one.
-test('the lease on a job of a caller of the dispatcher counts from the sending of the newest answer that has been read', () => {
+test('a job of a caller of the dispatcher has the lease of its callers, and minions are asked for an answer if that is short', () => {
 	const {state, services, table} = create();
 	const submitters: Array<Pick<Submission, 'leaseEndsAt'>> = [];
 	let asked = 0;
@@ -110,10 +109,10 @@
 	submit();
 	expect(asked).toBe(0);
 	const leaseEnds = () => submitters.map(({leaseEndsAt}) => leaseEndsAt());
-	expect(leaseEnds()).toEqual([jobLeaseMs - hostTiming.jobLeaseMarginMs]);
+	expect(leaseEnds()).toEqual([jobLeaseMs]);
 	state.now += 1;
 	submit();
 	expect(asked).toBe(1);
-	state.readUntil = 100;
-	expect(leaseEnds()).toEqual(Array.from({length: 2}, () => 100 + jobLeaseMs - hostTiming.jobLeaseMarginMs));
+	state.leaseEndsAt += 100;
+	expect(leaseEnds()).toEqual([jobLeaseMs + 100, jobLeaseMs + 100]);
 });
--- a/packages/chivestream-host/src/__tests__/minion-session.test.ts
+++ b/packages/chivestream-host/src/__tests__/minion-session.test.ts
@@ -45,6 +45,7 @@
 const startSession = (standIn: MinionStandIn, claim = token, now = () => performance.now()) => {
 	const events: Array<{event: string; fields: Record<string, unknown>}> = [];
 	const starts: string[] = [];
+	const answersSentAt: number[] = [];
 	const dispatcher: Dispatcher = new Dispatcher({
 		now,
 		random: createRandom(1),
@@ -73,8 +74,8 @@
 		report() {
 			// Not of interest.
 		},
-		onAnswer() {
-			// Not of interest.
+		onAnswer(sentAt) {
+			answersSentAt.push(sentAt);
 		},
 		onFenced() {
 			// No other dispatcher exists.
@@ -82,7 +83,7 @@
 		signal: controller.signal,
 	});
 	return {
-		dispatcher, session, events, starts,
+		dispatcher, session, events, starts, answersSentAt,
 	};
 };
 
@@ -300,3 +301,16 @@
 	await until(() => dispatcher.pool.minions.get('i-1')?.isSynced === true);
 	expect(reports).toBeGreaterThan(1);
 });
+
+// It was refused by the host itself, which took that for news of its link while the end of a caller's connection waited there.
+test('a start that could not be sent is no answer', async () => {
+	minion = await startMinion('i-1');
+	const {dispatcher, starts, events, answersSentAt} = startSession(minion);
+	await until(() => dispatcher.pool.minions.get('i-1')!.isSynced);
+	await minion.close();
+	const closedAt = performance.now();
+	dispatcher.submit(createJob(), () => undefined);
+	expect(starts).toHaveLength(1);
+	await until(() => !dispatcher.pool.minions.get('i-1')!.isReachable || events.some(({event}) => event === 'start-unanswered'));
+	expect(answersSentAt.filter(sentAt => sentAt > closedAt)).toEqual([]);
+});
--- a/packages/chivestream-host/src/dispatcher-table.ts
+++ b/packages/chivestream-host/src/dispatcher-table.ts
@@ -22,10 +22,8 @@
 	link: (name: string) => PeerLink | undefined;
 	/** Open links to the dispatchers of other zones. */
 	otherZoneDispatchers: () => PeerLink[];
-	/** Whether this process has read its sockets since its last pause. */
-	isAwake: () => boolean;
-	/** All that had been sent to this host by this time has been read, on the monotonic clock. */
-	readUntil: () => number;
+	/** Until when the jobs of this host's own callers may run, in milliseconds of the monotonic clock. */
+	callerLeaseEndsAt: () => number;
 	/** Length of the lease on a job, in milliseconds. */
 	jobLeaseMs: () => number;
 };
@@ -151,7 +149,7 @@
 
 	private ofLocalCell(cell: number): DispatcherHandle | undefined {
 		const {
-			self, now, isAwake, readUntil, jobLeaseMs,
+			self, now, callerLeaseEndsAt, jobLeaseMs,
 		} = this.options;
 		const service = this.options.services().get(cell);
 		if (service !== undefined) {
@@ -161,15 +159,13 @@
 				cell: this.localCellName(cell),
 				claim: service.token,
 				submit(job, {settle, onTaskCrashed}) {
-					if (readUntil() < now() - hostTiming.jobLeaseRenewalMs) {
+					if (callerLeaseEndsAt() < now() + jobLeaseMs() - hostTiming.jobLeaseRenewalMs) {
 						service.askIdleMinions();
 					}
 
 					withdrawal = service.dispatcher.submit(job, settle, onTaskCrashed, {
 						origin: originOf(self),
-						// A caller extends no lease. It may have left during a pause, or the end of its connection may wait on a full link. An
-						// answer that has been read shows that the caller had not left when that was sent, as both come over the same link.
-						leaseEndsAt: () => isAwake() ? readUntil() + jobLeaseMs() - hostTiming.jobLeaseMarginMs : Number.NEGATIVE_INFINITY,
+						leaseEndsAt: callerLeaseEndsAt,
 					});
 				},
 				cancel() {
--- a/packages/chivestream-host/src/host.ts
+++ b/packages/chivestream-host/src/host.ts
@@ -13,6 +13,7 @@
 import {createRecentMaximum} from './answer-timeout.js';
 import {runBackgroundLoop} from './background-loop.js';
 import {CallerJobs} from './caller-jobs.js';
+import {createCallerLease, type CallerLease} from './caller-lease.js';
 import {cellName} from './cells.js';
 import {createCallerService, type CallerService} from './caller-service.js';
 import {cancelFinding, CancelledJobs} from './cancelled-jobs.js';
@@ -82,6 +83,7 @@
 	/** By how much the ticks of this process were late, in milliseconds. */
 	private readonly delay = createRecentMaximum();
 	private readonly pauseGuard: PauseGuard;
+	private readonly callerLease: CallerLease;
 	private lastTickAt = performance.now();
 	/** When this host last checked which others are silent, after it had read its sockets. */
 	private listenedAt = performance.now();
@@ -89,8 +91,6 @@
 	private isReadingSockets = false;
 	private lastHeartbeatAt = 0;
 	private lastPublishedDispatchers = '';
-	/** All that had been sent to this host by this time has been read. */
-	private readUntil = Number.NEGATIVE_INFINITY;
 	private readonly now: () => number;
 
 	constructor(settings: HostSettings, writeLine: Report) {
@@ -107,15 +107,15 @@
 			writeLine(event, fields);
 		};
 
-		// Answers and requests wait on the same link: what was sent before an answer has been read before it, or will be at once.
-		const onAnswer = (sentAt: number) => {
-			this.readUntil = Math.max(this.readUntil, sentAt);
-		};
-
 		const elapsed = createElapsedClock(now, () => Date.now());
 		this.pauseGuard = createPauseGuard({
 			now, elapsed, thresholdMs: hostTiming.heartbeatMs + hostTiming.pauseThresholdMs, recoveryMs: hostTiming.pauseRecoveryMs,
 		});
+		this.callerLease = createCallerLease({now, elapsed, jobLeaseMs: () => this.jobLeaseMs()});
+		const onAnswer = (sentAt: number) => {
+			this.callerLease.recordAnswer(sentAt);
+		};
+
 		this.report = report;
 		this.record = {
 			name: settings.host.name,
@@ -261,8 +261,7 @@
 			services: () => this.claim.services,
 			link: name => this.peers.findOpenLink(name),
 			otherZoneDispatchers: () => this.peers.otherZoneDispatchers(),
-			isAwake: () => this.pauseGuard.isAwake(),
-			readUntil: () => this.readUntil,
+			callerLeaseEndsAt: () => this.pauseGuard.isAwake() ? this.callerLease.endsAt() : Number.NEGATIVE_INFINITY,
 			jobLeaseMs: () => this.jobLeaseMs(),
 		});
 		this.readinessServer = this.createReadinessServer();
@@ -687,6 +686,7 @@
 			}
 
 			this.lastTickAt = now;
+			this.callerLease.recordTick();
 			this.claim.tick();
 			// The sockets are read between two ticks, so a process that is always late waits for one tick only.
 			this.isReadingSockets = !wasReadingSockets && pausedMs > hostTiming.lateTickMs;
--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -85,8 +85,6 @@
 	const client: MinionClient = createMinionClient(id, address);
 	/** The minion's clock read `time` when the local clock read `at`. */
 	let minionClock: {at: number; time: number} | undefined;
-	/** The clock of the minion's current incarnation read zero at this time or later, on the local clock. */
-	let minionClockStart = Number.NEGATIVE_INFINITY;
 	let {bornAt} = minion.record;
 	let {token} = options;
 	let endCursor = 0;
@@ -187,7 +185,6 @@
 			const isRestart = bornAt > 0;
 			bornAt = response.bornAt;
 			endCursor = 0;
-			minionClockStart = Number.NEGATIVE_INFINITY;
 			answeredToken = undefined;
 			tokenBornAt = Math.max(tokenBornAt, bornAt);
 			dispatcher.recordIncarnation(minion, bornAt);
@@ -210,9 +207,7 @@
 		}
 
 		minionClock = {at: now(), time: response.minionTime};
-		// Its clock doesn't run fast, so it shows when an answer was sent that waited for the end of a run.
-		minionClockStart = Math.max(minionClockStart, sentAt - response.minionTime);
-		options.onAnswer(minionClockStart + response.minionTime);
+		options.onAnswer(sentAt);
 		dispatcher.handleReport(minion, {polledAt: sentAt, running: response.running, ended: response.ended});
 		endCursor = Math.max(endCursor, ...response.ended.map(end => end.cursor));
 		return new Ok(undefined);
@@ -302,9 +297,12 @@
 
 		wake?.();
 		const sentToken = token;
-		const result = await send(async timeoutMs => client.start({
-			task: run.task, number: run.number, payload: task.job.request.payload, token: sentToken, leaseDeadline: deadline,
-		}, timeoutMs), ({answer}) => answer !== startAnswer.unknown);
+		const result = await send(
+			async timeoutMs => client.start({
+				task: run.task, number: run.number, payload: task.job.request.payload, token: sentToken, leaseDeadline: deadline,
+			}, timeoutMs), // One that was not sent is refused here, without the minion's clock.
+			({minionTime}) => minionTime !== undefined,
+		);
 		if (signal.aborted) {
 			return;
 		}
