--- a/packages/chivestream-host/src/minion-session.ts
+++ b/packages/chivestream-host/src/minion-session.ts
@@ -300,7 +300,8 @@
 		const result = await send(
 			async timeoutMs => client.start({
 				task: run.task, number: run.number, payload: task.job.request.payload, token: sentToken, leaseDeadline: deadline,
-			}, timeoutMs), // One that was not sent is refused here, without the minion's clock.
+			}, timeoutMs),
+			// A request that could not be sent is refused without the minion's clock.
 			({minionTime}) => minionTime !== undefined,
 		);
 		if (signal.aborted) {
