Test the division into cells and the loss of a dispatcher on a simulated clock

As before: 3 hosts, 44 minions, 30 jobs of 3 tasks, a kill after 60 starts, 20 seeds; and 20 more with 20 jobs, so that there is room for a second run, and a later kill.

--- a/packages/chivestream-host/src/__tests__/zone-decisions.test.ts
+++ b/packages/chivestream-host/src/__tests__/zone-decisions.test.ts
@@ -63,3 +63,21 @@
 		expect(scripted.checker.starts).toBe(24);
 	});
 });
+
+describe('a zone of many minions, on a simulated clock,', () => {
+	// With 20 jobs there is room for a task that is lost sight of to start again at once.
+	test.each([
+		...seeds.map(seed => ({seed, jobs: 30, laterMs: 1})),
+		...seeds.map(seed => ({seed, jobs: 20, laterMs: 250})),
+	])('is divided into cells with a dispatcher each, and no job is lost when one dispatcher is killed: seed $seed, $jobs jobs, up to $laterMs ms later', async ({seed, jobs, laterMs}) => {
+		const scripted = await start({seed, hosts: 3, minions: 44});
+		await scripted.until(() => scripted.hosts().filter(host => host.isDispatching()).length === 2);
+		const dispatcher = scripted.dispatcherIndex();
+		const results = submitMany(scripted, jobs, {count: 3, workMs: 300}, [0, 1, 2].filter(index => index !== dispatcher));
+		await scripted.until(() => scripted.checker.starts >= 60);
+		await scripted.pass(randomInteger(createRandom(seed), laterMs));
+		scripted.killHost(dispatcher);
+		expectCompleted(await scripted.untilResolved(results), jobs);
+		expect(scripted.checker.violations).toEqual([]);
+	});
+});
