Take the speed of a host's link from the limits of its machine, which may lack it

What operators would see: no host starts where the platform's settings give no speed of the link, as the template then renders no JSON. Cause: named limits.link_mbps in the template, which renders fields one by one and nothing for a missing one. Change: the template passes the table on, and platform/ takes the speed from it, if there is one. Evidence: settings.test.ts "a host takes the speed of its link from the limits ...".

--- a/packages/chivestream-host/src/__tests__/settings.test.ts
+++ b/packages/chivestream-host/src/__tests__/settings.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from '@jest/globals';
 import {countedCores, hostSettingsSchema} from '../settings.js';
 
-const cores = (host: {cpuShare: number; coreSpeed?: number; linkMbps?: number}): number => countedCores(hostSettingsSchema.parse({
+const cores = (host: {cpuShare: number; coreSpeed?: number; linkMbps?: number; machineLimits?: unknown}): number => countedCores(hostSettingsSchema.parse({
 	host: {name: 'h', zone: 'z', ...host},
 	listen: {callers: '127.0.0.1:1', readiness: '127.0.0.1:2', peers: '127.0.0.1:3'},
 	seeds: [],
@@ -19,3 +19,10 @@
 	expect(cores({cpuShare: 0.12, linkMbps: 2})).toBe(0.0625);
 	expect(cores({cpuShare: 4, linkMbps: 2})).toBe(0.0625);
 });
+
+// The template named the speed of the link alone, and no host started where the platform gives none.
+test.each([
+	['{"cpu_share": 4, "link_mbps": 2.0}', 0.0625], ['{"cpu_share": 4, "cores": 1}', 4], ['{"link_mbps": null}', 4],
+])('a host takes the speed of its link from the limits of its machine, if these have one: %s', (limits, expected) => {
+	expect(cores({cpuShare: 4, machineLimits: JSON.parse(limits)})).toBe(expected);
+});
--- a/packages/chivestream-host/src/settings.ts
+++ b/packages/chivestream-host/src/settings.ts
@@ -1,4 +1,5 @@
 /** The settings file of an entry host on the users' platform. */
+import {machineLimitsSchema} from 'chivestream-platform';
 import {listenAddressSchema, nameSchema, reachableAddressSchema} from 'chivestream-settings';
 import {z} from 'zod';
 
@@ -16,7 +17,9 @@
 		coreSpeed: z.number().positive().default(1),
 		/** Speed of its link, in megabits per second; without it, the link is no limit. */
 		linkMbps: z.number().positive().optional(),
-	}),
+		/** The platform's limits, which give the speed of the link if `linkMbps` doesn't. */
+		machineLimits: machineLimitsSchema.optional(),
+	}).transform(({machineLimits, linkMbps = machineLimits?.linkMbps, ...host}) => ({...host, linkMbps})),
 	listen: z.strictObject({
 		callers: listenAddressSchema,
 		readiness: listenAddressSchema,
