--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -19,6 +19,8 @@
 const leastOctet = 100;
 const octetRange = 150;
 const lastLineCount = 5;
+/** A case that takes longer is given up. */
+const longestMs = 112_000;
 const readyPollMs = 50;
 const readyTimeoutMs = 20_000;
 
@@ -89,6 +91,10 @@
 	}
 
 	start() {
+		if (this.#site.isClosed) {
+			return;
+		}
+
 		const [program, ...words] = deployWords();
 		const {PATH, HOME, LANG} = process.env;
 		this.#child = spawn(program === 'node' ? process.execPath : program, words, {
@@ -198,6 +204,8 @@
 /** A site under test with its record and its temporary folder. */
 export class Site {
 	hosts = [];
+	/** Whether the case has ended; no host starts any more. */
+	isClosed = false;
 	closeables = [];
 
 	constructor(recordFile) {
@@ -258,6 +266,7 @@
 
 	/** Ends all processes and servers that the case started. */
 	async close() {
+		this.isClosed = true;
 		await Promise.all(this.hosts.map(async host => host.close()));
 		for (const closeable of this.closeables) {
 			closeable.close();
@@ -273,6 +282,21 @@
 /** Runs a case: `play` returns the violations that it has seen. The process ends with the exit code of the case. */
 export const runCase = async (recordFile, play) => {
 	const site = new Site(recordFile);
+	const giveUp = async reason => {
+		site.record.note(`the case could not run: ${reason}`);
+		await site.close();
+		// The case itself goes on.
+		// eslint-disable-next-line unicorn/no-process-exit
+		process.exit(exitCode.notRun);
+	};
+
+	for (const signal of ['SIGTERM', 'SIGINT']) {
+		process.on(signal, () => {
+			giveUp(signal);
+		});
+	}
+
+	setTimeout(giveUp, longestMs, 'it took too long').unref();
 	let code = exitCode.notRun;
 	try {
 		site.record.note(isTroubled ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
