--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -323,8 +323,10 @@
 		};
 	};
 
+	let onBeat = () => undefined;
 	const beat = () => {
 		store.write('keyed.servers', id, JSON.stringify(entry()));
+		onBeat();
 	};
 
 	beat();
@@ -338,6 +340,10 @@
 			record.note(`minion ${id} has room for ${cpu}, and says so`);
 			beat();
 		},
+		/** Resolves when it has next written its entry. */
+		nextBeat: async () => new Promise(resolve => {
+			onBeat = resolve;
+		}),
 		/** What it says of itself. */
 		entry,
 		close() {
